--- /dev/null
+++ b/include/verbenadock/bundle/signature.h
@@ -0,0 +1,56 @@
+#ifndef VERBENADOCK_BUNDLE_SIGNATURE_H
+#define VERBENADOCK_BUNDLE_SIGNATURE_H
+
+#include "verbenadock/base/error.h"
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Verbenadock::Bundles {
+
+/// A key cannot be read or a signature cannot be made.
+class SignatureError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/// SHA-256 in hexadecimal.
+std::string contentDigest(std::string_view content);
+
+/// An operator's Ed25519 private key.
+struct PrivateKey
+{
+    /// 32 raw bytes.
+    std::string bytes;
+};
+
+/// Reads a PEM file's text. Throws SignatureError.
+PrivateKey parsePrivateKey(std::string_view pem);
+
+/// Makes a new key and returns it as PEM text.
+std::string generatePrivateKeyPem();
+
+/// The public key, 32 bytes in base64.
+std::string publicKey(const PrivateKey &key);
+
+/// Ed25519 signature in base64.
+std::string sign(const PrivateKey &key, std::string_view text);
+
+/// Whether the signature (base64) of the text was made with the private key of the public key (base64).
+bool verify(std::string_view publicKeyBase64, std::string_view text, std::string_view signatureBase64);
+
+/// An operator whose signatures count.
+struct TrustedOperator
+{
+    std::string name;
+    std::string publicKey;
+
+    auto operator<=>(const TrustedOperator &) const = default;
+};
+
+} // namespace Verbenadock::Bundles
+
+#endif
--- /dev/null
+++ b/include/verbenadock/control/message.h
@@ -0,0 +1,221 @@
+#ifndef VERBENADOCK_CONTROL_MESSAGE_H
+#define VERBENADOCK_CONTROL_MESSAGE_H
+
+#include "verbenadock/base/error.h"
+#include "verbenadock/base/identifiers.h"
+#include "verbenadock/base/time.h"
+#include "verbenadock/health/sample.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Verbenadock::Control {
+
+/// A message could not be decoded.
+class MessageError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/// Version of the messages below; peers with another one are refused.
+inline constexpr std::uint32_t ProtocolVersion = 1;
+
+enum class PeerRole {
+    Agent,
+    Entry,
+};
+
+/// First message in each direction.
+struct Hello
+{
+    std::uint32_t protocolVersion = ProtocolVersion;
+    PeerRole role = PeerRole::Agent;
+    std::string vmId;
+    std::string dataCentre;
+    /// Rises with each start of the process (milliseconds since 1970 at the start).
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Hello &) const = default;
+};
+
+/// One bundle in force, exactly as it was signed off.
+struct BundleInForce
+{
+    std::string name;
+    std::uint64_t version = 0;
+    /// SHA-256 of the content, in hexadecimal.
+    std::string digest;
+    std::string content;
+    /// The proposal, sign-off and roll-out records as they stand in the log, so that a receiver can verify them.
+    std::vector<std::string> records;
+    /// Offset of the roll-out record.
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const BundleInForce &) const = default;
+};
+
+struct BundleDigest
+{
+    std::string name;
+    std::uint64_t version = 0;
+    std::string digest;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const BundleDigest &) const = default;
+};
+
+/// What is in force at the sender. A receiver that is behind asks with BundleRequest.
+struct ConfigurationDigest
+{
+    std::vector<BundleDigest> bundles;
+
+    auto operator<=>(const ConfigurationDigest &) const = default;
+};
+
+struct BundleRequest
+{
+    std::vector<std::string> names;
+
+    auto operator<=>(const BundleRequest &) const = default;
+};
+
+struct BundleTransfer
+{
+    std::vector<BundleInForce> bundles;
+
+    auto operator<=>(const BundleTransfer &) const = default;
+};
+
+/// Bundles in force, sent by an agent to its entry: all of them at the start, then those that changed.
+struct ConfigurationUpdate
+{
+    std::vector<BundleInForce> bundles;
+
+    auto operator<=>(const ConfigurationUpdate &) const = default;
+};
+
+/// Outcomes at one upstream since the last report.
+struct UpstreamEvidence
+{
+    UpstreamKey upstream;
+    std::map<Health::Cause, std::uint32_t> counts;
+    /// Sum of the latencies of successes, in microseconds.
+    std::uint64_t latencySum = 0;
+
+    auto operator<=>(const UpstreamEvidence &) const = default;
+};
+
+struct EvidenceReport
+{
+    /// The VM whose entry saw the outcomes.
+    std::string observer;
+    std::vector<UpstreamEvidence> upstreams;
+
+    auto operator<=>(const EvidenceReport &) const = default;
+};
+
+struct UpstreamVerdict
+{
+    UpstreamKey upstream;
+    bool sick = false;
+    /// Time since the verdict was reached.
+    Duration age{0};
+
+    auto operator<=>(const UpstreamVerdict &) const = default;
+};
+
+struct HealthVerdicts
+{
+    std::vector<UpstreamVerdict> verdicts;
+
+    auto operator<=>(const HealthVerdicts &) const = default;
+};
+
+/// All upstream addresses that the VM list reports as leaving.
+struct LeavingUpdate
+{
+    std::vector<std::string> addresses;
+
+    auto operator<=>(const LeavingUpdate &) const = default;
+};
+
+enum class MemberState {
+    Alive,
+    Suspect,
+    Dead,
+};
+
+/// News about a member; it rides on heartbeats.
+struct MemberUpdate
+{
+    std::string vmId;
+    std::string address;
+    std::string dataCentre;
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Alive;
+
+    auto operator<=>(const MemberUpdate &) const = default;
+};
+
+struct Heartbeat
+{
+    std::uint64_t sequence = 0;
+    std::vector<MemberUpdate> updates;
+
+    auto operator<=>(const Heartbeat &) const = default;
+};
+
+struct HeartbeatAck
+{
+    std::uint64_t sequence = 0;
+    std::vector<MemberUpdate> updates;
+
+    auto operator<=>(const HeartbeatAck &) const = default;
+};
+
+/// Asks a neighbour to check a third member.
+struct IndirectProbe
+{
+    std::string target;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const IndirectProbe &) const = default;
+};
+
+struct IndirectProbeAck
+{
+    std::string target;
+    std::uint64_t sequence = 0;
+    bool alive = false;
+
+    auto operator<=>(const IndirectProbeAck &) const = default;
+};
+
+using Message = std::variant<Hello,
+                             ConfigurationDigest,
+                             BundleRequest,
+                             BundleTransfer,
+                             ConfigurationUpdate,
+                             EvidenceReport,
+                             HealthVerdicts,
+                             LeavingUpdate,
+                             Heartbeat,
+                             HeartbeatAck,
+                             IndirectProbe,
+                             IndirectProbeAck>;
+
+/// CBOR object with a "type" member.
+std::string encode(const Message &message);
+
+/// Throws MessageError when the bytes are no known message.
+Message decode(std::string_view bytes);
+
+} // namespace Verbenadock::Control
+
+#endif
--- /dev/null
+++ b/include/verbenadock/net/adminserver.h
@@ -0,0 +1,45 @@
+#ifndef VERBENADOCK_NET_ADMINSERVER_H
+#define VERBENADOCK_NET_ADMINSERVER_H
+
+#include "verbenadock/base/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Verbenadock::Net {
+
+/// Serves /ready, /metrics and /dump of a process over HTTP/1.1.
+///
+/// Usage: `AdminServer admin(context, endpoint, {.ready = ..., .metrics = ..., .dump = ...});` The constructor binds
+/// the port and throws NetError when it cannot.
+class AdminServer
+{
+public:
+    struct Handlers
+    {
+        std::function<bool()> ready;
+        std::function<std::string()> metrics;
+        /// The whole state of the process as JSON text.
+        std::function<std::string()> dump;
+    };
+
+    AdminServer(boost::asio::io_context &context, const Endpoint &endpoint, Handlers handlers);
+    ~AdminServer();
+
+    /// The bound endpoint.
+    Endpoint endpoint() const;
+
+    /// Stops accepting and closes all connections.
+    void stop();
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> implementation;
+};
+
+} // namespace Verbenadock::Net
+
+#endif
--- /dev/null
+++ b/test/base/endpointtest.cpp
@@ -0,0 +1,23 @@
+#include "verbenadock/base/endpoint.h"
+#include "verbenadock/base/error.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Verbenadock;
+
+TEST_CASE("an endpoint survives a round trip through text")
+{
+    for (const std::string text : {"127.0.1.2:8080", "[::1]:65535"}) {
+        CHECK(toString(parseEndpoint(text)) == text);
+    }
+}
+
+// Guards against a host name or a wrong port reaching a socket call, where the error would no longer name the setting.
+TEST_CASE("text that is no endpoint is refused")
+{
+    for (const std::string text :
+         {"127.0.0.1", "localhost:80", "127.0.0.1:0", "127.0.0.1:65536", "::1:80", "1.2.3.4:80x"}) {
+        INFO("text: " << text);
+        CHECK_THROWS_AS(parseEndpoint(text), Error);
+    }
+}
