Judge upstreams against their siblings with a sequential test

Cause: five consecutive errors per VM find a partial failure late or never, and eject everybody when a shared dependency fails.

Change: a CUSUM on log-likelihood ratios per upstream, confirmed against the better half of the siblings over the same time; slowness against the siblings' median; ejection above a floor in slots, worst first; recovery by trials and a ramp with doubling waits.

Ruled out: the mean of all siblings as the reference, because one sick sibling of two would hide the other; a fixed latency limit, because it ejects everybody when the service gets slower.

--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -5,7 +5,7 @@
 #include "verbenadock/health/sample.h"
 
 #include <compare>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -104,6 +104,9 @@
 {
 public:
     ServiceDetector(DetectorSettings settings, std::vector<UpstreamCapacity> upstreams);
+    ~ServiceDetector();
+    ServiceDetector(ServiceDetector &&) noexcept;
+    ServiceDetector &operator=(ServiceDetector &&) noexcept;
 
     /// Takes over new settings and upstreams; upstreams that stay keep their state.
     void reconfigure(DetectorSettings settings, std::vector<UpstreamCapacity> upstreams);
@@ -111,6 +114,10 @@
     /// Adds one outcome. Outcomes of unknown upstreams are ignored.
     void record(const std::string &upstream, const Sample &sample);
 
+    /// Adds the outcome of a request that has waited for its answer much longer than usual and still waits. Without it,
+    /// an upstream that hangs would be noticed only when the first request times out.
+    void recordOverdue(const std::string &upstream, TimePoint now);
+
     /// Marks the upstreams that leave; they do not count as healthy capacity.
     void setLeaving(const std::vector<std::string> &upstreams);
 
@@ -129,27 +136,8 @@
     std::vector<UpstreamReport> report(TimePoint now) const;
 
 private:
-    struct Member
-    {
-        unsigned slots = 1;
-        bool leaving = false;
-        bool pooledSick = false;
-        HealthState state = HealthState::Healthy;
-        double failureEvidence = 0;
-        double slowEvidence = 0;
-        double recentFailures = 0;
-        double recentSamples = 0;
-        double typicalLatency = 0;
-        std::map<Cause, unsigned> causes;
-        TimePoint since{};
-        TimePoint lastSample{};
-        Duration wait{0};
-        unsigned relapses = 0;
-        unsigned trialSuccesses = 0;
-    };
-
-    DetectorSettings settings;
-    std::map<std::string, Member> members;
+    struct State;
+    std::unique_ptr<State> state;
 };
 
 } // namespace Verbenadock::Health
--- /dev/null
+++ b/src/health/member.h
@@ -0,0 +1,64 @@
+#ifndef VERBENADOCK_HEALTH_MEMBER_H
+#define VERBENADOCK_HEALTH_MEMBER_H
+
+#include "cusum.h"
+#include "verbenadock/health/servicedetector.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Verbenadock::Health::Internal {
+
+/// Running estimate of the median latency, on a logarithmic scale.
+class TypicalLatency
+{
+public:
+    void add(Duration latency);
+    /// Absent until a few samples were added.
+    std::optional<Duration> value() const;
+
+private:
+    double logMicroseconds = 0;
+    unsigned samples = 0;
+};
+
+/// State of one upstream in the detector.
+struct Member
+{
+    std::uint32_t number = 0;
+    std::string id;
+    unsigned slots = 1;
+    bool leaving = false;
+    /// The verdict on pooled evidence.
+    bool pooledSick = false;
+    HealthState state = HealthState::Healthy;
+    Cusum failures{};
+    Cusum slowness{};
+    TypicalLatency typicalLatency{};
+    /// Share of bad samples, newer ones weighing more; orders sick upstreams at the floor.
+    double badness = 0;
+    Cause lastFailure = Cause::Success;
+    TimePoint since{};
+    /// When a recovery trial starts, or ends without a sample.
+    TimePoint deadline{};
+    unsigned relapses = 0;
+    unsigned trialSuccesses = 0;
+
+    bool sick() const
+    {
+        return this->state == HealthState::Ejected || this->state == HealthState::HeldByFloor;
+    }
+
+    /// Whether the slots of the upstream count as capacity in use.
+    bool inUse() const
+    {
+        const bool outOfUse = this->state == HealthState::Ejected || this->state == HealthState::Trial;
+        return !this->leaving && !outOfUse;
+    }
+};
+
+} // namespace Verbenadock::Health::Internal
+
+#endif
--- /dev/null
+++ b/src/health/servicedetector.cpp
@@ -0,0 +1,442 @@
+#include "verbenadock/health/servicedetector.h"
+
+#include "floor.h"
+#include "member.h"
+#include "recentsamples.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+#include <utility>
+
+namespace Verbenadock::Health {
+
+using Internal::Cusum;
+using Internal::Member;
+using Internal::RateHypotheses;
+using Internal::SampleKind;
+using Internal::Tally;
+
+namespace {
+
+// A healthy upstream may fail this often without being suspected; it also keeps the ratios finite.
+constexpr double HealthyFailureRate = 0.01;
+// Latencies vary more than results, so more slow answers are tolerated.
+constexpr double HealthySlowRate = 0.05;
+constexpr double SickSlowRate = 0.5;
+// Weight of the healthy rate against the siblings' samples, in samples.
+constexpr double PriorSamples = 4;
+// The sick rate is at least this multiple of the siblings' rate.
+constexpr double SickRatio = 4;
+constexpr double MaxSickRate = 0.95;
+// Ceiling of the evidence as a multiple of the threshold. A recovered upstream that the floor held is cleared by about
+// 40 successes.
+constexpr double EvidenceCeiling = 1.5;
+constexpr double BadnessWeight = 0.2;
+constexpr unsigned TrialSuccessesNeeded = 3;
+constexpr double FirstRampShare = 0.25;
+constexpr Duration RampTime = std::chrono::seconds(4);
+// During the ramp less evidence is enough, since a relapse is likely.
+constexpr double RampThresholdShare = 0.6;
+// A service without idempotent requests gives no trial samples; its upstreams go to the ramp after this multiple of
+// the wait, since they would otherwise be lost for good.
+constexpr int TrialPatience = 5;
+// An upstream that stays healthy this long counts as recovered; a new ejection starts with the first wait again.
+constexpr Duration RelapseMemory = std::chrono::minutes(2);
+
+RateHypotheses failureRates(double healthy, double wanted)
+{
+    const double bounded = std::clamp(healthy, HealthyFailureRate, MaxSickRate - 0.01);
+    return {.healthy = bounded, .sick = std::clamp(std::max(wanted, SickRatio * bounded), bounded + 0.01, MaxSickRate)};
+}
+
+RateHypotheses slowRates(double healthy)
+{
+    const double bounded = std::clamp(healthy, HealthySlowRate, MaxSickRate - 0.01);
+    return {.healthy = bounded, .sick = std::clamp(std::max(SickSlowRate, 2 * bounded), bounded + 0.01, MaxSickRate)};
+}
+
+double smoothedRate(const Tally &tally, double prior)
+{
+    return (tally.bad + prior * PriorSamples) / (tally.all + PriorSamples);
+}
+
+} // namespace
+
+std::string_view toString(HealthState state)
+{
+    switch (state) {
+    case HealthState::Healthy:
+        return "healthy";
+    case HealthState::Ejected:
+        return "ejected";
+    case HealthState::Trial:
+        return "trial";
+    case HealthState::Ramp:
+        return "ramp";
+    case HealthState::HeldByFloor:
+        return "held-by-floor";
+    }
+    return "invalid";
+}
+
+struct ServiceDetector::State
+{
+    DetectorSettings settings;
+    std::vector<Member> members;
+    std::unordered_map<std::string, std::size_t> positions;
+    Internal::RecentSamples recent;
+    std::uint32_t nextNumber = 0;
+
+    Member *find(const std::string &id);
+    const Member *find(const std::string &id) const;
+    void setMembers(std::vector<UpstreamCapacity> upstreams);
+    double threshold(const Member &member) const;
+    Duration wait(const Member &member) const;
+    std::optional<Duration> siblingLatency(const Member &member) const;
+    bool isSlow(const Member &member, const Sample &sample) const;
+    void judge(Member &member, const Sample &sample, bool slow);
+    void judgeTrial(Member &member, bool bad, TimePoint at);
+    bool alarmed(const Member &member) const;
+    bool confirmed(const Member &member, const Cusum &sum, SampleKind kind) const;
+    bool cleared(const Member &member) const;
+    void markSick(Member &member, TimePoint now) const;
+    void startTrial(Member &member, TimePoint now) const;
+    void startRamp(Member &member, TimePoint now) const;
+    void advance(Member &member, TimePoint now) const;
+};
+
+Member *ServiceDetector::State::find(const std::string &id)
+{
+    return const_cast<Member *>(std::as_const(*this).find(id));
+}
+
+const Member *ServiceDetector::State::find(const std::string &id) const
+{
+    const auto position = this->positions.find(id);
+    return position == this->positions.end() ? nullptr : &this->members[position->second];
+}
+
+void ServiceDetector::State::setMembers(std::vector<UpstreamCapacity> upstreams)
+{
+    std::vector<Member> next;
+    std::unordered_map<std::string, std::size_t> nextPositions;
+    for (UpstreamCapacity &upstream : upstreams) {
+        const Member *known = this->find(upstream.id);
+        Member member = known != nullptr ? *known : Member{.number = this->nextNumber++, .id = upstream.id};
+        member.slots = upstream.slots;
+        nextPositions.emplace(upstream.id, next.size());
+        next.push_back(std::move(member));
+    }
+    this->members = std::move(next);
+    this->positions = std::move(nextPositions);
+}
+
+double ServiceDetector::State::threshold(const Member &member) const
+{
+    const double full = std::log(std::max(this->settings.samplesBetweenFalseAlarms, 2.0));
+    return member.state == HealthState::Ramp ? full * RampThresholdShare : full;
+}
+
+Duration ServiceDetector::State::wait(const Member &member) const
+{
+    Duration wait = this->settings.firstEjection;
+    for (unsigned i = 0; i < member.relapses && wait < this->settings.longestEjection; ++i) {
+        wait *= 2;
+    }
+    return std::min(wait, this->settings.longestEjection);
+}
+
+std::optional<Duration> ServiceDetector::State::siblingLatency(const Member &member) const
+{
+    std::vector<Duration> latencies;
+    latencies.reserve(this->members.size());
+    for (const Member &sibling : this->members) {
+        const auto latency = sibling.typicalLatency.value();
+        if (sibling.number != member.number && sibling.inUse() && latency) {
+            latencies.push_back(*latency);
+        }
+    }
+    if (latencies.empty()) {
+        return std::nullopt;
+    }
+    // The lower median: with two siblings, one of them slow, the faster one is the reference.
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+bool ServiceDetector::State::isSlow(const Member &member, const Sample &sample) const
+{
+    if (sample.cause != Cause::Success) {
+        return false;
+    }
+    const auto reference = this->siblingLatency(member);
+    return reference
+           && static_cast<double>(sample.latency.count())
+                  > this->settings.slowFactor * static_cast<double>(reference->count());
+}
+
+void ServiceDetector::State::judge(Member &member, const Sample &sample, bool slow)
+{
+    const bool failed = isFailure(sample.cause);
+    const double ceiling = std::log(std::max(this->settings.samplesBetweenFalseAlarms, 2.0)) * EvidenceCeiling;
+    member.failures.add(failed, failureRates(HealthyFailureRate, this->settings.failureRate), ceiling, sample.at);
+    if (!failed) {
+        member.slowness.add(slow, slowRates(HealthySlowRate), ceiling, sample.at);
+    }
+    if (sample.cause == Cause::Success) {
+        member.typicalLatency.add(sample.latency);
+    }
+    const double bad = failed || slow ? 1 : 0;
+    member.badness += BadnessWeight * (bad - member.badness);
+    if (failed) {
+        member.lastFailure = sample.cause;
+    }
+}
+
+void ServiceDetector::State::judgeTrial(Member &member, bool bad, TimePoint at)
+{
+    if (bad) {
+        ++member.relapses;
+        this->markSick(member, at);
+        return;
+    }
+    ++member.trialSuccesses;
+    if (member.trialSuccesses >= TrialSuccessesNeeded) {
+        this->startRamp(member, at);
+    }
+}
+
+bool ServiceDetector::State::confirmed(const Member &member, const Cusum &sum, SampleKind kind) const
+{
+    if (sum.evidence() < this->threshold(member)) {
+        return false;
+    }
+    // The sum was built with the rate of a healthy upstream. The run is judged again with the siblings' rate over the
+    // same time, so that a failure that all share ejects nobody.
+    const Tally siblings = this->recent.siblings(member.number, sum.runStart(), kind);
+    const RateHypotheses rates = kind == SampleKind::Failed ? failureRates(smoothedRate(siblings, HealthyFailureRate),
+                                                                           this->settings.failureRate)
+                                                            : slowRates(smoothedRate(siblings, HealthySlowRate));
+    return Internal::logLikelihoodRatio(rates, sum.badInRun(), sum.goodInRun()) >= this->threshold(member);
+}
+
+bool ServiceDetector::State::alarmed(const Member &member) const
+{
+    return member.pooledSick || this->confirmed(member, member.failures, SampleKind::Failed)
+           || this->confirmed(member, member.slowness, SampleKind::Slow);
+}
+
+bool ServiceDetector::State::cleared(const Member &member) const
+{
+    return !member.pooledSick && member.failures.evidence() == 0 && member.slowness.evidence() == 0;
+}
+
+void ServiceDetector::State::markSick(Member &member, TimePoint now) const
+{
+    member.state = HealthState::Ejected;
+    member.since = now;
+    member.deadline = now + this->wait(member);
+}
+
+void ServiceDetector::State::startTrial(Member &member, TimePoint now) const
+{
+    member.state = HealthState::Trial;
+    member.since = now;
+    member.deadline = now + TrialPatience * this->wait(member);
+    member.trialSuccesses = 0;
+}
+
+void ServiceDetector::State::startRamp(Member &member, TimePoint now) const
+{
+    member.state = HealthState::Ramp;
+    member.since = now;
+    member.deadline = now + RampTime;
+    member.failures.reset();
+    member.slowness.reset();
+    member.badness = 0;
+}
+
+void ServiceDetector::State::advance(Member &member, TimePoint now) const
+{
+    switch (member.state) {
+    case HealthState::Healthy:
+        if (member.relapses > 0 && now - member.since >= RelapseMemory) {
+            member.relapses = 0;
+        }
+        if (this->alarmed(member)) {
+            this->markSick(member, now);
+        }
+        break;
+    case HealthState::Ejected:
+        if (now >= member.deadline && !member.pooledSick) {
+            this->startTrial(member, now);
+        }
+        break;
+    case HealthState::Trial:
+        if (now >= member.deadline) {
+            this->startRamp(member, now);
+        }
+        break;
+    case HealthState::Ramp:
+        if (this->alarmed(member)) {
+            ++member.relapses;
+            this->markSick(member, now);
+        } else if (now >= member.deadline) {
+            member.state = HealthState::Healthy;
+            member.since = now;
+        }
+        break;
+    case HealthState::HeldByFloor:
+        if (this->cleared(member)) {
+            member.state = HealthState::Healthy;
+            member.since = now;
+        }
+        break;
+    }
+}
+
+ServiceDetector::ServiceDetector(DetectorSettings settings, std::vector<UpstreamCapacity> upstreams)
+    : state(std::make_unique<State>())
+{
+    this->reconfigure(settings, std::move(upstreams));
+}
+
+ServiceDetector::~ServiceDetector() = default;
+ServiceDetector::ServiceDetector(ServiceDetector &&) noexcept = default;
+ServiceDetector &ServiceDetector::operator=(ServiceDetector &&) noexcept = default;
+
+void ServiceDetector::reconfigure(DetectorSettings settings, std::vector<UpstreamCapacity> upstreams)
+{
+    this->state->settings = settings;
+    this->state->setMembers(std::move(upstreams));
+}
+
+void ServiceDetector::record(const std::string &upstream, const Sample &sample)
+{
+    Member *member = this->state->find(upstream);
+    const bool ignored = member == nullptr || !isEvidence(sample.cause) || member->state == HealthState::Ejected;
+    if (ignored) {
+        // Answers that arrive after an ejection belong to requests sent before it.
+        return;
+    }
+    const bool slow = this->state->isSlow(*member, sample);
+    const bool failed = isFailure(sample.cause);
+    if (member->state == HealthState::Trial) {
+        this->state->judgeTrial(*member, failed || slow, sample.at);
+        return;
+    }
+    this->state->recent.add({.at = sample.at, .member = member->number, .failed = failed, .slow = slow});
+    this->state->judge(*member, sample, slow);
+}
+
+void ServiceDetector::recordOverdue(const std::string &upstream, TimePoint now)
+{
+    Member *member = this->state->find(upstream);
+    if (member == nullptr || member->state == HealthState::Ejected) {
+        return;
+    }
+    if (member->state == HealthState::Trial) {
+        this->state->judgeTrial(*member, true, now);
+        return;
+    }
+    this->state->recent.add({.at = now, .member = member->number, .failed = false, .slow = true});
+    this->state->judge(*member, {.at = now, .cause = Cause::Cancelled}, true);
+}
+
+void ServiceDetector::setLeaving(const std::vector<std::string> &upstreams)
+{
+    for (Member &member : this->state->members) {
+        member.leaving = std::find(upstreams.begin(), upstreams.end(), member.id) != upstreams.end();
+    }
+}
+
+void ServiceDetector::applyPooled(const std::vector<PooledVerdict> &verdicts, TimePoint now)
+{
+    for (const PooledVerdict &verdict : verdicts) {
+        Member *member = this->state->find(verdict.upstream);
+        if (member == nullptr || member->pooledSick == verdict.sick) {
+            continue;
+        }
+        member->pooledSick = verdict.sick;
+        if (!verdict.sick && member->state == HealthState::Ejected) {
+            this->state->startTrial(*member, now);
+        }
+    }
+}
+
+std::vector<HealthTransition> ServiceDetector::evaluate(TimePoint now)
+{
+    std::vector<HealthState> before;
+    before.reserve(this->state->members.size());
+    for (Member &member : this->state->members) {
+        before.push_back(member.state);
+        this->state->advance(member, now);
+    }
+    Internal::applyFloor(this->state->members, this->state->settings.floorPercent);
+
+    std::vector<HealthTransition> changes;
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        Member &member = this->state->members[i];
+        if (member.state == before[i]) {
+            continue;
+        }
+        if (member.state == HealthState::Ejected && before[i] == HealthState::HeldByFloor) {
+            this->state->markSick(member, now);
+        }
+        changes.push_back({.upstream = member.id, .from = before[i], .to = member.state, .cause = member.lastFailure});
+    }
+    return changes;
+}
+
+std::optional<TimePoint> ServiceDetector::nextDeadline() const
+{
+    std::optional<TimePoint> next;
+    for (const Member &member : this->state->members) {
+        const bool waitsForTime = member.state == HealthState::Trial || member.state == HealthState::Ramp
+                                  || (member.state == HealthState::Ejected && !member.pooledSick);
+        if (waitsForTime && (!next || member.deadline < *next)) {
+            next = member.deadline;
+        }
+    }
+    return next;
+}
+
+Admission ServiceDetector::admission(const std::string &upstream, TimePoint now) const
+{
+    const Member *member = this->state->find(upstream);
+    if (member == nullptr || member->leaving) {
+        return {.allowed = false, .share = 0};
+    }
+    switch (member->state) {
+    case HealthState::Healthy:
+    case HealthState::HeldByFloor:
+        return {};
+    case HealthState::Ejected:
+        return {.allowed = false, .share = 0};
+    case HealthState::Trial:
+        return {.allowed = true, .trialOnly = true, .share = 0};
+    case HealthState::Ramp:
+        break;
+    }
+    const double progress = toMilliseconds(now - member->since) / toMilliseconds(RampTime);
+    return {.share = std::clamp(FirstRampShare + (1 - FirstRampShare) * progress, FirstRampShare, 1.0)};
+}
+
+std::vector<UpstreamReport> ServiceDetector::report(TimePoint now) const
+{
+    std::vector<UpstreamReport> reports;
+    reports.reserve(this->state->members.size());
+    for (const Member &member : this->state->members) {
+        reports.push_back({.upstream = member.id,
+                           .state = member.state,
+                           .evidence = std::max(member.failures.evidence(), member.slowness.evidence()),
+                           .threshold = this->state->threshold(member),
+                           .age = now - member.since,
+                           .relapses = member.relapses});
+    }
+    return reports;
+}
+
+} // namespace Verbenadock::Health
