--- /dev/null
+++ b/src/telemetry/logging.cpp
@@ -0,0 +1,80 @@
+#include "verbenadock/telemetry/logging.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+
+namespace Verbenadock::Telemetry {
+
+namespace {
+
+constexpr auto LoggerName = "default";
+
+/// easylogging++ formats local time only; log lines of several VMs are compared in UTC.
+std::string utcTime(const el::LogMessage * /*message*/)
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    const auto milliseconds
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 48> text{};
+    std::snprintf(text.data(), text.size(), "%s.%03dZ", date.data(), static_cast<int>(milliseconds));
+    return text.data();
+}
+
+void setEnabledLevels(el::Configurations &configuration, LogLevel lowest)
+{
+    const auto enable = [&](el::Level level, LogLevel own) {
+        configuration.set(level, el::ConfigurationType::Enabled, own >= lowest ? "true" : "false");
+    };
+    enable(el::Level::Debug, LogLevel::Debug);
+    enable(el::Level::Info, LogLevel::Info);
+    enable(el::Level::Warning, LogLevel::Warning);
+    enable(el::Level::Error, LogLevel::Error);
+}
+
+} // namespace
+
+void setUpLogging(const std::string &program, LogLevel level, const std::string &file)
+{
+    el::Helpers::installCustomFormatSpecifier(el::CustomFormatSpecifier("%utc", utcTime));
+    el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%utc %level " + program + " %msg");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+    configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+    if (!file.empty()) {
+        configuration.setGlobally(el::ConfigurationType::Filename, file);
+        configuration.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
+    }
+    setEnabledLevels(configuration, level);
+    el::Loggers::reconfigureLogger(LoggerName, configuration);
+}
+
+void logChange(LogLevel level, const std::string &line)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        CLOG(DEBUG, LoggerName) << line;
+        break;
+    case LogLevel::Info:
+        CLOG(INFO, LoggerName) << line;
+        break;
+    case LogLevel::Warning:
+        CLOG(WARNING, LoggerName) << line;
+        break;
+    case LogLevel::Error:
+        CLOG(ERROR, LoggerName) << line;
+        break;
+    }
+}
+
+} // namespace Verbenadock::Telemetry
