Encode and decode control messages as CBOR

The CBOR parser recurses for nested items and nested string chunks; a scanner refuses indefinite lengths, tags and deep nesting first, since 8 MiB of such bytes would overflow the stack. BundleInForce now names the version it replaced, which a receiver needs to verify signatures; ConfigurationDigest carries a summary so that equal peers exchange no list; HealthVerdicts carries origin and sequence for the flood; MemberUpdate names the observer of a suspicion.

--- a/include/verbenadock/control/message.h
+++ b/include/verbenadock/control/message.h
@@ -56,6 +56,8 @@
     std::vector<std::string> records;
     /// Offset of the roll-out record.
     std::uint64_t offset = 0;
+    /// The version that this one replaced; 0 for the first.
+    std::uint64_t replaces = 0;
 
     auto operator<=>(const BundleInForce &) const = default;
 };
@@ -73,6 +75,10 @@
 /// What is in force at the sender. A receiver that is behind asks with BundleRequest.
 struct ConfigurationDigest
 {
+    /// Hash over everything in force, so that a periodic digest between equal peers carries no list.
+    std::uint64_t summary = 0;
+    /// Whether the list names every bundle in force; otherwise it names those that changed, or none.
+    bool complete = false;
     std::vector<BundleDigest> bundles;
 
     auto operator<=>(const ConfigurationDigest &) const = default;
@@ -132,6 +138,12 @@
 
 struct HealthVerdicts
 {
+    /// The collector that reached the verdicts; empty in messages to an entry.
+    std::string origin;
+    /// Rises with each message of the origin, also across its restarts; a receiver forwards each number once.
+    std::uint64_t sequence = 0;
+    /// Whether the list holds every sick upstream of the origin; otherwise it holds changes.
+    bool complete = false;
     std::vector<UpstreamVerdict> verdicts;
 
     auto operator<=>(const HealthVerdicts &) const = default;
@@ -159,6 +171,8 @@
     std::string dataCentre;
     std::uint64_t incarnation = 0;
     MemberState state = MemberState::Alive;
+    /// The member that raised a suspicion; empty otherwise.
+    std::string observer;
 
     auto operator<=>(const MemberUpdate &) const = default;
 };
--- /dev/null
+++ b/src/control/cborstructure.h
@@ -0,0 +1,13 @@
+#ifndef VERBENADOCK_CONTROL_CBORSTRUCTURE_H
+#define VERBENADOCK_CONTROL_CBORSTRUCTURE_H
+
+#include <string_view>
+
+namespace Verbenadock::Control::internal {
+
+/// Whether the bytes are exactly one CBOR item of bounded depth with definite lengths and without tags.
+bool isPlainCbor(std::string_view bytes);
+
+} // namespace Verbenadock::Control::internal
+
+#endif
--- /dev/null
+++ b/test/control/messagetest.cpp
@@ -0,0 +1,157 @@
+#include "verbenadock/control/message.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Control;
+
+namespace {
+
+std::string cbor(const nlohmann::json &object)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(object, bytes);
+    return bytes;
+}
+
+UpstreamKey anyKey()
+{
+    return {*rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<std::string>()};
+}
+
+BundleInForce anyBundle()
+{
+    return {.name = *rc::gen::arbitrary<std::string>(),
+            .version = *rc::gen::arbitrary<std::uint64_t>(),
+            .digest = *rc::gen::arbitrary<std::string>(),
+            .content = *rc::gen::arbitrary<std::string>(),
+            .records = *rc::gen::arbitrary<std::vector<std::string>>(),
+            .offset = *rc::gen::arbitrary<std::uint64_t>(),
+            .replaces = *rc::gen::arbitrary<std::uint64_t>()};
+}
+
+MemberUpdate anyUpdate()
+{
+    return {.vmId = *rc::gen::arbitrary<std::string>(),
+            .address = *rc::gen::arbitrary<std::string>(),
+            .dataCentre = *rc::gen::arbitrary<std::string>(),
+            .incarnation = *rc::gen::arbitrary<std::uint64_t>(),
+            .state = *rc::gen::element(MemberState::Alive, MemberState::Suspect, MemberState::Dead),
+            .observer = *rc::gen::arbitrary<std::string>()};
+}
+
+UpstreamEvidence anyEvidence()
+{
+    UpstreamEvidence evidence{.upstream = anyKey(), .counts = {}, .latencySum = *rc::gen::arbitrary<std::uint64_t>()};
+    for (const auto cause : {Health::Cause::Success, Health::Cause::Timeout, Health::Cause::Cancelled}) {
+        if (*rc::gen::arbitrary<bool>()) {
+            evidence.counts[cause] = *rc::gen::arbitrary<std::uint32_t>();
+        }
+    }
+    return evidence;
+}
+
+template<typename Make>
+auto several(Make make)
+{
+    std::vector<decltype(make())> values;
+    const auto count = *rc::gen::inRange(0, 4);
+    for (int index = 0; index < count; ++index) {
+        values.push_back(make());
+    }
+    return values;
+}
+
+std::vector<Message> oneOfEach()
+{
+    const auto text = *rc::gen::arbitrary<std::string>();
+    const auto number = *rc::gen::arbitrary<std::uint64_t>();
+    const auto flag = *rc::gen::arbitrary<bool>();
+    const Duration age(*rc::gen::inRange<std::int64_t>(0, INT64_MAX));
+    return {
+        Hello{1, flag ? PeerRole::Entry : PeerRole::Agent, text, "cz-1", number},
+        ConfigurationDigest{number, flag, {{text, number, "d", 7}}},
+        BundleRequest{*rc::gen::arbitrary<std::vector<std::string>>()},
+        BundleTransfer{several(anyBundle)},
+        ConfigurationUpdate{several(anyBundle)},
+        EvidenceReport{text, several(anyEvidence)},
+        HealthVerdicts{text, number, flag, {{anyKey(), flag, age}}},
+        LeavingUpdate{*rc::gen::arbitrary<std::vector<std::string>>()},
+        Heartbeat{number, several(anyUpdate)},
+        HeartbeatAck{number, several(anyUpdate)},
+        IndirectProbe{text, number},
+        IndirectProbeAck{text, number, flag},
+    };
+}
+
+} // namespace
+
+// Guards against a member that only one of the two directions knows.
+TEST_CASE("every message survives a round trip")
+{
+    CHECK(rc::check([] {
+        for (const auto &message : oneOfEach()) {
+            RC_ASSERT(decode(encode(message)) == message);
+        }
+    }));
+}
+
+// Guards against a crash or a wrong message when a peer sends damaged bytes.
+TEST_CASE("a damaged message is refused or decodes to a message")
+{
+    CHECK(rc::check([] {
+        auto bytes = encode((*rc::gen::elementOf(oneOfEach())));
+        const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[position] = *rc::gen::arbitrary<char>();
+        if (*rc::gen::arbitrary<bool>()) {
+            bytes.resize(position);
+        }
+        try {
+            encode(decode(bytes));
+        } catch (const MessageError &) {
+        }
+    }));
+}
+
+// Guards against a stack overflow: the CBOR parser recurses for nested items and for nested chunks of strings.
+TEST_CASE("deeply nested input is refused")
+{
+    for (const char byte : {'\x81', '\xA1', '\x7F', '\x5F', '\x9F', '\xC1'}) {
+        CHECK_THROWS_AS(decode(std::string(8U << 20U, byte)), MessageError);
+    }
+}
+
+TEST_CASE("wrong types and unknown messages are refused")
+{
+    const nlohmann::json probe = {{"type", "ip"}, {"m", "vm-1"}, {"n", 5U}};
+    REQUIRE(decode(cbor(probe)) == Message(IndirectProbe{"vm-1", 5}));
+    const std::vector<nlohmann::json> patches = {{{"type", "zz"}},
+                                                 {{"type", 3}},
+                                                 {{"m", 5}},
+                                                 {{"n", "5"}},
+                                                 {{"n", -5}},
+                                                 {{"n", 5.0}},
+                                                 {{"n", true}},
+                                                 {{"n", nullptr}}};
+    for (const auto &patch : patches) {
+        auto changed = probe;
+        changed.merge_patch(patch);
+        INFO("message: " << changed.dump());
+        CHECK_THROWS_AS(decode(cbor(changed)), MessageError);
+    }
+    CHECK_THROWS_AS(decode(""), MessageError);
+    CHECK_THROWS_AS(decode(cbor(probe) + "x"), MessageError);
+    CHECK_THROWS_AS(decode(cbor({1, 2})), MessageError);
+}
+
+TEST_CASE("numbers beyond the range of their member are refused")
+{
+    const auto hello = [](std::uint64_t role, std::uint64_t version) {
+        return cbor({{"type", "hi"}, {"v", version}, {"r", role}, {"m", ""}, {"d", ""}, {"i", 1U}});
+    };
+    CHECK_NOTHROW(decode(hello(1, 1)));
+    CHECK_THROWS_AS(decode(hello(2, 1)), MessageError);
+    CHECK_THROWS_AS(decode(hello(1, std::uint64_t{1} << 32U)), MessageError);
+}
