--- /dev/null
+++ b/include/verbenadock/proxy/entryserver.h
@@ -0,0 +1,85 @@
+#ifndef VERBENADOCK_PROXY_ENTRYSERVER_H
+#define VERBENADOCK_PROXY_ENTRYSERVER_H
+
+#include "verbenadock/base/endpoint.h"
+#include "verbenadock/base/error.h"
+#include "verbenadock/control/message.h"
+#include "verbenadock/core/effect.h"
+#include "verbenadock/core/event.h"
+#include "verbenadock/core/reducer.h"
+#include "verbenadock/settings/settings.h"
+#include "verbenadock/telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbenadock::Proxy {
+
+/// The entry cannot listen for callers.
+class ProxyError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/// What an EntryServer needs besides its event loop.
+struct EntryOptions
+{
+    /// Port 0 takes any free port.
+    Endpoint listen;
+    Settings::EntryLimits limits;
+    Core::ReducerSettings reducer;
+    /// Part of each attempt's id; it has to differ between VMs and between starts of one VM.
+    std::string instance;
+};
+
+/// What an EntryServer tells its process.
+struct EntryHandlers
+{
+    std::function<void(const Core::StateChange &)> stateChanged;
+    /// Called once when the shutdown is over; true when nothing was given up.
+    std::function<void(bool clean)> terminated;
+};
+
+/// Serves callers over HTTP/1.1 and carries out the effects of the core's reducer, on the one thread that runs the
+/// event loop.
+///
+/// Usage: `EntryServer server(context, options, registry, handlers);`, then apply() configuration, health and shutdown
+/// events as they come. The constructor binds the port and throws ProxyError when it cannot.
+class EntryServer
+{
+public:
+    EntryServer(boost::asio::io_context &context,
+                EntryOptions options,
+                Telemetry::MetricsRegistry &registry,
+                EntryHandlers handlers);
+    ~EntryServer();
+    EntryServer(const EntryServer &) = delete;
+    EntryServer &operator=(const EntryServer &) = delete;
+
+    /// The bound endpoint.
+    Endpoint endpoint() const;
+
+    /// Feeds an event that does not come from a caller or an upstream.
+    void apply(const Core::Event &event);
+
+    bool ready() const;
+
+    /// The reducer's state as JSON text.
+    std::string dump() const;
+
+    /// The outcomes since the last call, for the agent.
+    std::vector<Control::UpstreamEvidence> takeEvidence();
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Verbenadock::Proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/attemptanswer.cpp
@@ -0,0 +1,280 @@
+// The part of Attempt that reads the answer and passes it on.
+#include "attempt.h"
+#include "callerconnection.h"
+#include "host.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr std::size_t MaxAnswerHeadBytes = 65536;
+constexpr std::size_t SmallReadBytes = 4096;
+constexpr std::size_t LargeReadBytes = 65536;
+
+// An upstream that closes an idle connection while a request is on its way resets it within a round trip. A reset that
+// comes later was caused by the request.
+constexpr Duration IdleCloseRace = std::chrono::milliseconds(50);
+
+// Connections that were idle for longer may have been dropped on the way without a sign.
+constexpr Duration LongIdle = std::chrono::seconds(1);
+
+} // namespace
+
+Task<void> Attempt::receive()
+{
+    do {
+        this->response.emplace();
+        this->response->parser.bodySink = &this->body;
+        this->response->parser.body_limit(boost::none);
+        this->response->parser.skip(this->exchange->request.headMethod);
+        if (!(co_await this->readHead())) {
+            co_return;
+        }
+        // Interim answers precede the final one; 101 would change the protocol, which was not asked for.
+    } while (this->response->parser.statusCode / 100 == 1 && this->response->parser.statusCode != 101);
+    if (!this->checkHead() || !(co_await this->readBody())) {
+        co_return;
+    }
+    this->complete();
+}
+
+Task<bool> Attempt::readHead()
+{
+    for (;;) {
+        const auto state = this->response->takeHead(this->connection->buffer, MaxAnswerHeadBytes);
+        if (state == HeadState::Complete) {
+            co_return true;
+        }
+        if (state != HeadState::Incomplete) {
+            this->fail(Health::Cause::Malformed);
+            co_return false;
+        }
+        if (!(co_await this->readMore())) {
+            co_return false;
+        }
+    }
+}
+
+Task<bool> Attempt::readMore()
+{
+    ErrorCode error;
+    auto &buffer = this->connection->buffer;
+    const bool large = this->headReported;
+    const auto size = co_await this->connection->socket.async_read_some(
+        buffer.prepare(large ? LargeReadBytes : SmallReadBytes), asio::redirect_error(useTask, error));
+    buffer.commit(size);
+    if (this->stopped()) {
+        co_return false;
+    }
+    if (error || this->timedOut) {
+        this->fail(this->readFailure(error));
+        co_return false;
+    }
+    co_return true;
+}
+
+bool Attempt::checkHead()
+{
+    const auto &parser = this->response->parser;
+    unsigned lengths = 0;
+    unsigned codings = 0;
+    bool knownCoding = true;
+    for (const auto &field : parser.fields) {
+        lengths += field.name == http::field::content_length ? 1 : 0;
+        if (field.name == http::field::transfer_encoding) {
+            ++codings;
+            knownCoding = knownCoding && equalsIgnoringCase(field.value, "chunked");
+        }
+    }
+    if (lengths + codings > 1 || !knownCoding || parser.statusCode == 101) {
+        this->fail(Health::Cause::Malformed);
+        return false;
+    }
+    // Checked before the length, because an answer to another request proves that the connection is out of step.
+    if (this->order.echoesAttemptId && singleField(parser.fields, "X-Attempt-Id") != this->idText) {
+        this->fail(Health::Cause::Mismatched);
+        return false;
+    }
+    if (parser.need_eof()) {
+        // The end of the connection does not tell a whole answer from a truncated one.
+        this->fail(Health::Cause::Truncated);
+        return false;
+    }
+    return true;
+}
+
+Task<bool> Attempt::readBody()
+{
+    auto &parser = this->response->parser;
+    const auto length = parser.content_length();
+    const bool tooLongToHold = !parser.is_done() && length && *length > this->order.holdBackBytes;
+    for (;;) {
+        if (this->response->takeBody(this->connection->buffer)) {
+            this->fail(Health::Cause::Malformed);
+            co_return false;
+        }
+        if (!this->headReported && !parser.is_done()
+            && (tooLongToHold || this->body.size() > this->order.holdBackBytes)) {
+            this->headReported = true;
+            this->timer.set(this->order.deadline);
+            this->host->answerBegins(*this, parser.statusCode, this->answerFlag("X-Draining"));
+        }
+        if (this->headReported && !(co_await this->forwardPiece(parser.is_done()))) {
+            co_return false;
+        }
+        if (parser.is_done()) {
+            co_return true;
+        }
+        this->limitTo(this->order.firstByteTimeout);
+        if (!(co_await this->readMore())) {
+            co_return false;
+        }
+    }
+}
+
+Task<bool> Attempt::forwardPiece(bool last)
+{
+    while (!this->forwarding && !this->stopped()) {
+        co_await this->forwardAllowed.wait();
+    }
+    if (this->stopped()) {
+        co_return false;
+    }
+    // The caller's pace must not count against the upstream, so only the deadline holds while writing.
+    this->timer.set(this->order.deadline);
+    const auto framing = this->answerFraming();
+    auto &caller = *this->exchange->caller;
+    this->outgoing.clear();
+    if (!this->headForwarded) {
+        this->headForwarded = true;
+        this->exchange->headForwarded = true;
+        appendResponseHead(this->outgoing, this->response->parser, framing, caller.closesAfterAnswer());
+    }
+    if (framing.kind == BodyFraming::Kind::Chunked) {
+        appendChunk(this->outgoing, this->body);
+        this->outgoing.append(last ? LastChunk : std::string_view());
+    } else {
+        this->outgoing.append(this->body);
+    }
+    this->body.clear();
+    const bool written = co_await caller.write(this->outgoing);
+    if (this->stopped()) {
+        co_return false;
+    }
+    if (!written) {
+        this->host->callerGone(*this->exchange);
+        co_return false;
+    }
+    co_return true;
+}
+
+void Attempt::complete()
+{
+    this->timer.clear();
+    this->finished = true;
+    this->answerComplete = true;
+    this->answeredAt = monotonicNow();
+    this->releaseConnection();
+    this->host->attemptCompleted(*this,
+                                 this->response->parser.statusCode,
+                                 this->answerFlag("X-Not-Run"),
+                                 this->answerFlag("X-Draining"));
+}
+
+void Attempt::releaseConnection()
+{
+    const auto &parser = this->response->parser;
+    const bool inStep = this->requestWritten && this->connection->buffer.size() == 0;
+    if (!this->timedOut && inStep && parser.httpVersion == 11 && parser.keep_alive()) {
+        this->host->pool().putBack(*this->peer, std::move(this->connection), this->answeredAt);
+        return;
+    }
+    // The object stays, because an upload may still be writing to it.
+    this->connection->close();
+    this->host->metrics().countClosed(CloseReason::NotReusable);
+}
+
+void Attempt::startForwarding()
+{
+    this->forwarding = true;
+    this->forwardAllowed.notify();
+}
+
+BodyFraming Attempt::answerFraming() const
+{
+    const auto &parser = this->response->parser;
+    const auto length = parser.content_length();
+    const auto status = parser.statusCode;
+    if (this->exchange->request.headMethod || status == 304) {
+        return length ? BodyFraming{.kind = BodyFraming::Kind::Length, .length = *length} : BodyFraming{};
+    }
+    if (status == 204) {
+        return {};
+    }
+    if (this->headReported) {
+        return length ? BodyFraming{.kind = BodyFraming::Kind::Length, .length = *length}
+                      : BodyFraming{.kind = BodyFraming::Kind::Chunked};
+    }
+    return {.kind = BodyFraming::Kind::Length, .length = this->body.size()};
+}
+
+void Attempt::appendHeldAnswer(std::string &out, bool close) const
+{
+    appendResponseHead(out, this->response->parser, this->answerFraming(), close);
+    out.append(this->body);
+}
+
+bool Attempt::answerFlag(std::string_view name) const
+{
+    const auto value = singleField(this->response->parser.fields, name);
+    return value && equalsIgnoringCase(*value, "true");
+}
+
+void Attempt::fail(Health::Cause cause)
+{
+    if (this->stopped()) {
+        return;
+    }
+    this->finished = true;
+    this->timer.clear();
+    if (this->connection) {
+        this->connection->close();
+        this->host->metrics().countClosed(CloseReason::NotReusable);
+    }
+    if (cause == Health::Cause::SilentConnection && this->timedOut) {
+        this->host->pool().closeUnproven(*this->peer, this->startedWritingAt);
+    }
+    this->host->attemptFailed(*this, cause, this->bytesWritten == 0);
+}
+
+Health::Cause Attempt::readFailure(ErrorCode error) const
+{
+    const bool answerBegun = this->connection->buffer.size() > 0 || !this->response->headText.empty();
+    if (this->timedOut) {
+        return answerBegun ? Health::Cause::Timeout : this->silenceCause();
+    }
+    if (answerBegun) {
+        return Health::Cause::Truncated;
+    }
+    const bool closing = error == asio::error::eof || error == asio::error::connection_reset
+                         || error == asio::error::broken_pipe;
+    const auto since = this->requestWritten ? this->writtenAt : this->startedWritingAt;
+    const bool idleRace = closing && this->connection->reused && monotonicNow() - since <= IdleCloseRace;
+    return idleRace ? Health::Cause::SilentConnection : Health::Cause::Reset;
+}
+
+Health::Cause Attempt::silenceCause() const
+{
+    if (!this->connection->reused) {
+        return Health::Cause::Timeout;
+    }
+    const bool longIdle = this->startedWritingAt - this->connection->lastAnswerAt > LongIdle;
+    // A connection opened later than this one that answered meanwhile shows that the upstream itself works.
+    const bool newerAnswers = this->peer->newestOpenedAt > this->connection->openedAt
+                              && this->peer->newestAnsweredAt > this->startedWritingAt;
+    return longIdle || newerAnswers ? Health::Cause::SilentConnection : Health::Cause::Timeout;
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/entryserver.cpp
@@ -0,0 +1,55 @@
+#include "verbenadock/proxy/entryserver.h"
+
+#include "host.h"
+
+namespace Verbenadock::Proxy {
+
+struct EntryServer::Implementation
+{
+    std::shared_ptr<internal::Host> host;
+    Endpoint bound;
+};
+
+EntryServer::EntryServer(boost::asio::io_context &context,
+                         EntryOptions options,
+                         Telemetry::MetricsRegistry &registry,
+                         EntryHandlers handlers)
+    : implementation(std::make_unique<Implementation>())
+{
+    this->implementation->host
+        = std::make_shared<internal::Host>(context, std::move(options), registry, std::move(handlers));
+    this->implementation->host->start();
+    this->implementation->bound = this->implementation->host->localEndpoint();
+}
+
+EntryServer::~EntryServer()
+{
+    this->implementation->host->stop();
+}
+
+Endpoint EntryServer::endpoint() const
+{
+    return this->implementation->bound;
+}
+
+void EntryServer::apply(const Core::Event &event)
+{
+    this->implementation->host->apply(event);
+}
+
+bool EntryServer::ready() const
+{
+    return this->implementation->host->core().ready();
+}
+
+std::string EntryServer::dump() const
+{
+    return this->implementation->host->core().dump(monotonicNow());
+}
+
+std::vector<Control::UpstreamEvidence> EntryServer::takeEvidence()
+{
+    return this->implementation->host->evidence().take();
+}
+
+} // namespace Verbenadock::Proxy
--- /dev/null
+++ b/src/proxy/evidencepool.h
@@ -0,0 +1,27 @@
+#ifndef VERBENADOCK_PROXY_EVIDENCEPOOL_H
+#define VERBENADOCK_PROXY_EVIDENCEPOOL_H
+
+#include "verbenadock/control/message.h"
+#include "verbenadock/core/effect.h"
+
+#include <map>
+#include <vector>
+
+namespace Verbenadock::Proxy::internal {
+
+/// Sums outcomes by upstream and cause between two reports to the agent.
+class EvidencePool
+{
+public:
+    void add(const Core::ReportEvidence &evidence);
+
+    /// Returns the sums and starts again.
+    std::vector<Control::UpstreamEvidence> take();
+
+private:
+    std::map<UpstreamKey, Control::UpstreamEvidence> sums;
+};
+
+} // namespace Verbenadock::Proxy::internal
+
+#endif
--- /dev/null
+++ b/src/proxy/exchange.h
@@ -0,0 +1,83 @@
+#ifndef VERBENADOCK_PROXY_EXCHANGE_H
+#define VERBENADOCK_PROXY_EXCHANGE_H
+
+#include "requestcheck.h"
+#include "verbenadock/base/identifiers.h"
+#include "verbenadock/base/time.h"
+#include "verbenadock/core/effect.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Verbenadock::Proxy::internal {
+
+class Attempt;
+class CallerConnection;
+
+/// The whole answer of the attempt is passed on at once.
+struct ForwardHeld
+{
+    std::shared_ptr<Attempt> attempt;
+};
+
+/// The answer was passed on while it arrived and is complete.
+struct Streamed
+{
+};
+
+/// The caller is reset.
+struct Abort
+{
+};
+
+/// The caller's body was malformed, too long or too slow.
+struct RefuseBody
+{
+    BadRequest reason = BadRequest::BadBody;
+    /// Whether an upstream may have seen a part of the request.
+    bool mayHaveRun = false;
+};
+
+/// The caller closed its connection.
+struct CallerGone
+{
+};
+
+using Decision = std::variant<ForwardHeld, Streamed, Core::RespondLocally, Abort, RefuseBody, CallerGone>;
+
+/// A caller's request from its head to the end of its answer.
+struct Exchange
+{
+    RequestId id = 0;
+    std::shared_ptr<CallerConnection> caller;
+    const RequestParser *parser = nullptr;
+    CheckedRequest request;
+    std::string requestIdText;
+    TimePoint arrivedAt{};
+    /// When the buffered part of the body was complete.
+    TimePoint bodyReadyAt{};
+
+    /// The whole body, or its beginning when it streams.
+    std::string body;
+    /// Attempts may start: the body is buffered or known to be too long for that.
+    bool bodyReady = false;
+    bool bodyStreams = false;
+    /// A part of a streaming body is gone, so that no further attempt is possible.
+    bool bodyConsumed = false;
+
+    /// Attempts that wait for the body.
+    std::vector<Core::StartAttempt> pending;
+    std::vector<std::shared_ptr<Attempt>> attempts;
+    unsigned startedAttempts = 0;
+    /// The head of a streaming answer was passed on.
+    bool headForwarded = false;
+
+    std::optional<Decision> decision;
+};
+
+} // namespace Verbenadock::Proxy::internal
+
+#endif
--- /dev/null
+++ b/src/proxy/headwriter.cpp
@@ -0,0 +1,186 @@
+#include "headwriter.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <boost/beast/http/status.hpp>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr std::string_view LineEnd = "\r\n";
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append(LineEnd);
+}
+
+template<typename Number>
+void appendNumber(std::string &out, Number value, int base = 10)
+{
+    std::array<char, 24> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, base).ptr;
+    out.append(digits.data(), end);
+}
+
+void appendFraming(std::string &out, BodyFraming framing)
+{
+    switch (framing.kind) {
+    case BodyFraming::Kind::None:
+        break;
+    case BodyFraming::Kind::Length:
+        out.append("Content-Length: ");
+        appendNumber(out, framing.length);
+        out.append(LineEnd);
+        break;
+    case BodyFraming::Kind::Chunked:
+        out.append("Transfer-Encoding: chunked\r\n");
+        break;
+    }
+}
+
+/// Fields that concern one connection only.
+bool isHopByHop(const Field &field)
+{
+    switch (field.name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Fields that only the fleet itself may set.
+bool isOwnField(const Field &field, bool request)
+{
+    if (field.name != http::field::unknown) {
+        return request && field.name == http::field::expect;
+    }
+    static constexpr std::array<std::string_view, 3> RequestFields{"X-Request-Id", "X-Attempt-Id", "X-Deadline-Ms"};
+    static constexpr std::array<std::string_view, 4> AnswerFields{
+        "Verbenadock-Outcome", "X-Attempt-Id", "X-Not-Run", "X-Draining"};
+    const auto same = [&field](std::string_view name) { return equalsIgnoringCase(field.nameText, name); };
+    return request ? std::any_of(RequestFields.begin(), RequestFields.end(), same)
+                   : std::any_of(AnswerFields.begin(), AnswerFields.end(), same);
+}
+
+bool isNamedByConnection(const std::vector<Field> &fields, const Field &candidate)
+{
+    return std::any_of(fields.begin(), fields.end(), [&candidate](const Field &field) {
+        return field.name == http::field::connection && hasToken(field.value, candidate.nameText);
+    });
+}
+
+void appendEndToEnd(std::string &out, const std::vector<Field> &fields, bool request)
+{
+    const bool namesFields = std::any_of(fields.begin(), fields.end(), [](const Field &field) {
+        return field.name == http::field::connection && !equalsIgnoringCase(field.value, "keep-alive")
+               && !equalsIgnoringCase(field.value, "close");
+    });
+    for (const auto &field : fields) {
+        // Host is kept whatever Connection names, because the request would be invalid without it.
+        const bool named
+            = namesFields && field.name != http::field::host && isNamedByConnection(fields, field);
+        if (!isHopByHop(field) && !isOwnField(field, request) && !named) {
+            appendField(out, field.nameText, field.value);
+        }
+    }
+}
+
+std::string_view reasonPhrase(unsigned status)
+{
+    const auto text = http::obsolete_reason(http::int_to_status(status));
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+void appendRequestHead(std::string &out,
+                       const RequestParser &parser,
+                       std::string_view target,
+                       const AttemptFields &fields,
+                       BodyFraming framing)
+{
+    out.append(parser.methodText).append(" ").append(target).append(" HTTP/1.1\r\n");
+    appendEndToEnd(out, parser.fields, true);
+    appendField(out, "X-Request-Id", fields.requestId);
+    appendField(out, "X-Attempt-Id", fields.attemptId);
+    out.append("X-Deadline-Ms: ");
+    appendNumber(out, fields.deadlineMilliseconds);
+    out.append(LineEnd);
+    appendFraming(out, framing);
+    out.append(LineEnd);
+}
+
+void appendResponseHead(std::string &out, const ResponseParser &parser, BodyFraming framing, bool close)
+{
+    out.append("HTTP/1.1 ");
+    appendNumber(out, parser.statusCode);
+    out.append(" ").append(parser.reason).append(LineEnd);
+    appendEndToEnd(out, parser.fields, false);
+    out.append("Verbenadock-Outcome: answered\r\n");
+    appendFraming(out, framing);
+    if (close) {
+        out.append("Connection: close\r\n");
+    }
+    out.append(LineEnd);
+}
+
+std::string localAnswerText(const LocalAnswer &answer)
+{
+    const std::string outcome(Core::toString(answer.outcome));
+    const std::string body = R"({"outcome":")" + outcome + R"(","reason":")" + std::string(answer.reason) + "\"}\n";
+    std::string out = "HTTP/1.1 ";
+    appendNumber(out, answer.status);
+    out.append(" ").append(reasonPhrase(answer.status)).append(LineEnd);
+    appendField(out, "Content-Type", "application/json");
+    appendField(out, "Verbenadock-Outcome", outcome);
+    if (answer.retryAfterSeconds > 0) {
+        appendField(out, "Retry-After", std::to_string(answer.retryAfterSeconds));
+    }
+    appendFraming(out, BodyFraming{.kind = BodyFraming::Kind::Length, .length = body.size()});
+    if (answer.close) {
+        appendField(out, "Connection", "close");
+    }
+    out.append(LineEnd);
+    if (!answer.headMethod) {
+        out.append(body);
+    }
+    return out;
+}
+
+void appendChunk(std::string &out, std::string_view data)
+{
+    if (data.empty()) {
+        return;
+    }
+    appendNumber(out, data.size(), 16);
+    out.append(LineEnd).append(data).append(LineEnd);
+}
+
+std::optional<std::string_view> singleField(const std::vector<Field> &fields, std::string_view name)
+{
+    std::optional<std::string_view> found;
+    for (const auto &field : fields) {
+        if (equalsIgnoringCase(field.nameText, name)) {
+            if (found) {
+                return std::nullopt;
+            }
+            found = field.value;
+        }
+    }
+    return found;
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/host.cpp
@@ -0,0 +1,315 @@
+// The part of Host that feeds events to the reducer.
+#include "host.h"
+
+#include "attempt.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr Duration SweepInterval = std::chrono::seconds(1);
+constexpr std::size_t MaxRequestIdBytes = 128;
+
+/// The caller's own id when it is usable; it ties the logs of both sides together.
+std::string requestIdText(const Exchange &exchange, const std::string &instance)
+{
+    const auto given = singleField(exchange.parser->fields, "X-Request-Id");
+    if (given && !given->empty() && given->size() <= MaxRequestIdBytes) {
+        return std::string(*given);
+    }
+    return instance + "-r" + std::to_string(exchange.id);
+}
+
+Core::RequestArrived arrival(const Exchange &exchange, const std::string &peerAddress)
+{
+    const auto &request = exchange.request;
+    Core::RequestArrived event{.at = exchange.arrivedAt,
+                               .request = exchange.id,
+                               .host = request.host,
+                               .method = std::string(exchange.parser->methodText),
+                               .target = std::string(request.target),
+                               .caller = request.caller.empty() ? peerAddress : std::string(request.caller),
+                               .idempotencyKey = std::nullopt,
+                               .bodyBytes = request.bodyBytes};
+    if (request.idempotencyKey) {
+        event.idempotencyKey = std::string(*request.idempotencyKey);
+    }
+    return event;
+}
+
+BadRequest reasonOf(BodyState state)
+{
+    switch (state) {
+    case BodyState::TooLarge:
+        return BadRequest::BodyTooLarge;
+    case BodyState::TimedOut:
+        return BadRequest::BodyTimeout;
+    case BodyState::Progress:
+    case BodyState::Broken:
+    case BodyState::Stopped:
+        break;
+    }
+    return BadRequest::BadBody;
+}
+
+} // namespace
+
+Host::Host(asio::io_context &loop, EntryOptions given, Telemetry::MetricsRegistry &registry, EntryHandlers toProcess)
+    : context(loop)
+    , options(std::move(given))
+    , handlers(std::move(toProcess))
+    , reducer(this->options.reducer)
+    , proxyMetrics(registry)
+    , wheel(loop)
+    , upstreams(this->options.limits.maxIdlePerUpstream, this->proxyMetrics)
+    , acceptor(loop.get_executor())
+    , sweepTimer(this->wheel,
+                 [this] {
+                     this->upstreams.sweep(monotonicNow());
+                     this->sweepTimer.setAfter(SweepInterval);
+                 })
+    , acceptPause(this->wheel, [this] { this->acceptResumed.notify(); })
+    , deadlineTimer(loop.get_executor())
+{
+    this->sweepTimer.setAfter(SweepInterval);
+}
+
+void Host::apply(Core::Event event)
+{
+    this->events.push_back(std::move(event));
+    if (this->applying || this->stopped) {
+        return;
+    }
+    this->applying = true;
+    while (!this->events.empty()) {
+        const auto next = std::move(this->events.front());
+        this->events.pop_front();
+        this->shutdownRequested = this->shutdownRequested || std::holds_alternative<Core::ShutdownRequested>(next);
+        for (const auto &effect : this->reducer.apply(next)) {
+            this->carryOut(effect);
+        }
+    }
+    this->applying = false;
+    this->scheduleDeadline();
+    this->terminateWhenDone();
+}
+
+void Host::scheduleDeadline()
+{
+    const auto next = this->reducer.nextDeadline();
+    // An armed timer that is too early only costs one wake-up, which is cheaper than moving it with each request.
+    if (!next || (this->armedDeadline && *this->armedDeadline <= *next)) {
+        return;
+    }
+    this->waitForDeadline(*next);
+}
+
+void Host::waitForDeadline(TimePoint at)
+{
+    this->armedDeadline = at;
+    this->deadlineTimer.expires_at(at);
+    this->deadlineTimer.async_wait([self = this->shared_from_this()](ErrorCode error) {
+        if (error || self->stopped) {
+            return;
+        }
+        self->armedDeadline.reset();
+        const auto now = monotonicNow();
+        const auto next = self->reducer.nextDeadline();
+        if (next && *next <= now) {
+            self->apply(Core::TimerExpired{.at = now});
+        } else {
+            self->scheduleDeadline();
+        }
+    });
+}
+
+void Host::begin(const std::shared_ptr<Exchange> &exchange)
+{
+    exchange->id = ++this->lastRequest;
+    exchange->arrivedAt = monotonicNow();
+    exchange->bodyReadyAt = exchange->arrivedAt;
+    exchange->bodyReady = exchange->caller->bodyDone();
+    exchange->requestIdText = requestIdText(*exchange, this->options.instance);
+    this->exchanges.emplace(exchange->id, exchange);
+    this->apply(arrival(*exchange, exchange->caller->peerAddress()));
+}
+
+void Host::end(Exchange &exchange)
+{
+    for (const auto &attempt : exchange.attempts) {
+        attempt->cancel();
+    }
+    exchange.attempts.clear();
+    exchange.decision = CallerGone{};
+    this->exchanges.erase(exchange.id);
+    this->terminateWhenDone();
+}
+
+void Host::startPending(Exchange &exchange)
+{
+    const auto pending = std::exchange(exchange.pending, {});
+    for (const auto &order : pending) {
+        this->spawn(this->exchanges.at(exchange.id), order);
+    }
+}
+
+void Host::callerGone(Exchange &exchange)
+{
+    if (!exchange.decision) {
+        this->decide(exchange, CallerGone{});
+        this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = exchange.id});
+    }
+}
+
+void Host::bodyFailed(Exchange &exchange, BodyState state)
+{
+    if (exchange.decision) {
+        return;
+    }
+    if (state == BodyState::Stopped) {
+        this->callerGone(exchange);
+        return;
+    }
+    const bool mayHaveRun = std::any_of(exchange.attempts.begin(), exchange.attempts.end(), [](const auto &attempt) {
+        return attempt->mayHaveRun();
+    });
+    const auto reason = reasonOf(state);
+    if (exchange.headForwarded) {
+        this->decide(exchange, Abort{});
+    } else {
+        this->decide(exchange, RefuseBody{.reason = reason, .mayHaveRun = mayHaveRun});
+    }
+    // To the reducer this is a caller that gave up: the attempts are cancelled and count for nothing.
+    this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = exchange.id});
+}
+
+void Host::recordLatency(const Exchange &exchange, const Attempt &attempt)
+{
+    const auto now = monotonicNow();
+    using Seconds = std::chrono::duration<double>;
+    this->proxyMetrics.totalLatency.record(Seconds(now - exchange.arrivedAt).count());
+    if (exchange.startedAttempts == 1) {
+        const auto added = now - exchange.bodyReadyAt - attempt.upstreamTime();
+        this->proxyMetrics.addedLatency.record(std::max(0.0, Seconds(added).count()));
+    }
+}
+
+void Host::answerBegins(const Attempt &attempt, unsigned status, bool draining)
+{
+    const auto &order = attempt.startOrder();
+    this->apply(Core::ResponseHeadReceived{.at = monotonicNow(),
+                                           .request = order.request,
+                                           .attempt = order.attempt,
+                                           .status = status,
+                                           .draining = draining});
+}
+
+void Host::attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining)
+{
+    const auto order = attempt.startOrder();
+    const auto cause = notRun ? Health::Cause::Shed
+                              : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
+    this->proxyMetrics.countAttempt(cause);
+    auto *exchange = this->find(order.request);
+    const bool streamed = exchange && exchange->headForwarded;
+    this->apply(Core::AttemptCompleted{.at = monotonicNow(),
+                                       .request = order.request,
+                                       .attempt = order.attempt,
+                                       .status = status,
+                                       .notRun = notRun,
+                                       .draining = draining});
+    exchange = this->find(order.request);
+    if (exchange) {
+        if (streamed) {
+            this->decide(*exchange, Streamed{});
+        }
+        this->forget(*exchange, order.attempt);
+    }
+}
+
+void Host::attemptFailed(const Attempt &attempt, Health::Cause cause, bool nothingWritten)
+{
+    const auto order = attempt.startOrder();
+    this->proxyMetrics.countAttempt(cause);
+    if (auto *exchange = this->find(order.request)) {
+        this->forget(*exchange, order.attempt);
+    }
+    this->apply(Core::AttemptFailed{.at = monotonicNow(),
+                                    .request = order.request,
+                                    .attempt = order.attempt,
+                                    .cause = cause,
+                                    .nothingWritten = nothingWritten});
+}
+
+std::string Host::attemptIdText(AttemptId id) const
+{
+    return this->options.instance + "-" + std::to_string(id);
+}
+
+void Host::forget(Exchange &exchange, AttemptId id)
+{
+    std::erase_if(exchange.attempts, [id](const auto &attempt) { return attempt->id() == id; });
+}
+
+Exchange *Host::find(RequestId id) const
+{
+    const auto found = this->exchanges.find(id);
+    return found == this->exchanges.end() ? nullptr : found->second.get();
+}
+
+void Host::decide(Exchange &exchange, Decision decision)
+{
+    if (!exchange.decision) {
+        exchange.decision = std::move(decision);
+        exchange.caller->wake();
+    }
+}
+
+const Settings::EntryLimits &Host::limits() const
+{
+    return this->options.limits;
+}
+
+ProxyMetrics &Host::metrics()
+{
+    return this->proxyMetrics;
+}
+
+TimerWheel &Host::timers()
+{
+    return this->wheel;
+}
+
+UpstreamPool &Host::pool()
+{
+    return this->upstreams;
+}
+
+EvidencePool &Host::evidence()
+{
+    return this->evidencePool;
+}
+
+Executor Host::executor() const
+{
+    return this->context.get_executor();
+}
+
+const Core::Reducer &Host::core() const
+{
+    return this->reducer;
+}
+
+bool Host::stopping() const
+{
+    return this->shutdownRequested;
+}
+
+bool Host::stopsAccepting() const
+{
+    return this->acceptStopped;
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/hostaccept.cpp
@@ -0,0 +1,136 @@
+// The part of Host that accepts and counts the connections of callers.
+#include "headwriter.h"
+#include "host.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+// Waiting briefly after a failed accept keeps a lack of descriptors from occupying the processor.
+constexpr Duration AcceptPause = std::chrono::milliseconds(10);
+
+} // namespace
+
+void Host::start()
+{
+    ErrorCode error;
+    const auto address = asio::ip::make_address(this->options.listen.address, error);
+    const tcp::endpoint local(address, this->options.listen.port);
+    if (!error) {
+        this->acceptor.open(local.protocol(), error);
+    }
+    if (!error) {
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        this->acceptor.bind(local, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (!error) {
+        this->acceptor.non_blocking(true, error);
+    }
+    if (error) {
+        throw ProxyError("cannot listen on " + toString(this->options.listen) + ": " + error.message());
+    }
+    asio::co_spawn(this->executor(), this->acceptConnections(), asio::detached);
+}
+
+void Host::stop()
+{
+    this->stopped = true;
+    this->wheel.stop();
+    this->deadlineTimer.cancel();
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    this->acceptResumed.notify();
+    const auto open = std::exchange(this->exchanges, {});
+    for (const auto &[id, exchange] : open) {
+        this->end(*exchange);
+    }
+    const std::vector<CallerConnection *> callers(this->connections.begin(), this->connections.end());
+    for (auto *connection : callers) {
+        connection->close();
+        connection->wake();
+    }
+    this->upstreams.closeAll();
+}
+
+Task<void> Host::acceptConnections()
+{
+    const auto self = this->shared_from_this();
+    while (this->acceptor.is_open()) {
+        ErrorCode error;
+        Socket socket(this->executor());
+        co_await this->acceptor.async_accept(socket, asio::redirect_error(useTask, error));
+        if (!error) {
+            this->takeConnection(std::move(socket));
+        } else if (this->acceptor.is_open()) {
+            this->acceptPause.setAfter(AcceptPause);
+            co_await this->acceptResumed.wait();
+        }
+    }
+}
+
+void Host::acceptBacklog()
+{
+    // Connections that the kernel has completed already would be reset when the listening socket closes.
+    ErrorCode error;
+    while (this->acceptor.is_open() && !error) {
+        Socket socket(this->executor());
+        this->acceptor.accept(socket, error);
+        if (!error) {
+            this->takeConnection(std::move(socket));
+        }
+    }
+}
+
+void Host::takeConnection(Socket socket)
+{
+    ErrorCode error;
+    socket.non_blocking(true, error);
+    socket.set_option(tcp::no_delay(true), error);
+    if (this->connections.size() >= this->options.limits.maxCallerConnections) {
+        this->refuseConnection(socket);
+        return;
+    }
+    this->proxyMetrics.callerConnections.add();
+    auto connection = std::make_shared<CallerConnection>(this->shared_from_this(), std::move(socket));
+    asio::co_spawn(this->executor(), connection->run(), asio::detached);
+}
+
+void Host::refuseConnection(Socket &socket)
+{
+    this->proxyMetrics.callerConnectionsRefused.add();
+    ErrorCode ignored;
+    socket.write_some(asio::buffer(localAnswerText(
+                          LocalAnswer{.status = 503, .reason = "too_many_connections", .retryAfterSeconds = 1, .close = true})),
+                      ignored);
+    socket.shutdown(asio::socket_base::shutdown_send, ignored);
+}
+
+void Host::connectionOpened(CallerConnection &connection)
+{
+    this->connections.insert(&connection);
+    this->proxyMetrics.openCallerConnections.set(static_cast<double>(this->connections.size()));
+}
+
+void Host::connectionClosed(CallerConnection &connection)
+{
+    this->connections.erase(&connection);
+    this->proxyMetrics.openCallerConnections.set(static_cast<double>(this->connections.size()));
+}
+
+Endpoint Host::localEndpoint() const
+{
+    ErrorCode ignored;
+    const auto local = this->acceptor.local_endpoint(ignored);
+    return {.address = local.address().to_string(), .port = local.port()};
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/hosteffects.cpp
@@ -0,0 +1,134 @@
+// The part of Host that carries out effects.
+#include "attempt.h"
+#include "host.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Verbenadock::Proxy::internal {
+
+void Host::carryOut(const Core::Effect &effect)
+{
+    std::visit([this](const auto &specific) { this->carryOut(specific); }, effect);
+}
+
+void Host::carryOut(const Core::StartAttempt &effect)
+{
+    const auto found = this->exchanges.find(effect.request);
+    if (found == this->exchanges.end() || found->second->decision) {
+        return;
+    }
+    ++found->second->startedAttempts;
+    if (found->second->bodyReady) {
+        this->spawn(found->second, effect);
+        return;
+    }
+    found->second->pending.push_back(effect);
+    found->second->caller->wake();
+}
+
+void Host::spawn(const std::shared_ptr<Exchange> &exchange, const Core::StartAttempt &order)
+{
+    auto attempt = std::make_shared<Attempt>(this->shared_from_this(), exchange, order);
+    exchange->attempts.push_back(attempt);
+    asio::co_spawn(this->executor(), attempt->run(), asio::detached);
+}
+
+void Host::carryOut(const Core::CancelAttempt &effect)
+{
+    auto *exchange = this->find(effect.request);
+    if (!exchange) {
+        return;
+    }
+    std::erase_if(exchange->pending, [&effect](const auto &order) { return order.attempt == effect.attempt; });
+    for (const auto &attempt : exchange->attempts) {
+        if (attempt->id() == effect.attempt) {
+            attempt->cancel();
+            this->proxyMetrics.countAttempt(Health::Cause::Cancelled);
+        }
+    }
+    this->forget(*exchange, effect.attempt);
+}
+
+void Host::carryOut(const Core::ForwardAnswer &effect)
+{
+    auto *exchange = this->find(effect.request);
+    if (!exchange) {
+        return;
+    }
+    const auto found = std::find_if(exchange->attempts.begin(),
+                                    exchange->attempts.end(),
+                                    [&effect](const auto &attempt) { return attempt->id() == effect.attempt; });
+    if (found == exchange->attempts.end()) {
+        return;
+    }
+    if ((*found)->completed()) {
+        this->decide(*exchange, ForwardHeld{.attempt = *found});
+    } else {
+        (*found)->startForwarding();
+    }
+}
+
+void Host::carryOut(const Core::RespondLocally &effect)
+{
+    if (auto *exchange = this->find(effect.request)) {
+        // After the head of another answer only a reset is correct.
+        this->decide(*exchange, exchange->headForwarded ? Decision(Abort{}) : Decision(effect));
+    }
+}
+
+void Host::carryOut(const Core::AbortCaller &effect)
+{
+    if (auto *exchange = this->find(effect.request)) {
+        this->decide(*exchange, Abort{});
+    }
+}
+
+void Host::carryOut(const Core::ReportEvidence &effect)
+{
+    this->evidencePool.add(effect);
+}
+
+void Host::carryOut(const Core::ReportStateChange &effect)
+{
+    if (this->handlers.stateChanged) {
+        this->handlers.stateChanged(effect.change);
+    }
+}
+
+void Host::carryOut(const Core::StopAccepting & /*effect*/)
+{
+    this->acceptStopped = true;
+    // Requests that were read already are taken up first; their handlers are queued before this one.
+    asio::post(this->executor(), [self = this->shared_from_this()] { self->closeIdleCallers(); });
+}
+
+void Host::closeIdleCallers()
+{
+    const std::vector<CallerConnection *> open(this->connections.begin(), this->connections.end());
+    for (auto *connection : open) {
+        connection->closeIfIdle();
+    }
+    this->acceptBacklog();
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+}
+
+void Host::carryOut(const Core::Terminate &effect)
+{
+    this->termination = effect.clean;
+}
+
+void Host::terminateWhenDone()
+{
+    // The reducer is done when the answers are decided; they still have to be written.
+    const bool due = this->termination && (!*this->termination || this->exchanges.empty());
+    if (due && this->handlers.terminated && !this->stopped) {
+        const auto handler = std::exchange(this->handlers.terminated, nullptr);
+        handler(*this->termination);
+    }
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/httpparser.h
@@ -0,0 +1,223 @@
+#ifndef VERBENADOCK_PROXY_HTTPPARSER_H
+#define VERBENADOCK_PROXY_HTTPPARSER_H
+
+#include "io.h"
+#include "verbenadock/base/time.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/field.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace http = boost::beast::http;
+using Buffer = boost::beast::flat_buffer;
+
+/// One header field; the views point into the text of the head.
+struct Field
+{
+    http::field name = http::field::unknown;
+    std::string_view nameText;
+    std::string_view value;
+};
+
+/// Beast's incremental parser with the fields kept as views and the body appended to a string.
+template<bool IsRequest>
+class MessageParser : public http::basic_parser<IsRequest>
+{
+public:
+    std::string_view methodText;
+    std::string_view target;
+    std::string_view reason;
+    unsigned statusCode = 0;
+    int httpVersion = 11;
+    std::vector<Field> fields;
+    /// Where decoded body bytes go.
+    std::string *bodySink = nullptr;
+
+    MessageParser()
+    {
+        this->fields.reserve(TypicalFieldCount);
+        this->eager(true);
+    }
+
+private:
+    static constexpr std::size_t TypicalFieldCount = 16;
+
+    static std::string_view view(boost::beast::string_view text)
+    {
+        return {text.data(), text.size()};
+    }
+
+    void on_request_impl(http::verb /*verb*/,
+                         boost::beast::string_view method,
+                         boost::beast::string_view requestTarget,
+                         int version,
+                         ErrorCode & /*error*/) override
+    {
+        this->methodText = view(method);
+        this->target = view(requestTarget);
+        this->httpVersion = version;
+    }
+
+    void on_response_impl(int code, boost::beast::string_view phrase, int version, ErrorCode & /*error*/) override
+    {
+        this->statusCode = static_cast<unsigned>(code);
+        this->reason = view(phrase);
+        this->httpVersion = version;
+    }
+
+    void on_field_impl(http::field name,
+                       boost::beast::string_view nameText,
+                       boost::beast::string_view value,
+                       ErrorCode & /*error*/) override
+    {
+        // Trailers are dropped: their text lives in the input buffer, and no header may be changed by them.
+        if (!this->headDone) {
+            this->fields.push_back(Field{.name = name, .nameText = view(nameText), .value = view(value)});
+        }
+    }
+
+    void on_header_impl(ErrorCode & /*error*/) override
+    {
+        this->headDone = true;
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, ErrorCode & /*error*/) override
+    {
+    }
+
+    std::size_t on_body_impl(boost::beast::string_view body, ErrorCode & /*error*/) override
+    {
+        this->bodySink->append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/,
+                              boost::beast::string_view /*extensions*/,
+                              ErrorCode & /*error*/) override
+    {
+    }
+
+    std::size_t
+    on_chunk_body_impl(std::uint64_t /*remaining*/, boost::beast::string_view body, ErrorCode &error) override
+    {
+        return this->on_body_impl(body, error);
+    }
+
+    void on_finish_impl(ErrorCode & /*error*/) override
+    {
+    }
+
+    bool headDone = false;
+};
+
+using RequestParser = MessageParser<true>;
+using ResponseParser = MessageParser<false>;
+
+/// What was found so far of a message's head.
+enum class HeadState {
+    Incomplete,
+    Complete,
+    TooLarge,
+    /// A control character or a line end without a carriage return.
+    BadCharacter,
+    ObsoleteFold,
+    Malformed,
+};
+
+/// Finds the end of a head in a growing buffer and rejects characters that Beast's parser lets through. Each byte is
+/// looked at once.
+class HeadScanner
+{
+public:
+    HeadState scan(std::string_view bytes, std::size_t limit);
+
+    /// Length of the complete head with the empty line at its end.
+    std::size_t headLength() const
+    {
+        return this->position;
+    }
+
+private:
+    HeadState takeLineEnd(std::string_view bytes);
+
+    std::size_t position = 0;
+    std::size_t lineStart = 0;
+};
+
+inline std::string_view asView(const Buffer &buffer)
+{
+    const auto data = buffer.cdata();
+    return {static_cast<const char *>(data.data()), data.size()};
+}
+
+/// A message whose head was taken out of the input buffer. The object stays in place, because the fields point into it.
+template<bool IsRequest>
+struct Message
+{
+    std::string headText;
+    MessageParser<IsRequest> parser;
+    HeadScanner scanner;
+
+    Message() = default;
+    Message(const Message &) = delete;
+    Message &operator=(const Message &) = delete;
+
+    /// Consumes the head when it is complete.
+    HeadState takeHead(Buffer &buffer, std::size_t limit)
+    {
+        const auto state = this->scanner.scan(asView(buffer), limit);
+        if (state != HeadState::Complete) {
+            return state;
+        }
+        this->headText.assign(asView(buffer).substr(0, this->scanner.headLength()));
+        buffer.consume(this->headText.size());
+        ErrorCode error;
+        this->parser.header_limit(static_cast<std::uint32_t>(limit + 1));
+        this->parser.put(asio::buffer(this->headText), error);
+        if (error == http::error::body_limit) {
+            this->bodyOverLimit = true;
+            return HeadState::Complete;
+        }
+        return error || !this->parser.is_header_done() ? HeadState::Malformed : HeadState::Complete;
+    }
+
+    /// Decodes the body bytes in the buffer; they are appended to the parser's sink.
+    ErrorCode takeBody(Buffer &buffer)
+    {
+        ErrorCode error;
+        while (!this->parser.is_done() && buffer.size() > 0) {
+            const auto used = this->parser.put(buffer.cdata(), error);
+            buffer.consume(used);
+            if (error == http::error::need_more) {
+                return {};
+            }
+            if (error || used == 0) {
+                return error;
+            }
+        }
+        return {};
+    }
+
+    bool bodyOverLimit = false;
+    /// When the first byte of the head was seen to wait for more.
+    std::optional<TimePoint> firstByteAt;
+};
+
+using RequestMessage = Message<true>;
+using ResponseMessage = Message<false>;
+
+/// Whether a comma-separated list of tokens holds the token, ignoring case.
+bool hasToken(std::string_view list, std::string_view token);
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+} // namespace Verbenadock::Proxy::internal
+
+#endif
--- /dev/null
+++ b/src/proxy/proxymetrics.cpp
@@ -0,0 +1,101 @@
+#include "proxymetrics.h"
+
+#include <string>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr auto RequestsName = "verbenadock_requests_total";
+constexpr auto RequestsHelp = "Requests by outcome and refusal.";
+constexpr auto UpstreamConnectionsName = "verbenadock_upstream_connections_total";
+constexpr auto UpstreamConnectionsHelp = "Connections taken for attempts, opened or reused.";
+
+std::string_view toString(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Surplus:
+        return "surplus";
+    case CloseReason::IdleReadable:
+        return "idle_readable";
+    case CloseReason::Expired:
+        return "expired";
+    case CloseReason::InDoubt:
+        return "in_doubt";
+    case CloseReason::NotReusable:
+        return "not_reusable";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+ProxyMetrics::ProxyMetrics(Telemetry::MetricsRegistry &metrics)
+    : aborted(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "aborted"}, {"refusal", ""}}))
+    , callerDisconnected(
+          metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller_disconnected"}, {"refusal", ""}}))
+    , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
+    , callerConnectionsRefused(metrics.counter("verbenadock_caller_connections_refused_total",
+                                                "Connections of callers over the limit."))
+    , openCallerConnections(metrics.gauge("verbenadock_caller_connections", "Open connections of callers."))
+    , upstreamConnectionsOpened(
+          metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "opened"}}))
+    , upstreamConnectionsReused(
+          metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "reused"}}))
+    , totalLatency(metrics.histogram("verbenadock_request_seconds", "From the caller's request to the written answer."))
+    , addedLatency(metrics.histogram("verbenadock_added_seconds",
+                                      "Part of the latency that the entry adds, for requests with one attempt."))
+    , registry(metrics)
+    , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
+{
+    for (std::size_t index = 0; index < BadRequestCount; ++index) {
+        const std::string reason(internal::toString(static_cast<BadRequest>(index)));
+        this->badRequests[index] = &metrics.counter(
+            "verbenadock_bad_requests_total", "Requests refused before they were routed.", {{"reason", reason}});
+    }
+    for (std::size_t index = 0; index < CauseCount; ++index) {
+        const std::string cause(Health::toString(static_cast<Health::Cause>(index)));
+        this->attempts[index]
+            = &metrics.counter("verbenadock_attempts_total", "Attempts by how they ended.", {{"cause", cause}});
+    }
+    for (std::size_t index = 0; index < CloseReasonCount; ++index) {
+        const std::string reason(toString(static_cast<CloseReason>(index)));
+        this->closed[index] = &metrics.counter(
+            "verbenadock_upstream_connections_closed_total", "Closed upstream connections.", {{"reason", reason}});
+    }
+}
+
+void ProxyMetrics::countAnswered()
+{
+    this->answered.add();
+}
+
+void ProxyMetrics::countLocal(Core::Outcome outcome, Core::Refusal refusal)
+{
+    // Few of the combinations occur, so the series are made when first needed.
+    auto *&counter = this->local[static_cast<std::size_t>(outcome)][static_cast<std::size_t>(refusal)];
+    if (!counter) {
+        counter = &this->registry.counter(RequestsName,
+                                          RequestsHelp,
+                                          {{"outcome", std::string(Core::toString(outcome))},
+                                           {"refusal", std::string(Core::toString(refusal))}});
+    }
+    counter->add();
+}
+
+void ProxyMetrics::countBadRequest(BadRequest reason)
+{
+    this->badRequests[static_cast<std::size_t>(reason)]->add();
+}
+
+void ProxyMetrics::countAttempt(Health::Cause cause)
+{
+    this->attempts[static_cast<std::size_t>(cause)]->add();
+}
+
+void ProxyMetrics::countClosed(CloseReason reason)
+{
+    this->closed[static_cast<std::size_t>(reason)]->add();
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/upstreampool.cpp
@@ -0,0 +1,142 @@
+#include "upstreampool.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+// An upstream may close idle connections at any time; short idle times keep that race rare.
+constexpr Duration IdleLimit = std::chrono::seconds(30);
+constexpr Duration ProvenAliveLimit = std::chrono::seconds(1);
+constexpr Duration ForgetPeerAfter = std::chrono::minutes(10);
+
+/// An idle connection must have nothing to read: neither the end of the stream nor bytes of a late answer.
+bool isQuiet(UpstreamConnection &connection)
+{
+    char byte = 0;
+    const auto result = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(const Executor &executor)
+    : socket(executor)
+{
+}
+
+void UpstreamConnection::close()
+{
+    ErrorCode ignored;
+    this->socket.close(ignored);
+}
+
+UpstreamPool::UpstreamPool(std::size_t mostIdle, ProxyMetrics &counters)
+    : idleLimit(mostIdle)
+    , metrics(counters)
+{
+}
+
+std::shared_ptr<UpstreamPeer> UpstreamPool::peer(const Endpoint &endpoint)
+{
+    const auto found = this->peers.find(endpoint);
+    if (found != this->peers.end()) {
+        return found->second;
+    }
+    ErrorCode error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        return nullptr;
+    }
+    auto created = std::make_shared<UpstreamPeer>();
+    created->address = tcp::endpoint(address, endpoint.port);
+    this->peers.emplace(endpoint, created);
+    return created;
+}
+
+std::unique_ptr<UpstreamConnection>
+UpstreamPool::takeIdle(UpstreamPeer &peer, Core::ConnectionPolicy policy, TimePoint now)
+{
+    peer.lastUsedAt = now;
+    if (policy == Core::ConnectionPolicy::Fresh) {
+        return nullptr;
+    }
+    while (!peer.idle.empty()) {
+        const bool proven = now - peer.idle.back()->lastAnswerAt <= ProvenAliveLimit;
+        if (policy == Core::ConnectionPolicy::ProvenAlive && !proven) {
+            return nullptr;
+        }
+        auto connection = std::move(peer.idle.back());
+        peer.idle.pop_back();
+        if (isQuiet(*connection)) {
+            connection->reused = true;
+            this->metrics.upstreamConnectionsReused.add();
+            return connection;
+        }
+        this->close(std::move(connection), CloseReason::IdleReadable);
+    }
+    return nullptr;
+}
+
+void UpstreamPool::putBack(UpstreamPeer &peer, std::unique_ptr<UpstreamConnection> connection, TimePoint now)
+{
+    connection->lastAnswerAt = now;
+    if (connection->openedAt >= peer.newestOpenedAt) {
+        peer.newestOpenedAt = connection->openedAt;
+        peer.newestAnsweredAt = now;
+    }
+    if (peer.idle.size() >= this->idleLimit) {
+        this->close(std::move(connection), CloseReason::Surplus);
+        return;
+    }
+    peer.idle.push_back(std::move(connection));
+}
+
+void UpstreamPool::closeUnproven(UpstreamPeer &peer, TimePoint since)
+{
+    std::vector<std::unique_ptr<UpstreamConnection>> kept;
+    for (auto &connection : peer.idle) {
+        if (connection->lastAnswerAt >= since) {
+            kept.push_back(std::move(connection));
+        } else {
+            this->close(std::move(connection), CloseReason::InDoubt);
+        }
+    }
+    peer.idle = std::move(kept);
+}
+
+void UpstreamPool::sweep(TimePoint now)
+{
+    for (auto entry = this->peers.begin(); entry != this->peers.end();) {
+        auto &peer = *entry->second;
+        std::vector<std::unique_ptr<UpstreamConnection>> kept;
+        for (auto &connection : peer.idle) {
+            if (now - connection->lastAnswerAt > IdleLimit) {
+                this->close(std::move(connection), CloseReason::Expired);
+            } else if (!isQuiet(*connection)) {
+                this->close(std::move(connection), CloseReason::IdleReadable);
+            } else {
+                kept.push_back(std::move(connection));
+            }
+        }
+        peer.idle = std::move(kept);
+        const bool unused = peer.idle.empty() && entry->second.use_count() == 1;
+        entry = unused && now - peer.lastUsedAt > ForgetPeerAfter ? this->peers.erase(entry) : std::next(entry);
+    }
+}
+
+void UpstreamPool::closeAll()
+{
+    this->peers.clear();
+}
+
+void UpstreamPool::close(std::unique_ptr<UpstreamConnection> connection, CloseReason reason)
+{
+    connection->close();
+    this->metrics.countClosed(reason);
+}
+
+} // namespace Verbenadock::Proxy::internal
