--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,91 @@
+#include "verbenadock/net/httpclient.h"
+
+#include "http.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <optional>
+
+namespace Verbenadock::Net {
+
+using namespace internal;
+
+namespace {
+
+constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+
+http::request<http::string_body> buildRequest(const Endpoint &endpoint, const HttpRequest &request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, toString(endpoint));
+    message.set(http::field::connection, "close");
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
+{
+    co_await stream.async_connect(toAsio(endpoint), asio::use_awaitable);
+    const auto message = buildRequest(endpoint, request);
+    co_await http::async_write(stream, message, asio::use_awaitable);
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxAnswerBytes);
+    parser.header_limit(maxHeaderBytes);
+    parser.skip(request.method == "HEAD");
+    co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
+    // An answer that ends with the connection cannot be told from a truncated one.
+    if (parser.need_eof()) {
+        throw NetError("the answer states no length");
+    }
+    if (!parser.is_done()) {
+        co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    }
+    HttpResponse response{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
+    co_return response;
+}
+
+} // namespace
+
+asio::awaitable<HttpResponse> fetch(Endpoint endpoint, HttpRequest request, Duration timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    beast::tcp_stream stream(executor);
+    // One deadline covers connecting, writing and reading.
+    stream.expires_after(timeout);
+    const auto where = request.method + " http://" + toString(endpoint) + request.target + ": ";
+    try {
+        HttpResponse response = co_await exchange(stream, endpoint, request);
+        co_return response;
+    } catch (const boost::system::system_error &error) {
+        throw NetError(where + error.code().message());
+    } catch (const NetError &error) {
+        throw NetError(where + error.what());
+    }
+}
+
+HttpResponse fetchBlocking(const Endpoint &endpoint, const HttpRequest &request, Duration timeout)
+{
+    asio::io_context context;
+    std::exception_ptr failure;
+    std::optional<HttpResponse> result;
+    asio::co_spawn(
+        context, fetch(endpoint, request, timeout), [&](const std::exception_ptr &thrown, HttpResponse response) {
+            failure = thrown;
+            result = std::move(response);
+        });
+    context.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+    return std::move(*result);
+}
+
+} // namespace Verbenadock::Net
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto LoggerName = "default";
+constexpr auto loggerName = "default";
 
 /// easylogging++ formats local time only; log lines of several VMs are compared in UTC.
 std::string utcTime(const el::LogMessage * /*message*/)
@@ -56,23 +56,23 @@
         configuration.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
     }
     setEnabledLevels(configuration, level);
-    el::Loggers::reconfigureLogger(LoggerName, configuration);
+    el::Loggers::reconfigureLogger(loggerName, configuration);
 }
 
 void logChange(LogLevel level, const std::string &line)
 {
     switch (level) {
     case LogLevel::Debug:
-        CLOG(DEBUG, LoggerName) << line;
+        CLOG(DEBUG, loggerName) << line;
         break;
     case LogLevel::Info:
-        CLOG(INFO, LoggerName) << line;
+        CLOG(INFO, loggerName) << line;
         break;
     case LogLevel::Warning:
-        CLOG(WARNING, LoggerName) << line;
+        CLOG(WARNING, loggerName) << line;
         break;
     case LogLevel::Error:
-        CLOG(ERROR, LoggerName) << line;
+        CLOG(ERROR, loggerName) << line;
         break;
     }
 }
