Parse process settings strictly from TOML

A wrong setting has to be found before a process starts, and all mistakes at once, so that nobody restarts a VM once per mistake.

--- /dev/null
+++ b/src/settings/common.cpp
@@ -0,0 +1,120 @@
+#include "common.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <string_view>
+
+namespace Verbenadock::Settings {
+
+namespace internal {
+
+namespace {
+
+const std::vector<std::string> logLevels = {"debug", "info", "warning", "error"};
+
+// 32 bytes in base64: 43 digits, of which the last has two unused bits, and one '='.
+bool isPublicKey(const std::string &text)
+{
+    constexpr std::size_t encodedLength = 44;
+    const auto isDigit = [](unsigned char character) {
+        return std::isalnum(character) != 0 || character == '+' || character == '/';
+    };
+    return text.size() == encodedLength && text.back() == '=' && std::all_of(text.begin(), text.end() - 1, isDigit)
+           && std::string_view("AEIMQUYcgkosw048").find(text[encodedLength - 2]) != std::string_view::npos;
+}
+
+void checkOperator(Toml::TableReader &reader, const Operator &candidate, const std::vector<Operator> &others)
+{
+    if (!candidate.publicKey.empty() && !isPublicKey(candidate.publicKey)) {
+        reader.report("public_key", "is not a public key as verbenadock-ctl keygen prints it (32 bytes in base64)");
+    }
+    for (const auto &other : others) {
+        if (!candidate.name.empty() && other.name == candidate.name) {
+            reader.report("name", "'" + candidate.name + "' is already an operator");
+        }
+        // Two names for one key would let one person sign off their own proposals.
+        if (!candidate.publicKey.empty() && other.publicKey == candidate.publicKey) {
+            reader.report("public_key", "belongs to operator '" + other.name + "' already");
+        }
+    }
+}
+
+} // namespace
+
+void parseDocument(const std::string &toml, const std::function<void(Toml::TableReader &)> &read)
+{
+    Toml::Mistakes mistakes;
+    if (const auto document = Toml::parse(toml, mistakes)) {
+        Toml::TableReader root(*document, "", mistakes);
+        read(root);
+        root.finish();
+    }
+    if (!mistakes.empty()) {
+        throw InvalidSettings(Toml::describe(std::move(mistakes)));
+    }
+}
+
+void readProcess(Toml::TableReader &root, ProcessSettings &process)
+{
+    auto reader = root.readTable("process", Toml::Presence::Required);
+    reader.readName("vm_id", process.vmId, Toml::Presence::Required);
+    reader.readName("data_centre", process.dataCentre, Toml::Presence::Required);
+    reader.readEndpoint("admin", process.admin);
+    reader.finish();
+
+    auto logging = root.readTable("logging");
+    std::size_t level = 0;
+    if (logging.readChoice("level", level, logLevels)) {
+        process.logLevel = logLevels[level];
+    }
+    logging.readText("file", process.logFile);
+    logging.finish();
+}
+
+void readOperators(Toml::TableReader &root, std::vector<Operator> &operators)
+{
+    for (auto &reader : root.readTables("operators", Toml::Presence::Required)) {
+        Operator candidate;
+        reader.readName("name", candidate.name, Toml::Presence::Required);
+        reader.readText("public_key", candidate.publicKey, Toml::Presence::Required);
+        checkOperator(reader, candidate, operators);
+        reader.finish();
+        operators.push_back(std::move(candidate));
+    }
+    if (root.has("operators") && operators.size() < 2) {
+        root.report("operators", "has to name at least two operators, because nobody can sign off their own proposal");
+    }
+}
+
+void checkDistinct(Toml::TableReader &root, const std::vector<ListenKey> &keys)
+{
+    for (auto current = keys.begin(); current != keys.end(); ++current) {
+        const auto earlier = std::find_if(keys.begin(), current, [&current](const ListenKey &other) {
+            return other.endpoint.port != 0 && other.endpoint == current->endpoint;
+        });
+        if (earlier != current) {
+            root.report(current->key, toString(current->endpoint) + " is already the endpoint of " + earlier->key);
+        }
+    }
+}
+
+} // namespace internal
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    // A directory opens like a file; only the first read fails.
+    file.peek();
+    if (!file.is_open() || file.bad()) {
+        throw InvalidSettings("cannot read " + path + ": " + std::strerror(errno));
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+} // namespace Verbenadock::Settings
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,151 @@
+#include "verbenadock/settings/settings.h"
+
+#include "common.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Settings {
+
+namespace {
+
+using Toml::Presence;
+using Toml::TableReader;
+
+constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
+// Polling more often than this costs the platform more than the fleet gains.
+constexpr Duration shortestPollInterval = std::chrono::milliseconds(10);
+constexpr Duration longestPollInterval = std::chrono::minutes(1);
+constexpr std::size_t gibibyte = 1 << 30;
+constexpr std::uint64_t mostConnections = 1'000'000;
+
+void readCount(TableReader &reader, std::string_view key, std::size_t &target, std::uint64_t least = 1)
+{
+    std::uint64_t count = 0;
+    if (reader.readInteger(key, count, {.least = least, .most = mostConnections})) {
+        target = count;
+    }
+}
+
+void readLimits(TableReader &root, EntryLimits &limits)
+{
+    auto reader = root.readTable("limits");
+    constexpr std::size_t leastHeaderBytes = 1024;
+    constexpr std::size_t mostHeaderBytes = 1 << 20;
+    reader.readSize("max_header_bytes", limits.maxHeaderBytes, {.least = leastHeaderBytes, .most = mostHeaderBytes});
+    reader.readSize("max_body_bytes", limits.maxBodyBytes, {.least = 1, .most = 1024 * gibibyte});
+    readCount(reader, "max_caller_connections", limits.maxCallerConnections);
+    readCount(reader, "max_requests", limits.maxRequests);
+    readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
+    const Toml::Range<Duration> range{.least = shortestTimeout, .most = internal::longestDuration};
+    reader.readDuration("caller_idle_timeout", limits.callerIdleTimeout, range);
+    reader.readDuration("header_timeout", limits.headerTimeout, range);
+    reader.readDuration("caller_stall_timeout", limits.callerStallTimeout, range);
+    reader.finish();
+}
+
+void readShutdown(TableReader &root, EntrySettings &settings)
+{
+    auto reader = root.readTable("shutdown");
+    const Toml::Range<Duration> range{.least = Duration(0), .most = internal::longestDuration};
+    reader.readDuration("drain_delay", settings.drainDelay, range);
+    reader.readDuration("limit", settings.shutdownLimit, range);
+    if (settings.shutdownLimit < settings.drainDelay) {
+        reader.report("limit", "is shorter than drain_delay, so requests in flight would be cut off");
+    }
+    reader.finish();
+}
+
+/// Reads a table that has nothing but an endpoint and a poll interval.
+void readPolled(TableReader &root, std::string_view table, Endpoint &endpoint, Duration &interval)
+{
+    auto reader = root.readTable(table, Presence::Required);
+    reader.readEndpoint("endpoint", endpoint, Presence::Required);
+    reader.readDuration("poll_interval", interval, {.least = shortestPollInterval, .most = longestPollInterval});
+    reader.finish();
+}
+
+void readPeers(TableReader &root, AgentSettings &settings)
+{
+    auto reader = root.readTable("peers", Presence::Required);
+    reader.readEndpoint("listen", settings.peerListen, Presence::Required);
+    settings.peerPort = settings.peerListen.port;
+    std::uint64_t port = 0;
+    if (reader.readInteger("port", port, {.least = 1, .most = UINT16_MAX})) {
+        settings.peerPort = static_cast<std::uint16_t>(port);
+    }
+    reader.finish();
+}
+
+void readOperator(TableReader &root, CtlSettings &settings)
+{
+    auto reader = root.readTable("operator");
+    reader.readName("name", settings.operatorName);
+    reader.readText("private_key_file", settings.privateKeyFile);
+    const auto &name = settings.operatorName;
+    if (!name.empty() && std::ranges::find(settings.operators, name, &Operator::name) == settings.operators.end()) {
+        reader.report("name", "'" + name + "' is not in [[operators]]");
+    }
+    reader.finish();
+}
+
+} // namespace
+
+EntrySettings parseEntrySettings(const std::string &toml)
+{
+    EntrySettings settings;
+    internal::parseDocument(toml, [&settings](TableReader &root) {
+        internal::readProcess(root, settings.process);
+        auto callers = root.readTable("callers", Presence::Required);
+        callers.readEndpoint("listen", settings.listen, Presence::Required);
+        callers.finish();
+        auto agent = root.readTable("agent", Presence::Required);
+        agent.readEndpoint("endpoint", settings.agent, Presence::Required);
+        agent.finish();
+        readLimits(root, settings.limits);
+        readShutdown(root, settings);
+        internal::checkDistinct(root,
+                                {{"callers.listen", settings.listen},
+                                 {"agent.endpoint", settings.agent},
+                                 {"process.admin", settings.process.admin}});
+    });
+    return settings;
+}
+
+AgentSettings parseAgentSettings(const std::string &toml)
+{
+    AgentSettings settings;
+    internal::parseDocument(toml, [&settings](TableReader &root) {
+        internal::readProcess(root, settings.process);
+        readPeers(root, settings);
+        auto entry = root.readTable("entry", Presence::Required);
+        entry.readEndpoint("listen", settings.entryListen, Presence::Required);
+        entry.finish();
+        readPolled(root, "log", settings.logService, settings.logPollInterval);
+        readPolled(root, "vm_list", settings.vmList, settings.vmListPollInterval);
+        internal::readOperators(root, settings.operators);
+        internal::checkDistinct(root,
+                                {{"peers.listen", settings.peerListen},
+                                 {"entry.listen", settings.entryListen},
+                                 {"process.admin", settings.process.admin}});
+    });
+    return settings;
+}
+
+CtlSettings parseCtlSettings(const std::string &toml)
+{
+    CtlSettings settings;
+    internal::parseDocument(toml, [&settings](TableReader &root) {
+        internal::readOperators(root, settings.operators);
+        readOperator(root, settings);
+        auto log = root.readTable("log", Presence::Required);
+        log.readEndpoint("endpoint", settings.logService, Presence::Required);
+        log.finish();
+        auto fleet = root.readTable("fleet");
+        fleet.readEndpoints("agents", settings.agents);
+        fleet.readEndpoints("entries", settings.entries);
+        fleet.finish();
+    });
+    return settings;
+}
+
+} // namespace Verbenadock::Settings
--- /dev/null
+++ b/src/toml/wording.cpp
@@ -0,0 +1,45 @@
+#include "wording.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Verbenadock::Toml::internal {
+
+namespace {
+
+constexpr std::size_t maxNameLength = 64;
+
+} // namespace
+
+std::string_view nameOfType(const Value &value)
+{
+    return std::visit(
+        []<typename Type>(const Type &) {
+            return typeName<Type>;
+        },
+        value.content);
+}
+
+std::string wrongType(std::string_view expected, const Value &value)
+{
+    return "expected " + std::string(expected) + ", not " + std::string(nameOfType(value));
+}
+
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const auto &name : names) {
+        text += (text.empty() ? "" : ", ") + name;
+    }
+    return text;
+}
+
+bool isName(std::string_view text)
+{
+    const auto valid = [](unsigned char character) {
+        return std::isalnum(character) != 0 || character == '.' || character == '-' || character == '_';
+    };
+    return !text.empty() && text.size() <= maxNameLength && std::ranges::all_of(text, valid);
+}
+
+} // namespace Verbenadock::Toml::internal
--- /dev/null
+++ b/src/toml/wording.h
@@ -0,0 +1,45 @@
+#ifndef VERBENADOCK_TOML_WORDING_H
+#define VERBENADOCK_TOML_WORDING_H
+
+#include "verbenadock/toml/value.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Verbenadock::Toml::internal {
+
+template<typename Type>
+constexpr std::string_view typeName;
+template<>
+constexpr std::string_view typeName<bool> = "true or false";
+template<>
+constexpr std::string_view typeName<std::int64_t> = "an integer";
+template<>
+constexpr std::string_view typeName<double> = "a number";
+template<>
+constexpr std::string_view typeName<std::string> = "text";
+template<>
+constexpr std::string_view typeName<Array> = "an array";
+template<>
+constexpr std::string_view typeName<Table> = "a table";
+template<>
+constexpr std::string_view typeName<DateOrTime> = "a date or time";
+
+/// What a value is, for messages.
+std::string_view nameOfType(const Value &value);
+
+/// "expected text, not an integer"
+std::string wrongType(std::string_view expected, const Value &value);
+
+/// The names in one line of text.
+std::string joined(const std::vector<std::string> &names);
+
+/// Whether the text is a name as TableReader::readName takes it.
+bool isName(std::string_view text);
+
+inline constexpr std::string_view nameRule = "use 1 to 64 letters, digits, '.', '-' and '_'";
+
+} // namespace Verbenadock::Toml::internal
+
+#endif
