--- a/include/verbenadock/bundle/parser.h
+++ b/include/verbenadock/bundle/parser.h
@@ -3,25 +3,14 @@
 
 #include "verbenadock/base/error.h"
 #include "verbenadock/bundle/bundle.h"
+#include "verbenadock/toml/mistake.h"
 
-#include <cstddef>
-#include <string>
 #include <string_view>
 #include <vector>
 
 namespace Verbenadock::Bundles {
 
-/// One mistake in a bundle or in a settings file.
-struct Mistake
-{
-    /// Line in the source, counted from 1; 0 when it concerns the whole file.
-    std::size_t line = 0;
-    /// Dotted key, for example "services.katalog.floor_percent".
-    std::string key;
-    std::string reason;
-
-    auto operator<=>(const Mistake &) const = default;
-};
+using Mistake = Toml::Mistake;
 
 /// Thrown for a bundle with mistakes; carries all of them.
 class InvalidBundle : public Error
