--- a/include/verbenadock/control/agentlink.h
+++ b/include/verbenadock/control/agentlink.h
@@ -11,7 +11,8 @@
 
 namespace Verbenadock::Control {
 
-/// The entry's connection to the agent of its VM. It reconnects by itself with back-off for as long as it exists.
+/// The entry's connection to the agent of its VM. It sends its Hello first, and reconnects by itself with exponential
+/// back-off and jitter for as long as it exists. An agent with another protocol version is not accepted.
 ///
 /// Usage: `AgentLink link(context, settings.agent, hello, [](const Message &message) { ... });`
 class AgentLink
@@ -26,8 +27,12 @@
     /// Sends the message when connected; drops it otherwise and returns false.
     bool send(const Message &message);
 
+    /// Whether the stream is open and the agent has sent its Hello.
     bool connected() const;
 
+    /// Messages that could not be decoded.
+    std::uint64_t skippedMessages() const;
+
     void stop();
 
 private:
