Read the atomic flag explicitly in the administration server's test

Cause: the return type of the lambda was deduced as the atomic itself, which cannot be copied, so the test program did not compile.

--- a/test/net/httptest.cpp
+++ b/test/net/httptest.cpp
@@ -25,7 +25,7 @@
                             {.address = "127.0.0.1", .port = 0},
                             {.ready =
                                  [this] {
-                                     return this->isReady;
+                                     return this->isReady.load();
                                  },
                              .metrics =
                                  [] {
