--- /dev/null
+++ b/src/core/arrivals.cpp
@@ -0,0 +1,130 @@
+#include "engine.h"
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+constexpr unsigned NotFound = 404;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+/// Advice to callers whose request was not run.
+constexpr Duration RetryAfter = std::chrono::seconds(1);
+
+} // namespace
+
+void Engine::refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter)
+{
+    this->effects.emplace_back(RespondLocally{.request = request,
+                                              .status = status,
+                                              .outcome = Outcome::NotRun,
+                                              .refusal = refusal,
+                                              .retryAfter = retryAfter});
+}
+
+std::optional<RouteTarget> Engine::admit(const RequestArrived &event)
+{
+    if (!this->configuration) {
+        this->refuse(event.request, ServiceUnavailable, Refusal::NotConfigured, RetryAfter);
+        return std::nullopt;
+    }
+    if (this->shutdown && this->shutdown->stoppedAccepting) {
+        this->refuse(event.request, ServiceUnavailable, Refusal::ShuttingDown, RetryAfter);
+        return std::nullopt;
+    }
+    const auto target = this->routes->find(event.host, event.method, event.target);
+    if (!target) {
+        this->refuse(event.request, NotFound, Refusal::NoRoute);
+        return std::nullopt;
+    }
+    if (this->requests.size() >= this->settings.requestLimit) {
+        this->refuse(event.request, ServiceUnavailable, Refusal::NoCapacity, RetryAfter);
+        return std::nullopt;
+    }
+    if (const auto wait = this->callerLimits.admit(target->bundle, event.caller, this->now)) {
+        this->refuse(event.request, TooManyRequests, Refusal::CallerOverLimit, *wait);
+        return std::nullopt;
+    }
+    return target;
+}
+
+void Engine::on(const RequestArrived &event)
+{
+    if (this->requests.find(event.request)) {
+        return;
+    }
+    const auto target = this->admit(event);
+    if (!target) {
+        return;
+    }
+    const auto slot = this->requests.open(event.request);
+    auto &request = this->requests.at(slot);
+    request.service = target->service;
+    auto &service = this->serviceOf(request);
+    ++service.openRequests;
+    service.retries.deposit();
+    service.hedges.deposit();
+    request.idempotent = target->idempotent;
+    request.priority = target->priority;
+    request.replayable = event.bodyBytes && *event.bodyBytes <= service.service.replayBytes;
+    request.deadline = event.at + service.service.timeouts.total;
+    this->schedule(slot);
+}
+
+void Engine::conclude(std::uint32_t slot, Refusal refusal)
+{
+    this->leaveQueue(slot);
+    this->cancelActive(slot, Health::Cause::Cancelled);
+    const auto &request = this->requests.at(slot);
+    if (request.callerGone) {
+        // Nobody waits for an answer.
+    } else if (request.forwarded != 0) {
+        this->effects.emplace_back(AbortCaller{.request = request.id});
+    } else if (request.mayHaveRun()) {
+        this->effects.emplace_back(RespondLocally{.request = request.id,
+                                                  .status = GatewayTimeout,
+                                                  .outcome = Outcome::Unknown,
+                                                  .refusal = request.idempotent ? refusal : Refusal::OutcomeUnknown,
+                                                  .retryAfter = Duration(0)});
+    } else {
+        this->refuse(request.id, ServiceUnavailable, refusal, RetryAfter);
+    }
+    this->close(slot);
+}
+
+void Engine::close(std::uint32_t slot)
+{
+    this->leaveQueue(slot);
+    this->requestTimers.clear(slot);
+    --this->serviceOf(this->requests.at(slot)).openRequests;
+    this->requests.close(slot);
+}
+
+void Engine::requestTimerExpired(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    if (request.queued) {
+        this->conclude(slot, Refusal::DeadlineExceeded);
+    } else if (this->now >= request.deadline) {
+        this->deadlinePassed(slot);
+    } else {
+        this->hedge(slot);
+    }
+}
+
+void Engine::on(const CallerDisconnected &event)
+{
+    const auto slot = this->requests.find(event.request);
+    if (!slot) {
+        return;
+    }
+    auto &request = this->requests.at(*slot);
+    request.callerGone = true;
+    // The work of a non-idempotent request is not cut off half-way, since that would leave its outcome unknown.
+    if (request.idempotent || request.activeAttempts() == 0) {
+        this->conclude(*slot, Refusal::NoCapacity);
+    }
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/budgets.cpp
@@ -0,0 +1,129 @@
+#include "budgets.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// Unused tokens kept for a burst of failures; more would let a long quiet time pay for a retry storm.
+constexpr double TokenLimit = 50;
+/// Refill of the reserve, in tokens per second.
+constexpr double ReservePerSecond = 1;
+
+/// Answers needed before the estimates are used.
+constexpr std::uint64_t WarmCount = 20;
+/// Relative step of the estimate once it is warm; it follows a shift by 2 in about 70 samples.
+constexpr double SmallestStep = 0.02;
+
+/// An answer later than this multiple of the median is late in any case.
+constexpr double SmallestHedgeFactor = 3;
+/// A hedge never waits longer than this multiple of the median, even if one slow upstream raises the high quantile.
+constexpr double LargestHedgeFactor = 6;
+constexpr double HighQuantileFactor = 1.2;
+/// Below this, scheduling noise would trigger hedges.
+constexpr Duration ShortestHedgeDelay = std::chrono::milliseconds(5);
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+AttemptBudget::AttemptBudget(double ofRequests, double reserved)
+    : percent(ofRequests)
+    , reserve(reserved)
+    , tokens(reserved)
+{
+}
+
+void AttemptBudget::setPercent(double value)
+{
+    this->percent = value;
+}
+
+void AttemptBudget::deposit()
+{
+    this->tokens = std::min(TokenLimit, this->tokens + this->percent / 100);
+}
+
+bool AttemptBudget::take(TimePoint now)
+{
+    // A budget of zero percent switches extra attempts off, the reserve included.
+    if (this->percent <= 0) {
+        return false;
+    }
+    const double seconds = std::chrono::duration<double>(now - this->refilledAt).count();
+    this->refilledAt = now;
+    if (this->tokens < this->reserve) {
+        this->tokens = std::min(this->reserve, this->tokens + std::max(0.0, seconds) * ReservePerSecond);
+    }
+    if (this->tokens < 1) {
+        return false;
+    }
+    this->tokens -= 1;
+    return true;
+}
+
+double AttemptBudget::available() const
+{
+    return this->tokens;
+}
+
+QuantileEstimate::QuantileEstimate(double followed)
+    : quantile(followed)
+{
+}
+
+void QuantileEstimate::add(Duration latency)
+{
+    const auto sample = static_cast<double>(std::max<Duration::rep>(1, latency.count()));
+    ++this->samples;
+    if (this->samples == 1) {
+        this->estimate = sample;
+        return;
+    }
+    const double step = std::max(SmallestStep, 1.0 / static_cast<double>(this->samples));
+    const double direction = sample > this->estimate ? this->quantile : this->quantile - 1;
+    this->estimate = std::max(1.0, this->estimate * (1 + step * direction));
+}
+
+Duration QuantileEstimate::value() const
+{
+    return Duration(static_cast<Duration::rep>(this->estimate));
+}
+
+std::uint64_t QuantileEstimate::count() const
+{
+    return this->samples;
+}
+
+void LatencyTracker::add(Duration latency)
+{
+    this->median.add(latency);
+    this->high.add(latency);
+}
+
+bool LatencyTracker::warm() const
+{
+    return this->median.count() >= WarmCount;
+}
+
+Duration LatencyTracker::typical() const
+{
+    return this->warm() ? this->median.value() : Duration(0);
+}
+
+Duration LatencyTracker::hedgeDelay() const
+{
+    if (!this->warm()) {
+        return Duration(0);
+    }
+    const auto typicalLatency = this->median.value();
+    const auto late
+        = std::min(scaled(this->high.value(), HighQuantileFactor), scaled(typicalLatency, LargestHedgeFactor));
+    return std::max({ShortestHedgeDelay, scaled(typicalLatency, SmallestHedgeFactor), late});
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/configuration.cpp
@@ -0,0 +1,175 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// Extra attempts that a service may make regardless of its number of requests.
+constexpr double RetryReserve = 3;
+constexpr double HedgeReserve = 1;
+
+Health::DetectorSettings detectorSettings(const Bundles::Service &service)
+{
+    Health::DetectorSettings settings;
+    settings.samplesBetweenFalseAlarms = service.detection.samplesBetweenFalseAlarms;
+    settings.failureRate = service.detection.failureRate;
+    settings.slowFactor = service.detection.slowFactor;
+    settings.floorPercent = service.floorPercent;
+    return settings;
+}
+
+std::vector<Health::UpstreamCapacity> capacities(const Bundles::Service &service)
+{
+    std::vector<Health::UpstreamCapacity> result;
+    for (const auto &upstream : service.upstreams) {
+        result.push_back(Health::UpstreamCapacity{.id = upstream.id, .slots = upstream.slots});
+    }
+    return result;
+}
+
+} // namespace
+
+std::uint32_t Engine::placeOf(const std::string &bundle, const std::string &service)
+{
+    const auto known = this->servicePlaces.find({bundle, service});
+    if (known != this->servicePlaces.end()) {
+        return known->second;
+    }
+    const auto unused = std::find_if(this->services.begin(), this->services.end(), [](const auto &state) {
+        return !state->configured && state->openRequests == 0 && !state->touched;
+    });
+    auto place = static_cast<std::uint32_t>(unused - this->services.begin());
+    if (unused == this->services.end()) {
+        this->services.push_back(std::make_unique<ServiceState>());
+    } else {
+        this->servicePlaces.erase({(*unused)->bundle, (*unused)->service.name});
+        *unused = std::make_unique<ServiceState>();
+    }
+    this->services[place]->index = place;
+    this->servicePlaces.emplace(std::pair(bundle, service), place);
+    return place;
+}
+
+void Engine::configureService(std::uint32_t index, const std::string &bundle, const Bundles::Service &service)
+{
+    auto &state = *this->services[index];
+    if (state.configured && state.service == service) {
+        return;
+    }
+    // A service that was removed keeps its place while requests refer to it, so that their slots stay counted when it
+    // returns.
+    state.bundle = bundle;
+    state.service = service;
+    state.configured = true;
+    state.pool.configure(bundle, &service, this->settings.dataCentre);
+    state.pool.setLeaving(this->leaving);
+    if (state.detector) {
+        state.detector->reconfigure(detectorSettings(service), capacities(service));
+        state.retries.setPercent(service.budgets.retryPercent);
+        state.hedges.setPercent(service.budgets.hedgePercent);
+    } else {
+        state.detector.emplace(detectorSettings(service), capacities(service));
+        state.retries = AttemptBudget(service.budgets.retryPercent, RetryReserve);
+        state.hedges = AttemptBudget(service.budgets.hedgePercent, HedgeReserve);
+    }
+    state.detector->setLeaving(state.pool.leavingIds(this->now));
+    this->evaluate(state);
+    state.pool.refreshAdmissions(*state.detector, this->now);
+}
+
+void Engine::removeService(ServiceState &service)
+{
+    service.configured = false;
+    service.pool.configure(service.bundle, nullptr, this->settings.dataCentre);
+    service.detector->reconfigure(detectorSettings(service.service), {});
+    while (!service.queue.empty()) {
+        this->conclude(service.queue.begin()->slot, Refusal::NotConfigured);
+    }
+    this->touch(service);
+}
+
+void Engine::buildRoutes(const Configuration &configured)
+{
+    std::vector<ResolvedRoute> resolved;
+    for (std::uint32_t index = 0; index < configured.bundles.size(); ++index) {
+        const auto &bundle = configured.bundles[index];
+        for (const auto &route : bundle.routes) {
+            const auto place = this->servicePlaces.find({bundle.name, route.service});
+            if (place != this->servicePlaces.end() && this->services[place->second]->configured) {
+                const RouteTarget target{.service = place->second,
+                                         .bundle = index,
+                                         .idempotent = route.idempotent,
+                                         .priority = route.priority};
+                resolved.push_back(ResolvedRoute{.route = route, .target = target});
+            }
+        }
+    }
+    this->routes = std::make_shared<const RoutingTable>(resolved);
+}
+
+void Engine::on(const ConfigurationChanged &event)
+{
+    const bool isOlder
+        = this->configuration && event.configuration && event.configuration->revision < this->configuration->revision;
+    if (!event.configuration || isOlder) {
+        return;
+    }
+    std::unordered_set<std::uint32_t> kept;
+    for (const auto &bundle : event.configuration->bundles) {
+        for (const auto &service : bundle.services) {
+            const auto place = this->placeOf(bundle.name, service.name);
+            this->configureService(place, bundle.name, service);
+            kept.insert(place);
+        }
+    }
+    for (const auto &service : this->services) {
+        if (service->configured && !kept.contains(service->index)) {
+            this->removeService(*service);
+        }
+    }
+    this->buildRoutes(*event.configuration);
+    this->callerLimits.configure(event.configuration->bundles);
+    this->configuration = event.configuration;
+    this->configuredAt = this->now;
+    const ConfigurationInForce change{
+        .revision = this->configuration->revision, .services = kept.size(), .routes = this->routes->size()};
+    this->effects.emplace_back(ReportStateChange{.change = change});
+}
+
+void Engine::on(const HealthChanged &event)
+{
+    this->verdictsAt = this->now;
+    std::map<std::uint32_t, std::vector<Health::PooledVerdict>> byService;
+    for (const auto &verdict : event.verdicts) {
+        const auto place = this->servicePlaces.find({verdict.upstream.bundle, verdict.upstream.service});
+        if (place != this->servicePlaces.end()) {
+            byService[place->second].push_back(
+                Health::PooledVerdict{.upstream = verdict.upstream.upstream, .sick = verdict.sick});
+        }
+    }
+    for (const auto &[place, verdicts] : byService) {
+        auto &service = *this->services[place];
+        service.detector->applyPooled(verdicts, this->now);
+        this->evaluate(service);
+        service.pool.refreshAdmissions(*service.detector, this->now);
+    }
+}
+
+void Engine::on(const LeavingChanged &event)
+{
+    this->leavingAt = this->now;
+    this->leaving = {event.addresses.begin(), event.addresses.end()};
+    for (const auto &service : this->services) {
+        if (!service->configured) {
+            continue;
+        }
+        service->pool.setLeaving(this->leaving);
+        service->detector->setLeaving(service->pool.leavingIds(this->now));
+        this->evaluate(*service);
+        service->pool.refreshAdmissions(*service->detector, this->now);
+    }
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,188 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// Callers whose buckets are kept, about 100 bytes each. The whole fleet has more callers than one entry sees at once.
+constexpr std::size_t KeptCallers = 65536;
+
+} // namespace
+
+Engine::Engine(ReducerSettings initial)
+    : settings(std::move(initial))
+    , random(this->settings.seed)
+    , callerLimits(KeptCallers)
+{
+}
+
+Effects Engine::apply(const Event &event)
+{
+    this->effects.clear();
+    if (this->terminated) {
+        return {};
+    }
+    std::visit(
+        [this](const auto &alternative) {
+            this->now = alternative.at;
+            this->on(alternative);
+        },
+        event);
+    this->settleTouched();
+    this->advanceShutdown();
+    return std::exchange(this->effects, {});
+}
+
+std::optional<TimePoint> Engine::nextDeadline() const
+{
+    if (this->terminated) {
+        return std::nullopt;
+    }
+    auto earliest = this->requestTimers.next();
+    const auto consider = [&earliest](const std::optional<TimePoint> &time) {
+        if (time && (!earliest || *time < *earliest)) {
+            earliest = time;
+        }
+    };
+    consider(this->serviceTimers.next());
+    if (this->shutdown) {
+        consider(this->shutdown->limitAt);
+        if (!this->shutdown->stoppedAccepting) {
+            consider(this->shutdown->stopAcceptingAt);
+        }
+    }
+    return earliest;
+}
+
+bool Engine::ready() const
+{
+    return this->configuration != nullptr && !this->shutdown && !this->terminated;
+}
+
+ServiceState &Engine::serviceOf(const Request &request)
+{
+    return *this->services[request.service];
+}
+
+void Engine::record(ServiceState &service, std::uint32_t upstream, Health::Cause cause, Duration latency)
+{
+    if (cause == Health::Cause::Cancelled) {
+        return;
+    }
+    const auto &state = service.pool.at(upstream);
+    const Health::Sample sample{.at = this->now, .cause = cause, .latency = latency};
+    this->effects.emplace_back(ReportEvidence{.upstream = state.key, .sample = sample});
+    if (state.configured) {
+        service.detector->record(state.key.upstream, sample);
+        this->evaluate(service);
+    }
+}
+
+void Engine::evaluate(ServiceState &service)
+{
+    const auto transitions = service.detector->evaluate(this->now);
+    for (const auto &transition : transitions) {
+        const UpstreamKey key{
+            .bundle = service.bundle, .service = service.service.name, .upstream = transition.upstream};
+        this->effects.emplace_back(
+            ReportStateChange{.change = HealthStateChanged{.upstream = key, .transition = transition}});
+    }
+    if (transitions.empty()) {
+        service.pool.refreshRestricted(*service.detector, this->now);
+    } else {
+        service.pool.refreshAdmissions(*service.detector, this->now);
+    }
+    this->touch(service);
+}
+
+void Engine::touch(ServiceState &service)
+{
+    if (!service.touched) {
+        service.touched = true;
+        this->touchedServices.push_back(service.index);
+    }
+}
+
+void Engine::settleTouched()
+{
+    // Starting queued requests may refuse others, but it frees no slot; a service touched again is handled as well.
+    for (std::size_t position = 0; position < this->touchedServices.size(); ++position) {
+        auto &service = *this->services[this->touchedServices[position]];
+        this->dispatch(service);
+        this->updateTimer(service);
+        service.touched = false;
+    }
+    this->touchedServices.clear();
+}
+
+void Engine::updateTimer(const ServiceState &service)
+{
+    auto earliest = service.detector ? service.detector->nextDeadline() : std::nullopt;
+    const auto consider = [&earliest](const std::optional<TimePoint> &time) {
+        if (time && (!earliest || *time < *earliest)) {
+            earliest = time;
+        }
+    };
+    consider(service.pool.nextDrainEnd(this->now));
+    if (!service.queue.empty()) {
+        consider(service.pool.nextBackOffEnd(this->now));
+    }
+    if (earliest && service.configured) {
+        this->serviceTimers.set(service.index, *earliest);
+    } else {
+        this->serviceTimers.clear(service.index);
+    }
+}
+
+void Engine::on(const TimerExpired & /*event*/)
+{
+    while (const auto slot = this->requestTimers.popDue(this->now)) {
+        this->requestTimerExpired(*slot);
+    }
+    while (const auto index = this->serviceTimers.popDue(this->now)) {
+        auto &service = *this->services[*index];
+        service.detector->setLeaving(service.pool.leavingIds(this->now));
+        this->evaluate(service);
+        service.pool.refreshAdmissions(*service.detector, this->now);
+    }
+}
+
+void Engine::on(const ShutdownRequested &event)
+{
+    if (this->shutdown) {
+        this->terminate();
+        return;
+    }
+    this->shutdown = ShutdownState{
+        .stopAcceptingAt = event.at + event.drainDelay, .limitAt = event.at + event.limit, .stoppedAccepting = false};
+}
+
+void Engine::advanceShutdown()
+{
+    if (!this->shutdown || this->terminated) {
+        return;
+    }
+    if (!this->shutdown->stoppedAccepting && this->now >= this->shutdown->stopAcceptingAt) {
+        this->shutdown->stoppedAccepting = true;
+        this->effects.emplace_back(StopAccepting{});
+    }
+    const bool finished = this->shutdown->stoppedAccepting && this->requests.size() == 0;
+    if (finished || this->now >= this->shutdown->limitAt) {
+        this->terminate();
+    }
+}
+
+void Engine::terminate()
+{
+    const bool clean = this->requests.size() == 0;
+    // Requests that are given up still get their true outcome, if the host manages to write it.
+    for (const auto slot : this->requests.openSlots()) {
+        this->conclude(slot, Refusal::ShuttingDown);
+    }
+    this->effects.emplace_back(Terminate{.clean = clean});
+    this->terminated = true;
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,153 @@
+#ifndef VERBENADOCK_CORE_ENGINE_H
+#define VERBENADOCK_CORE_ENGINE_H
+
+#include "budgets.h"
+#include "callerlimits.h"
+#include "random.h"
+#include "requestqueue.h"
+#include "requesttable.h"
+#include "routingtable.h"
+#include "timerqueue.h"
+#include "upstreampool.h"
+#include "verbenadock/core/reducer.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace Verbenadock::Core::Internal {
+
+/// State of one service. Its place in the engine's list stays the same while requests refer to it.
+struct ServiceState
+{
+    /// Position in the engine's list.
+    std::uint32_t index = 0;
+    std::string bundle;
+    Bundles::Service service;
+    bool configured = false;
+    /// Waits for the end of the event, when queued requests are started.
+    bool touched = false;
+    UpstreamPool pool;
+    std::optional<Health::ServiceDetector> detector;
+    AttemptBudget retries;
+    AttemptBudget hedges;
+    LatencyTracker latency;
+    RequestQueue queue;
+    std::size_t openRequests = 0;
+};
+
+/// Progress of a shutdown.
+struct ShutdownState
+{
+    TimePoint stopAcceptingAt{};
+    TimePoint limitAt{};
+    bool stoppedAccepting = false;
+};
+
+/// The reducer's decisions. The functions are spread over the files arrivals.cpp, attempts.cpp, configuration.cpp,
+/// dump.cpp, engine.cpp and scheduling.cpp.
+class Engine
+{
+public:
+    explicit Engine(ReducerSettings initial);
+
+    Effects apply(const Event &event);
+    std::optional<TimePoint> nextDeadline() const;
+    bool ready() const;
+    std::string dump(TimePoint at) const;
+
+private:
+    void on(const RequestArrived &event);
+    void on(const ResponseHeadReceived &event);
+    void on(const AttemptCompleted &event);
+    void on(const AttemptFailed &event);
+    void on(const CallerDisconnected &event);
+    void on(const ConfigurationChanged &event);
+    void on(const HealthChanged &event);
+    void on(const LeavingChanged &event);
+    void on(const TimerExpired &event);
+    void on(const ShutdownRequested &event);
+
+    // arrivals.cpp
+    std::optional<RouteTarget> admit(const RequestArrived &event);
+    void refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter = Duration(0));
+    void conclude(std::uint32_t slot, Refusal refusal);
+    void close(std::uint32_t slot);
+    void requestTimerExpired(std::uint32_t slot);
+
+    // scheduling.cpp
+    void schedule(std::uint32_t slot);
+    void enqueue(std::uint32_t slot);
+    void leaveQueue(std::uint32_t slot);
+    void dispatch(ServiceState &service);
+    void startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge);
+    void hedge(std::uint32_t slot);
+    void updateTimer(std::uint32_t slot);
+
+    // attempts.cpp
+    struct Running
+    {
+        std::uint32_t slot = 0;
+        Attempt *attempt = nullptr;
+    };
+    std::optional<Running> findRunning(RequestId request, AttemptId attempt);
+    void end(std::uint32_t slot, Attempt &attempt, Health::Cause cause);
+    void cancelActive(std::uint32_t slot, Health::Cause cause);
+    void deadlinePassed(std::uint32_t slot);
+    void forward(std::uint32_t slot, AttemptId attempt);
+    bool retryInsteadOfAnswer(std::uint32_t slot);
+    void retryOrConclude(std::uint32_t slot, bool proven);
+    bool mayRetry(const Request &request, bool proven) const;
+    void noteDraining(ServiceState &service, std::uint32_t upstream);
+
+    // engine.cpp
+    ServiceState &serviceOf(const Request &request);
+    void record(ServiceState &service, std::uint32_t upstream, Health::Cause cause, Duration latency);
+    void evaluate(ServiceState &service);
+    void touch(ServiceState &service);
+    void settleTouched();
+    void updateTimer(const ServiceState &service);
+    void advanceShutdown();
+    void terminate();
+
+    // configuration.cpp
+    std::uint32_t placeOf(const std::string &bundle, const std::string &service);
+    void configureService(std::uint32_t index, const std::string &bundle, const Bundles::Service &service);
+    void removeService(ServiceState &service);
+    void buildRoutes(const Configuration &configured);
+
+    ReducerSettings settings;
+    Random random;
+    TimePoint now{};
+    Effects effects;
+
+    std::shared_ptr<const Configuration> configuration;
+    TimePoint configuredAt{};
+    std::optional<TimePoint> leavingAt;
+    std::optional<TimePoint> verdictsAt;
+    std::unordered_set<std::string> leaving;
+
+    std::shared_ptr<const RoutingTable> routes;
+    std::vector<std::unique_ptr<ServiceState>> services;
+    std::map<std::pair<std::string, std::string>, std::uint32_t> servicePlaces;
+    std::vector<std::uint32_t> touchedServices;
+    CallerLimits callerLimits;
+
+    RequestTable requests;
+    TimerQueue requestTimers;
+    TimerQueue serviceTimers;
+    AttemptId lastAttempt = 0;
+    std::uint64_t lastSequence = 0;
+
+    std::optional<ShutdownState> shutdown;
+    bool terminated = false;
+};
+
+} // namespace Verbenadock::Core::Internal
+
+#endif
--- /dev/null
+++ b/src/core/reducer.cpp
@@ -0,0 +1,43 @@
+#include "verbenadock/core/reducer.h"
+
+#include "engine.h"
+
+#include <utility>
+
+namespace Verbenadock::Core {
+
+struct Reducer::State
+{
+    Internal::Engine engine;
+};
+
+Reducer::Reducer(ReducerSettings settings)
+    : state(std::make_unique<State>(State{.engine = Internal::Engine(std::move(settings))}))
+{
+}
+
+Reducer::~Reducer() = default;
+Reducer::Reducer(Reducer &&) noexcept = default;
+Reducer &Reducer::operator=(Reducer &&) noexcept = default;
+
+Effects Reducer::apply(const Event &event)
+{
+    return this->state->engine.apply(event);
+}
+
+std::optional<TimePoint> Reducer::nextDeadline() const
+{
+    return this->state->engine.nextDeadline();
+}
+
+bool Reducer::ready() const
+{
+    return this->state->engine.ready();
+}
+
+std::string Reducer::dump(TimePoint now) const
+{
+    return this->state->engine.dump(now);
+}
+
+} // namespace Verbenadock::Core
--- /dev/null
+++ b/src/core/requestqueue.h
@@ -0,0 +1,31 @@
+#ifndef VERBENADOCK_CORE_REQUESTQUEUE_H
+#define VERBENADOCK_CORE_REQUESTQUEUE_H
+
+#include "verbenadock/base/time.h"
+#include "verbenadock/bundle/bundle.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+
+namespace Verbenadock::Core::Internal {
+
+/// Place of a request in the order of service: priority, then deadline, then arrival.
+struct QueuePosition
+{
+    Bundles::Priority priority = Bundles::Priority::Normal;
+    TimePoint deadline{};
+    std::uint64_t sequence = 0;
+    /// Slot of the request in the request table.
+    std::uint32_t slot = 0;
+
+    auto operator<=>(const QueuePosition &) const = default;
+};
+
+/// The waiting requests of a service, best first.
+using RequestQueue = std::set<QueuePosition>;
+
+} // namespace Verbenadock::Core::Internal
+
+#endif
--- /dev/null
+++ b/src/core/requesttable.cpp
@@ -0,0 +1,97 @@
+#include "requesttable.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Core::Internal {
+
+Attempt *Request::find(AttemptId attempt)
+{
+    const auto found = std::find_if(this->attempts.begin(), this->attempts.end(), [attempt](const Attempt &candidate) {
+        return candidate.id == attempt;
+    });
+    return found == this->attempts.end() ? nullptr : &*found;
+}
+
+std::size_t Request::activeAttempts() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
+            return attempt.active;
+        }));
+}
+
+bool Request::tried(std::uint32_t upstream) const
+{
+    const auto from = this->attempts.begin() + static_cast<std::ptrdiff_t>(this->triedFrom);
+    return std::any_of(from, this->attempts.end(), [upstream](const Attempt &attempt) {
+        return attempt.upstream == upstream;
+    });
+}
+
+bool Request::everyAttemptShed() const
+{
+    return std::all_of(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
+        return attempt.shed;
+    });
+}
+
+bool Request::mayHaveRun() const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
+        return !attempt.provenNotRun;
+    });
+}
+
+std::uint32_t RequestTable::open(RequestId id)
+{
+    if (this->free.empty()) {
+        this->free.push_back(static_cast<std::uint32_t>(this->requests.size()));
+        this->requests.emplace_back();
+    }
+    const auto slot = this->free.back();
+    this->free.pop_back();
+    // The attempts keep their memory, so that a request in steady state allocates nothing here.
+    auto attempts = std::move(this->requests[slot].attempts);
+    attempts.clear();
+    this->requests[slot] = Request{};
+    this->requests[slot].id = id;
+    this->requests[slot].attempts = std::move(attempts);
+    this->slots.emplace(id, slot);
+    return slot;
+}
+
+std::optional<std::uint32_t> RequestTable::find(RequestId id) const
+{
+    const auto found = this->slots.find(id);
+    return found == this->slots.end() ? std::nullopt : std::optional(found->second);
+}
+
+Request &RequestTable::at(std::uint32_t slot)
+{
+    return this->requests[slot];
+}
+
+void RequestTable::close(std::uint32_t slot)
+{
+    this->slots.erase(this->requests[slot].id);
+    this->free.push_back(slot);
+}
+
+std::size_t RequestTable::size() const
+{
+    return this->slots.size();
+}
+
+std::vector<std::uint32_t> RequestTable::openSlots() const
+{
+    std::vector<std::pair<RequestId, std::uint32_t>> byId(this->slots.begin(), this->slots.end());
+    std::sort(byId.begin(), byId.end());
+    std::vector<std::uint32_t> result;
+    result.reserve(byId.size());
+    for (const auto &[id, slot] : byId) {
+        result.push_back(slot);
+    }
+    return result;
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/requesttable.h
@@ -0,0 +1,92 @@
+#ifndef VERBENADOCK_CORE_REQUESTTABLE_H
+#define VERBENADOCK_CORE_REQUESTTABLE_H
+
+#include "requestqueue.h"
+#include "verbenadock/base/identifiers.h"
+#include "verbenadock/base/time.h"
+#include "verbenadock/bundle/bundle.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Verbenadock::Core::Internal {
+
+/// One try to have a request answered by an upstream.
+struct Attempt
+{
+    AttemptId id = 0;
+    /// Index in the service's upstream pool.
+    std::uint32_t upstream = 0;
+    TimePoint startedAt{};
+    /// Latency up to the head of an answer that streams; zero before.
+    Duration headLatency{0};
+    bool active = true;
+    bool hedge = false;
+    /// Ended with a proof that the request was not run.
+    bool provenNotRun = false;
+    /// The upstream answered that it did not run the request.
+    bool shed = false;
+    /// Counted as overdue by the detector.
+    bool overdue = false;
+};
+
+/// State of one caller's request.
+struct Request
+{
+    RequestId id = 0;
+    std::uint32_t service = 0;
+    bool idempotent = false;
+    /// The body can be sent again after a part of it was written.
+    bool replayable = true;
+    Bundles::Priority priority = Bundles::Priority::Normal;
+    TimePoint deadline{};
+    std::vector<Attempt> attempts;
+    std::optional<QueuePosition> queued;
+    /// When a queued request is given up.
+    TimePoint queueExpiry{};
+    /// When the answer of the running attempt is much later than typical.
+    std::optional<TimePoint> overdueAt;
+    /// Attempts before this position no longer exclude their upstreams.
+    std::size_t triedFrom = 0;
+    /// A part of a body that cannot be sent again was sent.
+    bool bodySpent = false;
+    /// The attempt whose answer is being passed on; zero before.
+    AttemptId forwarded = 0;
+    bool callerGone = false;
+
+    Attempt *find(AttemptId attempt);
+    std::size_t activeAttempts() const;
+    bool tried(std::uint32_t upstream) const;
+    bool everyAttemptShed() const;
+    /// Whether any attempt, active ones included, may have run the request.
+    bool mayHaveRun() const;
+};
+
+/// Requests in slots that are reused, so that other tables can refer to them by index.
+///
+/// Usage: open() a request, find() its slot by id, close() it when nothing more happens.
+class RequestTable
+{
+public:
+    /// The slot of a new, empty request.
+    std::uint32_t open(RequestId id);
+    std::optional<std::uint32_t> find(RequestId id) const;
+    Request &at(std::uint32_t slot);
+    void close(std::uint32_t slot);
+
+    std::size_t size() const;
+    /// Slots of all open requests, in the order of their ids.
+    std::vector<std::uint32_t> openSlots() const;
+
+private:
+    std::vector<Request> requests;
+    std::vector<std::uint32_t> free;
+    std::unordered_map<RequestId, std::uint32_t> slots;
+};
+
+} // namespace Verbenadock::Core::Internal
+
+#endif
--- /dev/null
+++ b/src/core/routingtable.h
@@ -0,0 +1,85 @@
+#ifndef VERBENADOCK_CORE_ROUTINGTABLE_H
+#define VERBENADOCK_CORE_ROUTINGTABLE_H
+
+#include "verbenadock/bundle/bundle.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Verbenadock::Core::Internal {
+
+/// Where a request goes, by index.
+struct RouteTarget
+{
+    std::uint32_t service = 0;
+    /// Index of the bundle in the configuration; it selects the caller limits.
+    std::uint32_t bundle = 0;
+    bool idempotent = false;
+    Bundles::Priority priority = Bundles::Priority::Normal;
+
+    auto operator<=>(const RouteTarget &) const = default;
+};
+
+/// A route with its service resolved.
+struct ResolvedRoute
+{
+    Bundles::Route route;
+    RouteTarget target;
+};
+
+/// Finds the route of a request. Immutable once built.
+///
+/// An exact host goes before "*", then the longest path prefix wins, then an exact method goes before "*". A prefix
+/// matches whole path segments: "/a" matches "/a" and "/a/b", not "/ab". Of equal routes the first one counts.
+///
+/// Usage: build it from all routes of a configuration, then find() for each request.
+class RoutingTable
+{
+public:
+    RoutingTable() = default;
+    explicit RoutingTable(const std::vector<ResolvedRoute> &routes);
+
+    /// The target may carry a query or be in absolute form; the host may carry a port.
+    std::optional<RouteTarget> find(std::string_view host, std::string_view method, std::string_view target) const;
+
+    std::size_t size() const;
+
+private:
+    struct MethodTarget
+    {
+        std::string method;
+        RouteTarget target;
+    };
+
+    struct Hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const
+        {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
+
+    template<typename Value>
+    using TextMap = std::unordered_map<std::string, Value, Hash, std::equal_to<>>;
+
+    struct HostRoutes
+    {
+        TextMap<std::vector<MethodTarget>> prefixes;
+        std::size_t longestPrefix = 0;
+    };
+
+    static std::optional<RouteTarget> findIn(const HostRoutes &routes, std::string_view method, std::string_view path);
+
+    TextMap<HostRoutes> hosts;
+    std::size_t routeCount = 0;
+};
+
+} // namespace Verbenadock::Core::Internal
+
+#endif
--- /dev/null
+++ b/src/core/scheduling.cpp
@@ -0,0 +1,162 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// Queued requests that are looked at without finding an upstream for any, per event. Requests behind them can only be
+/// placed when the ones before are restricted to other upstreams, which is rare.
+constexpr int DispatchMisses = 8;
+
+} // namespace
+
+void Engine::schedule(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    auto &service = this->serviceOf(request);
+    if (!service.pool.couldServe(request, this->now) && !request.attempts.empty() && request.everyAttemptShed()) {
+        // Each upstream has shed the request once; it may go to them again after their back-off.
+        request.triedFrom = request.attempts.size();
+    }
+    if (service.queue.empty()) {
+        if (const auto upstream = service.pool.pick(request, this->now, this->random)) {
+            this->startAttempt(slot, *upstream, false);
+            return;
+        }
+    }
+    if (service.pool.couldServe(request, this->now)) {
+        this->enqueue(slot);
+    } else {
+        this->conclude(slot, request.attempts.empty() ? Refusal::NoCapacity : Refusal::AllAttemptsFailed);
+    }
+}
+
+void Engine::enqueue(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    auto &service = this->serviceOf(request);
+    const QueuePosition position{
+        .priority = request.priority, .deadline = request.deadline, .sequence = ++this->lastSequence, .slot = slot};
+    if (service.queue.size() >= service.service.queueLimit) {
+        if (service.queue.empty() || *service.queue.rbegin() < position) {
+            this->conclude(slot, Refusal::QueueFull);
+            return;
+        }
+        this->conclude(service.queue.rbegin()->slot, Refusal::QueueFull);
+    }
+    request.queued = position;
+    // A request that starts with less than the typical latency left would only end with an unknown outcome.
+    request.queueExpiry = std::max(this->now, request.deadline - service.latency.typical());
+    service.queue.insert(position);
+    this->updateTimer(slot);
+    this->touch(service);
+}
+
+void Engine::leaveQueue(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    if (request.queued) {
+        this->serviceOf(request).queue.erase(*request.queued);
+        request.queued.reset();
+    }
+}
+
+void Engine::dispatch(ServiceState &service)
+{
+    int misses = 0;
+    auto next = service.queue.begin();
+    while (next != service.queue.end() && misses < DispatchMisses) {
+        const auto slot = next->slot;
+        ++next;
+        const auto &request = this->requests.at(slot);
+        if (this->now >= request.queueExpiry) {
+            this->conclude(slot, Refusal::DeadlineExceeded);
+            continue;
+        }
+        const auto upstream = service.pool.pick(request, this->now, this->random);
+        if (upstream) {
+            this->leaveQueue(slot);
+            this->startAttempt(slot, *upstream, false);
+        } else if (request.idempotent && request.attempts.empty()) {
+            // This request may go anywhere, so nothing is free.
+            return;
+        } else {
+            ++misses;
+        }
+    }
+}
+
+void Engine::startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge)
+{
+    auto &request = this->requests.at(slot);
+    auto &service = this->serviceOf(request);
+    service.pool.start(upstream);
+    const auto &target = service.pool.at(upstream);
+    request.attempts.push_back(
+        Attempt{.id = ++this->lastAttempt, .upstream = upstream, .startedAt = this->now, .hedge = hedge});
+    const auto &timeouts = service.service.timeouts;
+    this->effects.emplace_back(StartAttempt{
+        .request = request.id,
+        .attempt = this->lastAttempt,
+        .upstream = target.key,
+        .endpoint = target.endpoint,
+        .policy = request.idempotent ? ConnectionPolicy::Reuse : ConnectionPolicy::ProvenAlive,
+        .connectTimeout = timeouts.connect,
+        .firstByteTimeout = timeouts.firstByte,
+        .deadline = request.deadline,
+        .holdBackBytes = service.service.holdBackBytes,
+        .replayBytes = service.service.replayBytes,
+        .echoesAttemptId = service.service.echoesAttemptId,
+    });
+    // The time of a long upload depends on the caller, so that it says nothing about the upstream.
+    const auto delay = service.latency.hedgeDelay();
+    request.overdueAt.reset();
+    if (!hedge && request.replayable && delay > Duration(0)) {
+        request.overdueAt = this->now + delay;
+    }
+    this->updateTimer(slot);
+}
+
+void Engine::hedge(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    auto &service = this->serviceOf(request);
+    request.overdueAt.reset();
+    this->updateTimer(slot);
+    const auto late = std::find_if(request.attempts.begin(), request.attempts.end(), [](const Attempt &attempt) {
+        return attempt.active;
+    });
+    if (late == request.attempts.end()) {
+        return;
+    }
+    late->overdue = true;
+    const auto &upstream = service.pool.at(late->upstream);
+    if (upstream.configured) {
+        service.detector->recordOverdue(upstream.key.upstream, this->now);
+        this->evaluate(service);
+    }
+    // Under load a hedge would only take the slot of a request that waits.
+    if (!request.idempotent || !service.queue.empty()) {
+        return;
+    }
+    const auto other = service.pool.pick(request, this->now, this->random);
+    if (other && service.hedges.take(this->now)) {
+        this->startAttempt(slot, *other, true);
+    }
+}
+
+void Engine::updateTimer(std::uint32_t slot)
+{
+    const auto &request = this->requests.at(slot);
+    if (request.queued) {
+        this->requestTimers.set(slot, request.queueExpiry);
+    } else if (request.overdueAt) {
+        this->requestTimers.set(slot, std::min(*request.overdueAt, request.deadline));
+    } else {
+        this->requestTimers.set(slot, request.deadline);
+    }
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/upstreampool.cpp
@@ -0,0 +1,304 @@
+#include "upstreampool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// An upstream that announced its drain is asked again after this time, in case the announcement was withdrawn.
+constexpr Duration LongestDrain = std::chrono::seconds(60);
+/// First and longest wait after shed work. The first is about the time in which a slot becomes free.
+constexpr Duration FirstShedBackOff = std::chrono::milliseconds(5);
+constexpr Duration LongestShedBackOff = std::chrono::milliseconds(250);
+/// Waits after a failed connect. They bound what a stopped upstream costs until the detector ejects it.
+constexpr Duration FirstConnectBackOff = std::chrono::milliseconds(100);
+constexpr Duration LongestConnectBackOff = std::chrono::seconds(2);
+/// Load difference up to which an upstream in the own data centre is preferred.
+constexpr double SimilarLoad = 0.25;
+/// Random draws before the pool is searched as a whole.
+constexpr int Draws = 6;
+
+double capacity(const UpstreamState &upstream)
+{
+    return std::max(1.0, upstream.concurrency * upstream.admission.share);
+}
+
+double load(const UpstreamState &upstream)
+{
+    return upstream.inFlight / capacity(upstream);
+}
+
+bool inService(const UpstreamState &upstream, TimePoint now)
+{
+    return upstream.configured && !upstream.leaving && upstream.drainingUntil <= now && upstream.admission.allowed;
+}
+
+} // namespace
+
+void UpstreamPool::configure(const std::string &bundle,
+                             const Bundles::Service *service,
+                             const std::string &ownDataCentre)
+{
+    for (const auto index : std::exchange(this->active, {})) {
+        this->upstreams[index].configured = false;
+    }
+    if (service == nullptr) {
+        return;
+    }
+    for (const auto &upstream : service->upstreams) {
+        const auto place = this->placeFor(upstream);
+        auto &state = this->upstreams[place];
+        const bool own = upstream.dataCentre == ownDataCentre;
+        const bool isSame = state.endpoint == upstream.endpoint && state.key.upstream == upstream.id
+                            && state.slots == upstream.slots && state.ownDataCentre == own;
+        if (!isSame) {
+            // A drain announcement outlives configuration changes that do not concern the upstream.
+            state = UpstreamState{
+                .key = {.bundle = bundle, .service = service->name, .upstream = upstream.id},
+                .endpoint = upstream.endpoint,
+                .slots = upstream.slots,
+                .ownDataCentre = own,
+                .concurrency = static_cast<double>(upstream.slots),
+                .inFlight = state.inFlight,
+                .admission = {},
+            };
+        }
+        state.configured = true;
+        this->active.push_back(place);
+    }
+}
+
+std::uint32_t UpstreamPool::placeFor(const Bundles::Upstream &upstream)
+{
+    // An upstream that was removed and returns finds its requests in flight again.
+    auto place = std::find_if(this->upstreams.begin(), this->upstreams.end(), [&](const UpstreamState &state) {
+        return !state.configured && state.endpoint == upstream.endpoint && state.key.upstream == upstream.id;
+    });
+    if (place == this->upstreams.end()) {
+        place = std::find_if(this->upstreams.begin(), this->upstreams.end(), [](const UpstreamState &state) {
+            return !state.configured && state.inFlight == 0;
+        });
+    }
+    if (place == this->upstreams.end()) {
+        this->upstreams.emplace_back();
+        return static_cast<std::uint32_t>(this->upstreams.size() - 1);
+    }
+    return static_cast<std::uint32_t>(place - this->upstreams.begin());
+}
+
+bool UpstreamPool::usable(const UpstreamState &upstream, const Request &request, TimePoint now) const
+{
+    if (!inService(upstream, now) || upstream.backOffUntil > now) {
+        return false;
+    }
+    if (upstream.admission.trialOnly && (!request.idempotent || upstream.inFlight > 0)) {
+        return false;
+    }
+    return upstream.inFlight < upstream.slots && upstream.inFlight + 1 <= capacity(upstream);
+}
+
+std::uint32_t UpstreamPool::better(std::uint32_t first, std::uint32_t second) const
+{
+    const auto &left = this->upstreams[first];
+    const auto &right = this->upstreams[second];
+    const double difference = load(left) - load(right);
+    if (left.ownDataCentre != right.ownDataCentre && std::abs(difference) <= SimilarLoad) {
+        return left.ownDataCentre ? first : second;
+    }
+    return difference <= 0 ? first : second;
+}
+
+std::optional<std::uint32_t> UpstreamPool::pick(const Request &request, TimePoint now, Random &random) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    if (count == 0) {
+        return std::nullopt;
+    }
+    std::optional<std::uint32_t> first;
+    for (int draw = 0; draw < Draws; ++draw) {
+        const auto index = this->active[random.below(count)];
+        const auto &upstream = this->upstreams[index];
+        if (index == first || !this->usable(upstream, request, now) || request.tried(index)) {
+            continue;
+        }
+        // A ramping upstream has few allowed slots, which are mostly empty; without this it would look least loaded.
+        const bool ramping = !upstream.admission.trialOnly && upstream.admission.share < 1;
+        if (ramping && random.fraction() >= upstream.admission.share) {
+            continue;
+        }
+        if (first) {
+            return this->better(*first, index);
+        }
+        first = index;
+    }
+    if (first) {
+        return first;
+    }
+    const auto offset = random.below(count);
+    for (std::uint32_t step = 0; step < count; ++step) {
+        const auto position = offset + step;
+        const auto index = this->active[position < count ? position : position - count];
+        if (this->usable(this->upstreams[index], request, now) && !request.tried(index)) {
+            if (first) {
+                return this->better(*first, index);
+            }
+            first = index;
+        }
+    }
+    return first;
+}
+
+bool UpstreamPool::couldServe(const Request &request, TimePoint now) const
+{
+    return std::any_of(this->active.begin(), this->active.end(), [&](std::uint32_t index) {
+        const auto &upstream = this->upstreams[index];
+        const bool allowed = !upstream.admission.trialOnly || request.idempotent;
+        return inService(upstream, now) && allowed && !request.tried(index);
+    });
+}
+
+void UpstreamPool::start(std::uint32_t upstream)
+{
+    ++this->upstreams[upstream].inFlight;
+}
+
+void UpstreamPool::finish(std::uint32_t upstream)
+{
+    --this->upstreams[upstream].inFlight;
+}
+
+void UpstreamPool::noteSuccess(std::uint32_t upstream)
+{
+    auto &state = this->upstreams[upstream];
+    state.backOff = Duration(0);
+    state.concurrency = std::min<double>(state.slots, state.concurrency + 1 / state.concurrency);
+}
+
+void UpstreamPool::lengthenBackOff(UpstreamState &upstream,
+                                   Duration first,
+                                   Duration longest,
+                                   TimePoint now,
+                                   Random &random)
+{
+    upstream.backOff = std::clamp(upstream.backOff * 2, first, longest);
+    // Entries that were shed at the same moment must not return at the same moment.
+    const double jitter = 0.5 + random.fraction();
+    upstream.backOffUntil
+        = now + Duration(static_cast<Duration::rep>(static_cast<double>(upstream.backOff.count()) * jitter));
+}
+
+void UpstreamPool::noteShed(std::uint32_t upstream, TimePoint now, Random &random)
+{
+    auto &state = this->upstreams[upstream];
+    if (state.backOffUntil > now) {
+        // Several requests shed at the same moment are one sign of overload.
+        return;
+    }
+    state.concurrency = std::max(1.0, state.concurrency / 2);
+    lengthenBackOff(state, FirstShedBackOff, LongestShedBackOff, now, random);
+}
+
+void UpstreamPool::noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random)
+{
+    auto &state = this->upstreams[upstream];
+    if (state.backOffUntil <= now) {
+        lengthenBackOff(state, FirstConnectBackOff, LongestConnectBackOff, now, random);
+    }
+}
+
+bool UpstreamPool::noteDraining(std::uint32_t upstream, TimePoint now)
+{
+    auto &state = this->upstreams[upstream];
+    const bool isNew = state.drainingUntil <= now;
+    state.drainingUntil = now + LongestDrain;
+    return isNew;
+}
+
+void UpstreamPool::setLeaving(const std::unordered_set<std::string> &addresses)
+{
+    for (const auto index : this->active) {
+        auto &state = this->upstreams[index];
+        const bool leaves = addresses.contains(state.endpoint.address);
+        if (state.leaving && !leaves) {
+            state.drainingUntil = TimePoint{};
+        }
+        state.leaving = leaves;
+    }
+}
+
+std::vector<std::string> UpstreamPool::leavingIds(TimePoint now) const
+{
+    std::vector<std::string> ids;
+    for (const auto index : this->active) {
+        const auto &state = this->upstreams[index];
+        if (state.leaving || state.drainingUntil > now) {
+            ids.push_back(state.key.upstream);
+        }
+    }
+    return ids;
+}
+
+std::optional<TimePoint> UpstreamPool::nextBackOffEnd(TimePoint now) const
+{
+    return this->earliestAfter(now, &UpstreamState::backOffUntil);
+}
+
+std::optional<TimePoint> UpstreamPool::nextDrainEnd(TimePoint now) const
+{
+    return this->earliestAfter(now, &UpstreamState::drainingUntil);
+}
+
+std::optional<TimePoint> UpstreamPool::earliestAfter(TimePoint now, TimePoint UpstreamState::*time) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto index : this->active) {
+        const auto candidate = this->upstreams[index].*time;
+        if (candidate > now && (!earliest || candidate < *earliest)) {
+            earliest = candidate;
+        }
+    }
+    return earliest;
+}
+
+void UpstreamPool::ask(const Health::ServiceDetector &detector, std::uint32_t upstream, TimePoint now)
+{
+    auto &state = this->upstreams[upstream];
+    state.admission = detector.admission(state.key.upstream, now);
+    const bool isRestricted = !state.admission.allowed || state.admission.trialOnly || state.admission.share < 1;
+    const auto listed = std::find(this->restricted.begin(), this->restricted.end(), upstream);
+    if (isRestricted && listed == this->restricted.end()) {
+        this->restricted.push_back(upstream);
+    } else if (!isRestricted && listed != this->restricted.end()) {
+        this->restricted.erase(listed);
+    }
+}
+
+void UpstreamPool::refreshRestricted(const Health::ServiceDetector &detector, TimePoint now)
+{
+    for (std::size_t position = this->restricted.size(); position > 0; --position) {
+        this->ask(detector, this->restricted[position - 1], now);
+    }
+}
+
+void UpstreamPool::refreshAdmissions(const Health::ServiceDetector &detector, TimePoint now)
+{
+    this->restricted.clear();
+    for (const auto index : this->active) {
+        this->ask(detector, index, now);
+    }
+}
+
+const UpstreamState &UpstreamPool::at(std::uint32_t upstream) const
+{
+    return this->upstreams[upstream];
+}
+
+const std::vector<std::uint32_t> &UpstreamPool::configured() const
+{
+    return this->active;
+}
+
+} // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/src/core/upstreampool.h
@@ -0,0 +1,100 @@
+#ifndef VERBENADOCK_CORE_UPSTREAMPOOL_H
+#define VERBENADOCK_CORE_UPSTREAMPOOL_H
+
+#include "random.h"
+#include "requesttable.h"
+#include "verbenadock/base/endpoint.h"
+#include "verbenadock/base/identifiers.h"
+#include "verbenadock/bundle/bundle.h"
+#include "verbenadock/health/servicedetector.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace Verbenadock::Core::Internal {
+
+/// What this entry knows of one upstream.
+struct UpstreamState
+{
+    UpstreamKey key;
+    Endpoint endpoint;
+    unsigned slots = 1;
+    bool ownDataCentre = false;
+    bool configured = true;
+    bool leaving = false;
+    /// The upstream announced that it drains; no new work before this time.
+    TimePoint drainingUntil{};
+    /// No new work before this time, because work was shed or the connection failed.
+    TimePoint backOffUntil{};
+    Duration backOff{0};
+    /// Bound on the requests in flight that adapts to shed work, at most the slots.
+    double concurrency = 1;
+    unsigned inFlight = 0;
+    Health::Admission admission;
+};
+
+/// The upstreams of one service, with the choice among them.
+///
+/// Usage: configure(); pick() an upstream, then start() on it and finish() when the attempt ends.
+class UpstreamPool
+{
+public:
+    /// Takes over the configured upstreams; known ones keep their state as long as their entry stays the same.
+    void configure(const std::string &bundle, const Bundles::Service *service, const std::string &ownDataCentre);
+
+    /// The better of two random upstreams that may take the request now.
+    std::optional<std::uint32_t> pick(const Request &request, TimePoint now, Random &random) const;
+
+    /// Whether any upstream could take such a request once slots are free or back-offs are over.
+    bool couldServe(const Request &request, TimePoint now) const;
+
+    void start(std::uint32_t upstream);
+    void finish(std::uint32_t upstream);
+
+    void noteSuccess(std::uint32_t upstream);
+    void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
+    void noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random);
+    /// Returns true when the upstream was not known to drain.
+    bool noteDraining(std::uint32_t upstream, TimePoint now);
+
+    /// Takes over the leaving addresses. An address that is no longer leaving ends the drain as well.
+    void setLeaving(const std::unordered_set<std::string> &addresses);
+
+    /// Ids of the upstreams that leave or drain.
+    std::vector<std::string> leavingIds(TimePoint now) const;
+
+    std::optional<TimePoint> nextBackOffEnd(TimePoint now) const;
+    std::optional<TimePoint> nextDrainEnd(TimePoint now) const;
+
+    /// Asks the detector again for the upstreams that may not get full work, or for all.
+    void refreshRestricted(const Health::ServiceDetector &detector, TimePoint now);
+    void refreshAdmissions(const Health::ServiceDetector &detector, TimePoint now);
+
+    const UpstreamState &at(std::uint32_t upstream) const;
+    /// Indices of the configured upstreams.
+    const std::vector<std::uint32_t> &configured() const;
+
+private:
+    bool usable(const UpstreamState &upstream, const Request &request, TimePoint now) const;
+    void ask(const Health::ServiceDetector &detector, std::uint32_t upstream, TimePoint now);
+    std::uint32_t better(std::uint32_t first, std::uint32_t second) const;
+    std::uint32_t placeFor(const Bundles::Upstream &upstream);
+    std::optional<TimePoint> earliestAfter(TimePoint now, TimePoint UpstreamState::*time) const;
+    static void lengthenBackOff(UpstreamState &upstream,
+                                Duration first,
+                                Duration longest,
+                                TimePoint now,
+                                Random &random);
+
+    std::vector<UpstreamState> upstreams;
+    std::vector<std::uint32_t> active;
+    /// Upstreams whose admission is not the full one.
+    std::vector<std::uint32_t> restricted;
+};
+
+} // namespace Verbenadock::Core::Internal
+
+#endif
