--- a/test/platform/platformtest.cpp
+++ b/test/platform/platformtest.cpp
@@ -97,7 +97,7 @@
     const std::string good = R"({"id": "a", "address": "x", "role": "entry", "dataCentre": "n", "state": "live"})";
     for (const std::string &body : {
              std::string(R"({"vms": {}})"),
-             R"({"vms": [)" + good + "," + good + "]}",
+             std::string(R"({"vms": [)").append(good).append(",").append(good).append("]}"),
              std::string(
                  R"({"vms": [{"id": "a", "address": "x", "role": "router", "dataCentre": "n", "state": "live"}]})"),
              std::string(
