Refuse bad input before it reaches an upstream and test each kind

co_await inside && or || made g++ 12 emit a trap in the coroutine (SIGILL in Attempt::receive), so each co_await is a statement or a whole condition.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -50,7 +50,12 @@
 Task<void> Attempt::run()
 {
     const auto self = this->shared_from_this();
-    if (co_await this->open() && co_await this->send()) {
+    // g++ 12 generates wrong code for co_await inside && and ||, so each one is a statement of its own.
+    bool going = co_await this->open();
+    if (going) {
+        going = co_await this->send();
+    }
+    if (going) {
         co_await this->receive();
     }
     this->timer.clear();
@@ -66,6 +71,14 @@
     this->forwardAllowed.notify();
 }
 
+void Attempt::callerGone()
+{
+    if (this->exchange->bodyStreams && !this->requestWritten) {
+        this->fail(Health::Cause::Cancelled);
+    }
+    this->forwardAllowed.notify();
+}
+
 bool Attempt::stopped() const
 {
     return this->cancelled || this->finished;
@@ -215,10 +228,11 @@
         }
     }
     caller.watch();
-    if (!this->exchange->request.bodyBytes && co_await this->writeAll(LastChunk)) {
-        co_return;
+    ErrorCode error;
+    if (!this->exchange->request.bodyBytes) {
+        error = co_await this->writeAll(LastChunk);
     }
-    if (!this->stopped()) {
+    if (!error && !this->stopped()) {
         this->finishRequest();
     }
 }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -31,6 +31,9 @@
     /// Closes the connection; nothing is reported any more.
     void cancel();
 
+    /// Gives up an unfinished upload; a complete request goes on, and its answer is dropped.
+    void callerGone();
+
     /// Allows a streaming answer to be passed on.
     void startForwarding();
 
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -24,20 +24,27 @@
 
 Task<void> Attempt::receive()
 {
-    do {
+    bool interim = true;
+    while (interim) {
         this->response.emplace();
         this->response->parser.bodySink = &this->body;
         this->response->parser.body_limit(boost::none);
         this->response->parser.skip(this->exchange->request.headMethod);
-        if (!(co_await this->readHead())) {
+        const bool arrived = co_await this->readHead();
+        if (!arrived) {
             co_return;
         }
         // Interim answers precede the final one; 101 would change the protocol, which was not asked for.
-    } while (this->response->parser.statusCode / 100 == 1 && this->response->parser.statusCode != 101);
-    if (!this->checkHead() || !(co_await this->readBody())) {
+        const auto status = this->response->parser.statusCode;
+        interim = status / 100 == 1 && status != 101;
+    }
+    if (!this->checkHead()) {
         co_return;
     }
-    this->complete();
+    const bool whole = co_await this->readBody();
+    if (whole) {
+        this->complete();
+    }
 }
 
 Task<bool> Attempt::readHead()
@@ -121,8 +128,11 @@
             this->timer.set(this->order.deadline);
             this->host->answerBegins(*this, parser.statusCode, this->answerFlag("X-Draining"));
         }
-        if (this->headReported && !(co_await this->forwardPiece(parser.is_done()))) {
-            co_return false;
+        if (this->headReported) {
+            const bool forwarded = co_await this->forwardPiece(parser.is_done());
+            if (!forwarded) {
+                co_return false;
+            }
         }
         if (parser.is_done()) {
             co_return true;
@@ -136,12 +146,16 @@
 
 Task<bool> Attempt::forwardPiece(bool last)
 {
-    while (!this->forwarding && !this->stopped()) {
+    while (!this->forwarding && !this->exchange->decision && !this->stopped()) {
         co_await this->forwardAllowed.wait();
     }
     if (this->stopped()) {
         co_return false;
     }
+    if (this->exchange->decision) {
+        this->body.clear();
+        co_return true;
+    }
     // The caller's pace must not count against the upstream, so only the deadline holds while writing.
     this->timer.set(this->order.deadline);
     const auto framing = this->answerFraming();
@@ -165,9 +179,9 @@
     }
     if (!written) {
         this->host->callerGone(*this->exchange);
-        co_return false;
     }
-    co_return true;
+    // Without a caller the answer is read to its end, unless the reducer cancelled the attempt.
+    co_return !this->stopped();
 }
 
 void Attempt::complete()
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -80,7 +80,8 @@
                     .reason = toString(refusal.reason),
                     .close = true,
                     .headMethod = current.request.headMethod});
-    co_return co_await this->write(text) ? Next::Linger : Next::Close;
+    const bool written = co_await this->write(text);
+    co_return written ? Next::Linger : Next::Close;
 }
 
 CallerConnection::Next CallerConnection::afterAnswer(bool written) const
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -80,9 +80,9 @@
             break;
         }
         if (state != HeadState::Incomplete) {
-            const auto head = state == HeadState::Malformed ? std::string_view(this->message->headText)
-                                                            : asView(this->buffer);
-            co_return co_await this->refuseHead(reasonOf(state, head));
+            const auto reason = state == HeadState::Malformed ? reasonOf(this->message->headError, *this->message)
+                                                              : reasonOf(state, asView(this->buffer));
+            co_return co_await this->refuseHead(reason);
         }
         const auto next = co_await this->waitForHead(!this->reading && this->buffer.size() > 0);
         if (next != Next::Request) {
@@ -127,7 +127,8 @@
     const bool headMethod = this->message->parser.methodText == "HEAD";
     const auto text = localAnswerText(
         LocalAnswer{.status = statusOf(reason), .reason = toString(reason), .close = true, .headMethod = headMethod});
-    co_return co_await this->write(text) ? Next::Linger : Next::Close;
+    const bool written = co_await this->write(text);
+    co_return written ? Next::Linger : Next::Close;
 }
 
 Task<CallerConnection::Next> CallerConnection::serve()
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -76,6 +76,8 @@
     bool headForwarded = false;
 
     std::optional<Decision> decision;
+    /// The caller's connection is done with it; attempts may still run.
+    bool ended = false;
 };
 
 } // namespace Verbenadock::Proxy::internal
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -138,6 +138,16 @@
 
 void Host::end(Exchange &exchange)
 {
+    exchange.ended = true;
+    // The reducer lets work that must not be cut off go on after its caller is gone.
+    if (!std::holds_alternative<CallerGone>(*exchange.decision) || exchange.attempts.empty()) {
+        this->release(exchange);
+    }
+}
+
+void Host::release(Exchange &exchange)
+{
+    const auto kept = exchange.caller;
     for (const auto &attempt : exchange.attempts) {
         attempt->cancel();
     }
@@ -159,7 +169,27 @@
 {
     if (!exchange.decision) {
         this->decide(exchange, CallerGone{});
-        this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = exchange.id});
+        this->giveUp(exchange);
+    }
+}
+
+void Host::giveUp(Exchange &exchange)
+{
+    const auto id = exchange.id;
+    this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = id});
+    // Attempts that were not cancelled can only go on when they have the whole body.
+    const auto pending = std::exchange(exchange.pending, {});
+    for (const auto &order : pending) {
+        this->proxyMetrics.countAttempt(Health::Cause::Cancelled);
+        this->apply(Core::AttemptFailed{.at = monotonicNow(),
+                                        .request = id,
+                                        .attempt = order.attempt,
+                                        .cause = Health::Cause::Cancelled,
+                                        .nothingWritten = true});
+    }
+    const auto attempts = exchange.attempts;
+    for (const auto &attempt : attempts) {
+        attempt->callerGone();
     }
 }
 
@@ -182,7 +212,7 @@
         this->decide(exchange, RefuseBody{.reason = reason, .mayHaveRun = mayHaveRun});
     }
     // To the reducer this is a caller that gave up: the attempts are cancelled and count for nothing.
-    this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = exchange.id});
+    this->giveUp(exchange);
 }
 
 void Host::recordLatency(const Exchange &exchange, const Attempt &attempt)
@@ -233,14 +263,14 @@
 {
     const auto order = attempt.startOrder();
     this->proxyMetrics.countAttempt(cause);
-    if (auto *exchange = this->find(order.request)) {
-        this->forget(*exchange, order.attempt);
-    }
     this->apply(Core::AttemptFailed{.at = monotonicNow(),
                                     .request = order.request,
                                     .attempt = order.attempt,
                                     .cause = cause,
                                     .nothingWritten = nothingWritten});
+    if (auto *exchange = this->find(order.request)) {
+        this->forget(*exchange, order.attempt);
+    }
 }
 
 std::string Host::attemptIdText(AttemptId id) const
@@ -251,6 +281,9 @@
 void Host::forget(Exchange &exchange, AttemptId id)
 {
     std::erase_if(exchange.attempts, [id](const auto &attempt) { return attempt->id() == id; });
+    if (exchange.ended && exchange.attempts.empty()) {
+        this->release(exchange);
+    }
 }
 
 Exchange *Host::find(RequestId id) const
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -86,6 +86,8 @@
 
     Exchange *find(RequestId id) const;
     void spawn(const std::shared_ptr<Exchange> &exchange, const Core::StartAttempt &order);
+    void giveUp(Exchange &exchange);
+    void release(Exchange &exchange);
     void decide(Exchange &exchange, Decision decision);
     void forget(Exchange &exchange, AttemptId id);
     void terminateWhenDone();
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -51,7 +51,7 @@
     this->acceptResumed.notify();
     const auto open = std::exchange(this->exchanges, {});
     for (const auto &[id, exchange] : open) {
-        this->end(*exchange);
+        this->release(*exchange);
     }
     const std::vector<CallerConnection *> callers(this->connections.begin(), this->connections.end());
     for (auto *connection : callers) {
--- a/src/proxy/httpparser.h
+++ b/src/proxy/httpparser.h
@@ -185,6 +185,7 @@
             this->bodyOverLimit = true;
             return HeadState::Complete;
         }
+        this->headError = error;
         return error || !this->parser.is_header_done() ? HeadState::Malformed : HeadState::Complete;
     }
 
@@ -206,6 +207,8 @@
     }
 
     bool bodyOverLimit = false;
+    /// Why Beast's parser refused the head.
+    ErrorCode headError;
     /// When the first byte of the head was seen to wait for more.
     std::optional<TimePoint> firstByteAt;
 };
--- a/src/proxy/requestcheck.cpp
+++ b/src/proxy/requestcheck.cpp
@@ -219,4 +219,24 @@
     return BadRequest::MalformedHead;
 }
 
+BadRequest reasonOf(const ErrorCode &error, const RequestMessage &message)
+{
+    const auto has = [&message](http::field name) {
+        return std::any_of(message.parser.fields.begin(), message.parser.fields.end(), [name](const Field &field) {
+            return field.name == name;
+        });
+    };
+    if (error == http::error::multiple_content_length) {
+        return BadRequest::RepeatedLength;
+    }
+    if (error == http::error::bad_content_length) {
+        return has(http::field::transfer_encoding) ? BadRequest::LengthAndTransferEncoding : BadRequest::BadLength;
+    }
+    if (error == http::error::bad_transfer_encoding) {
+        return has(http::field::content_length) ? BadRequest::LengthAndTransferEncoding
+                                                : BadRequest::BadTransferEncoding;
+    }
+    return reasonOf(HeadState::Malformed, message.headText);
+}
+
 } // namespace Verbenadock::Proxy::internal
--- a/src/proxy/requestcheck.h
+++ b/src/proxy/requestcheck.h
@@ -66,9 +66,12 @@
 /// Refuses what two HTTP implementations could read differently, so that no request can be smuggled past the entry.
 CheckResult checkRequest(const RequestParser &parser);
 
-/// The reason for a head that the scanner or the parser refused.
+/// The reason for a head that the scanner refused.
 BadRequest reasonOf(HeadState state, std::string_view head);
 
+/// The reason for a head that Beast's parser refused; the fields before the mistake are known.
+BadRequest reasonOf(const ErrorCode &error, const RequestMessage &message);
+
 } // namespace Verbenadock::Proxy::internal
 
 #endif
--- /dev/null
+++ b/test/proxy/badinputtest.cpp
@@ -0,0 +1,154 @@
+#include "entryfixture.h"
+#include "fakeupstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Testing;
+
+namespace {
+
+struct BadInput
+{
+    std::string name;
+    std::string request;
+    unsigned status;
+    std::string reason;
+};
+
+std::vector<BadInput> badInputs()
+{
+    const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+    const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n";
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        {"no request line", "nonsense\r\n\r\n", 400, "malformed_head"},
+        {"HTTP/1.0", "GET / HTTP/1.0\r\nHost: h\r\n\r\n", 400, "unsupported_version"},
+        {"HTTP/2 preface", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400, "http_2"},
+        {"a TLS handshake", std::string("\x16\x03\x01\x02\x00\x01\x00", 7), 400, "bad_character"},
+        {"a bare line feed", "GET / HTTP/1.1\nHost: h\n\n", 400, "bad_character"},
+        {"a NUL in a field", get + std::string("X: a\0b\r\n\r\n", 10), 400, "bad_character"},
+        {"a bare carriage return", get + "X: a\rb\r\n\r\n", 400, "bad_character"},
+        {"obsolete line folding", get + "X: a\r\n b\r\n\r\n", 400, "obsolete_fold"},
+        {"a space before the colon", get + "Content-Length : 3\r\n\r\nabc", 400, "malformed_head"},
+        {"no Host", "GET / HTTP/1.1\r\n\r\n", 400, "missing_host"},
+        {"two Hosts", get + "Host: h\r\n\r\n", 400, "repeated_host"},
+        {"an empty Host", "GET / HTTP/1.1\r\nHost:\r\n\r\n", 400, "bad_host"},
+        {"a Host with a path", "GET / HTTP/1.1\r\nHost: h/x\r\n\r\n", 400, "bad_host"},
+        {"a target without a slash", "GET x HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad_target"},
+        {"an absolute target of another host", "GET http://a/ HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad_target"},
+        {"both lengths",
+         post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         400,
+         "length_and_transfer_encoding"},
+        {"both lengths, coding first",
+         post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+         400,
+         "length_and_transfer_encoding"},
+        {"conflicting lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, "repeated_length"},
+        {"a repeated length", post + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab", 400, "repeated_length"},
+        {"a list of lengths", post + "Content-Length: 2, 2\r\n\r\nab", 400, "bad_length"},
+        {"a signed length", post + "Content-Length: +2\r\n\r\nab", 400, "bad_length"},
+        {"an unknown coding", post + "Transfer-Encoding: gzip, chunked\r\n\r\n", 400, "bad_transfer_encoding"},
+        {"a disguised coding", post + "Transfer-Encoding: xchunked\r\n\r\n", 400, "bad_transfer_encoding"},
+        {"a chunk size that is no number", chunked + "zz\r\nabc\r\n0\r\n\r\n", 400, "bad_body"},
+        {"a chunk longer than announced", chunked + "2\r\nabc\r\n0\r\n\r\n", 400, "bad_body"},
+        {"Upgrade", get + "Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n", 400, "upgrade"},
+        {"CONNECT", "CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "connect"},
+        {"an unknown expectation", get + "Expect: tea\r\n\r\n", 417, "expectation"},
+        {"a head over the limit", get + "X: " + std::string(3000, 'x') + "\r\n\r\n", 431, "head_too_large"},
+        {"a body over the limit", post + "Content-Length: 100001\r\n\r\n", 413, "body_too_large"},
+        {"a chunked body over the limit", chunked + "fffff\r\n", 413, "body_too_large"},
+    };
+}
+
+} // namespace
+
+// Guards against requests that the entry and an upstream read differently, which would let a caller smuggle a request.
+TEST_CASE("bad input is refused as not run and reaches no upstream")
+{
+    const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
+    auto options = optionsFor({upstream.endpoint()});
+    options.limits.maxHeaderBytes = 2048;
+    options.limits.maxBodyBytes = 100000;
+    const EntryFixture entry(options);
+    for (const auto &input : badInputs()) {
+        INFO("input: " << input.name);
+        const auto answer = entry.exchange(input.request);
+        CHECK(answer.status() == input.status);
+        CHECK(answer.field("Verbenadock-Outcome") == "not-run");
+        CHECK(answer.body.find("\"" + input.reason + "\"") != std::string::npos);
+        CHECK(entry.metric("verbenadock_bad_requests_total{reason=\"" + input.reason + "\"}") >= 1);
+    }
+    CHECK(upstream.connections() == 0);
+    CHECK(entry.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n").body == "ok");
+}
+
+// Guards against a second request hidden behind a refused one being read as a request of its own.
+TEST_CASE("a connection ends after bad input")
+{
+    const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
+    const EntryFixture entry(optionsFor({upstream.endpoint()}));
+    TestSocket caller(entry.endpoint());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto answer = caller.readMessage();
+    CHECK(answer.status() == 400);
+    CHECK(answer.field("Connection") == "close");
+    CHECK(caller.waitForEnd() == StreamEnd::Closed);
+    CHECK(upstream.connections() == 0);
+}
+
+// Guards against connections that hold memory for ever by sending a head or a body slowly.
+TEST_CASE("a caller that stalls is refused after the timeout")
+{
+    const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
+    auto options = optionsFor({upstream.endpoint()});
+    options.limits.headerTimeout = std::chrono::milliseconds(60);
+    options.limits.callerStallTimeout = std::chrono::milliseconds(60);
+    options.limits.callerIdleTimeout = std::chrono::milliseconds(60);
+    const EntryFixture entry(options);
+    CHECK(entry.exchange("GET / HTTP/1.1\r\nHos").status() == 408);
+    const auto stalled = entry.exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    CHECK(stalled.status() == 408);
+    CHECK(stalled.field("Verbenadock-Outcome") == "not-run");
+    TestSocket idle(entry.endpoint());
+    CHECK(idle.waitForEnd() == StreamEnd::Closed);
+    CHECK(upstream.connections() == 0);
+}
+
+// Guards against a body that breaks off being passed on as whole, and against an unclear end of its request.
+TEST_CASE("a streaming body with broken framing ends the attempt and is refused")
+{
+    std::atomic<bool> sawEnd = false;
+    const FakeUpstream upstream("127.0.5.10", [&sawEnd](TestSocket &connection, unsigned) {
+        sawEnd = !connection.readMessage().complete;
+    });
+    auto options = optionsFor({upstream.endpoint()});
+    options.service.replayBytes = 100;
+    const EntryFixture entry(options);
+    TestSocket caller(entry.endpoint());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nc8\r\n" + std::string(200, 'x') + "\r\n");
+    REQUIRE(eventually([&upstream] { return upstream.connections() == 1; }));
+    caller.send("not a chunk\r\n");
+    const auto answer = caller.readMessage();
+    CHECK(answer.status() == 400);
+    CHECK(answer.field("Verbenadock-Outcome") == "unknown");
+    CHECK(eventually([&sawEnd] { return sawEnd.load(); }));
+}
+
+// Guards against overload by connections; the caller has to learn that its request was not run.
+TEST_CASE("connections over the limit are refused")
+{
+    const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
+    auto options = optionsFor({upstream.endpoint()});
+    options.limits.maxCallerConnections = 1;
+    const EntryFixture entry(options);
+    TestSocket first(entry.endpoint());
+    first.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(first.readMessage().status() == 200);
+    TestSocket second(entry.endpoint());
+    const auto answer = second.readMessage();
+    CHECK(answer.status() == 503);
+    CHECK(answer.field("Verbenadock-Outcome") == "not-run");
+}
--- /dev/null
+++ b/test/proxy/entryfixture.cpp
@@ -0,0 +1,119 @@
+#include "entryfixture.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+namespace Verbenadock::Testing {
+
+namespace {
+
+std::shared_ptr<const Core::Configuration> configurationOf(const Bundles::Service &service)
+{
+    auto configuration = std::make_shared<Core::Configuration>();
+    configuration->revision = 1;
+    Bundles::Bundle bundle{.name = "test", .version = 1, .services = {service}, .routes = {}, .callerLimits = {}};
+    for (const std::string method : {"GET", "HEAD", "PUT", "POST"}) {
+        bundle.routes.push_back(Bundles::Route{.method = method, .service = service.name, .idempotent = method != "POST"});
+    }
+    configuration->bundles.push_back(std::move(bundle));
+    return configuration;
+}
+
+} // namespace
+
+FixtureOptions optionsFor(const std::vector<Endpoint> &upstreams)
+{
+    FixtureOptions options;
+    options.service.name = "service";
+    options.service.timeouts = {.connect = std::chrono::milliseconds(500),
+                                .firstByte = std::chrono::milliseconds(400),
+                                .total = std::chrono::seconds(8)};
+    options.service.budgets = {.retryPercent = 100, .hedgePercent = 0};
+    for (const auto &endpoint : upstreams) {
+        options.service.upstreams.push_back(Bundles::Upstream{.id = "u" + std::to_string(endpoint.port),
+                                                              .endpoint = endpoint,
+                                                              .dataCentre = "test",
+                                                              .slots = 16});
+    }
+    return options;
+}
+
+EntryFixture::EntryFixture(const FixtureOptions &options)
+    : work(this->context.get_executor())
+{
+    Proxy::EntryOptions entry;
+    entry.listen = {.address = "127.0.5.1", .port = 0};
+    entry.limits = options.limits;
+    entry.reducer.dataCentre = "test";
+    entry.instance = "test-1";
+    Proxy::EntryHandlers handlers;
+    handlers.terminated = [this](bool clean) { this->terminated = clean; };
+    this->server = std::make_unique<Proxy::EntryServer>(this->context, entry, this->registry, handlers);
+    this->server->apply(
+        Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(options.service)});
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+EntryFixture::~EntryFixture()
+{
+    this->onLoop([this] { this->server.reset(); });
+    this->work.reset();
+    this->thread.join();
+}
+
+Endpoint EntryFixture::endpoint() const
+{
+    return this->server->endpoint();
+}
+
+ReceivedMessage EntryFixture::exchange(const std::string &request) const
+{
+    TestSocket caller(this->endpoint());
+    caller.send(request);
+    return caller.readMessage(request.starts_with("HEAD"));
+}
+
+void EntryFixture::shutDown(Duration drainDelay)
+{
+    this->onLoop([this, drainDelay] {
+        this->server->apply(Core::ShutdownRequested{
+            .at = monotonicNow(), .drainDelay = drainDelay, .limit = std::chrono::seconds(20)});
+    });
+}
+
+bool EntryFixture::terminatedCleanly() const
+{
+    return this->terminated;
+}
+
+double EntryFixture::metric(const std::string &series) const
+{
+    std::string text;
+    this->onLoop([this, &text] { text = this->registry.prometheusText(); });
+    const auto start = text.find("\n" + series + " ");
+    return start == std::string::npos ? 0 : std::stod(text.substr(start + series.size() + 2));
+}
+
+void EntryFixture::onLoop(const std::function<void()> &task) const
+{
+    std::promise<void> done;
+    boost::asio::post(this->context, [&task, &done] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const auto end = monotonicNow() + std::chrono::seconds(10);
+    while (!condition()) {
+        if (monotonicNow() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return true;
+}
+
+} // namespace Verbenadock::Testing
--- /dev/null
+++ b/test/proxy/entryfixture.h
@@ -0,0 +1,65 @@
+#ifndef VERBENADOCK_TEST_PROXY_ENTRYFIXTURE_H
+#define VERBENADOCK_TEST_PROXY_ENTRYFIXTURE_H
+
+#include "testsocket.h"
+#include "verbenadock/proxy/entryserver.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Verbenadock::Testing {
+
+/// Settings of a test's entry and of its one service.
+struct FixtureOptions
+{
+    Settings::EntryLimits limits;
+    Bundles::Service service;
+};
+
+/// Options with one upstream per endpoint and timeouts that suit tests.
+FixtureOptions optionsFor(const std::vector<Endpoint> &upstreams);
+
+/// An entry on a thread of its own. GET, HEAD and PUT are idempotent, POST is not.
+class EntryFixture
+{
+public:
+    explicit EntryFixture(const FixtureOptions &options);
+    ~EntryFixture();
+    EntryFixture(const EntryFixture &) = delete;
+    EntryFixture &operator=(const EntryFixture &) = delete;
+
+    Endpoint endpoint() const;
+
+    /// Sends one request on a new connection and reads the answer.
+    ReceivedMessage exchange(const std::string &request) const;
+
+    void shutDown(Duration drainDelay);
+
+    /// Whether the shutdown ended without giving up anything.
+    bool terminatedCleanly() const;
+
+    /// Value of a metric line such as `verbenadock_attempts_total{cause="reset"}`; 0 when it is missing.
+    double metric(const std::string &series) const;
+
+private:
+    void onLoop(const std::function<void()> &work) const;
+
+    mutable boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    Telemetry::MetricsRegistry registry;
+    std::unique_ptr<Proxy::EntryServer> server;
+    std::atomic<bool> terminated = false;
+    std::thread thread;
+};
+
+/// Waits up to 10 s for the condition.
+bool eventually(const std::function<bool()> &condition);
+
+} // namespace Verbenadock::Testing
+
+#endif
