--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -243,7 +243,10 @@
 void CallerConnection::watch()
 {
     this->watching = true;
-    this->startRead();
+    // Bytes of a next request have to stay where they are until it is their turn.
+    if (this->buffer.size() == 0) {
+        this->startRead();
+    }
 }
 
 void CallerConnection::startRead()
@@ -269,7 +272,7 @@
     if (!this->exchange) {
         return;
     }
-    // A caller that sends its next request early is not watched any further: the bytes have to stay where they are.
+    // A caller that sends its next request early is not watched any further.
     if (error) {
         this->host->callerGone(*this->exchange);
     }
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -17,13 +17,13 @@
     case CloseReason::Surplus:
         return "surplus";
     case CloseReason::IdleReadable:
-        return "idle_readable";
+        return "idle-readable";
     case CloseReason::Expired:
         return "expired";
     case CloseReason::InDoubt:
-        return "in_doubt";
+        return "in-doubt";
     case CloseReason::NotReusable:
-        return "not_reusable";
+        return "not-reusable";
     }
     return "unknown";
 }
@@ -33,7 +33,7 @@
 ProxyMetrics::ProxyMetrics(Telemetry::MetricsRegistry &metrics)
     : aborted(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "aborted"}, {"refusal", ""}}))
     , callerDisconnected(
-          metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller_disconnected"}, {"refusal", ""}}))
+          metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller-disconnected"}, {"refusal", ""}}))
     , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
     , callerConnectionsRefused(metrics.counter("verbenadock_caller_connections_refused_total",
                                                 "Connections of callers over the limit."))
