Add stand-ins for upstreams, log, VM list, balancer and a fault-injecting proxy

One process holds many upstreams, so that 70 of them need few processes; gray modes, outages and path faults are switched over control ports. Every run of a request is recorded with the caller's own key (X-Work-Id), so that doubles can be counted.

--- /dev/null
+++ b/test/standins/common/behaviour.h
@@ -0,0 +1,113 @@
+#ifndef VERBENADOCK_TEST_STANDINS_BEHAVIOUR_H
+#define VERBENADOCK_TEST_STANDINS_BEHAVIOUR_H
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace Verbenadock::Standins {
+
+/// What a stand-in upstream does with its requests. Rates are from 0 to 1.
+struct Behaviour
+{
+    std::uint64_t slots = 4;
+    /// Further requests are shed.
+    std::uint64_t queueLimit = 8;
+    std::int64_t serviceMs = 20;
+    /// Slot time of a health probe.
+    std::int64_t probeMs = 25;
+    /// Cost of a new connection.
+    std::int64_t connectMs = 1;
+    std::uint64_t connectionLimit = 400;
+    /// After a start the work is slower by the factor, falling to 1 over this time.
+    std::int64_t coldStartMs = 0;
+    double coldFactor = 5;
+    /// Announces X-Draining; with refuseWork it also refuses new work as not run.
+    bool draining = false;
+    bool refuseWork = false;
+    double shedRate = 0;
+    /// Ignores X-Deadline-Ms.
+    bool ignoreDeadline = false;
+    bool echoAttemptId = true;
+
+    /// Gray modes. With flapMs they are on and off by turns of this length.
+    std::int64_t flapMs = 0;
+    /// Work runs and is answered with 500; probes pass.
+    double failRate = 0;
+    double slowFactor = 1;
+    double truncateRate = 0;
+    /// Answers are held for this time after the work is done.
+    std::int64_t lateMs = 0;
+    /// The answers to two requests are swapped between their connections.
+    double crossRate = 0;
+    /// Never answers; the request counts as run.
+    double hangRate = 0;
+    /// Refuses connections.
+    bool refuse = false;
+
+    /// What /health says: "auto" for the truth, "up" or "down".
+    std::string healthAnswer = "auto";
+    /// Load that /load reports; negative for the truth.
+    double loadAnswer = -1;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Behaviour,
+                                   slots,
+                                   queueLimit,
+                                   serviceMs,
+                                   probeMs,
+                                   connectMs,
+                                   connectionLimit,
+                                   coldStartMs,
+                                   coldFactor,
+                                   draining,
+                                   refuseWork,
+                                   shedRate,
+                                   ignoreDeadline,
+                                   echoAttemptId,
+                                   flapMs,
+                                   failRate,
+                                   slowFactor,
+                                   truncateRate,
+                                   lateMs,
+                                   crossRate,
+                                   hangRate,
+                                   refuse,
+                                   healthAnswer,
+                                   loadAnswer)
+
+/// One run of a request. A run counts from the moment at which it has a slot, whatever becomes of it.
+struct Execution
+{
+    std::string upstream;
+    std::string requestId;
+    std::string attemptId;
+    /// The caller's own key, from X-Work-Id.
+    std::string workId;
+    std::string method;
+    std::string target;
+    /// "running", "completed", "failed", "hung" or "cancelled".
+    std::string outcome = "running";
+    /// Microseconds since 1970.
+    std::int64_t startedUs = 0;
+    bool whileDraining = false;
+    /// Size and xxHash64 of the request body.
+    std::uint64_t bytes = 0;
+    std::string hash;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Execution,
+                                   upstream,
+                                   requestId,
+                                   attemptId,
+                                   workId,
+                                   method,
+                                   target,
+                                   outcome,
+                                   startedUs,
+                                   whileDraining,
+                                   bytes,
+                                   hash)
+
+} // namespace Verbenadock::Standins
+
+#endif
