--- a/include/verbenadock/net/httpclient.h
+++ b/include/verbenadock/net/httpclient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
 #include <string>
 
 namespace Verbenadock::Net {
@@ -15,7 +16,9 @@
 {
     std::string method = "GET";
     std::string target = "/";
-    std::string body;
+    std::string body = {};
+    /// Further headers.
+    std::map<std::string, std::string> headers = {};
 
     auto operator<=>(const HttpRequest &) const = default;
 };
@@ -23,7 +26,9 @@
 struct HttpResponse
 {
     unsigned status = 0;
-    std::string body;
+    std::string body = {};
+    /// Values by name in lower case.
+    std::map<std::string, std::string> headers = {};
 
     auto operator<=>(const HttpResponse &) const = default;
 };
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <exception>
 #include <optional>
 
@@ -24,11 +26,27 @@
     message.target(request.target);
     message.set(http::field::host, toString(endpoint));
     message.set(http::field::connection, "close");
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
     message.body() = request.body;
     message.prepare_payload();
     return message;
 }
 
+HttpResponse toResponse(http::response<http::string_body> message)
+{
+    HttpResponse response{.status = message.result_int(), .body = std::move(message.body())};
+    for (const auto &field : message) {
+        std::string name = field.name_string();
+        std::ranges::transform(name, name.begin(), [](unsigned char character) {
+            return std::tolower(character);
+        });
+        response.headers[name] = field.value();
+    }
+    return response;
+}
+
 asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
 {
     co_await stream.async_connect(toAsio(endpoint), asio::use_awaitable);
@@ -48,8 +66,7 @@
     if (!parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
     }
-    HttpResponse response{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
-    co_return response;
+    co_return toResponse(parser.release());
 }
 
 } // namespace
--- /dev/null
+++ b/test/harness/fleet.cpp
@@ -0,0 +1,276 @@
+#include "harness/fleet.h"
+
+#include "harness/fleetsettings.h"
+
+#include <unistd.h>
+
+namespace Verbenadock::Test {
+
+namespace {
+
+constexpr auto startLimit = std::chrono::seconds(20);
+constexpr auto rollOutLimit = std::chrono::seconds(10);
+constexpr std::array operators = {"jana", "petr"};
+
+Json withNames(const Json &body, const char *key, const std::vector<std::string> &names)
+{
+    Json result = body;
+    if (!names.empty()) {
+        result[key] = names;
+    }
+    return result;
+}
+
+std::string twoDigits(unsigned number)
+{
+    return (number < 10 ? "-0" : "-") + std::to_string(number);
+}
+
+std::string trimmed(const std::string &text)
+{
+    return text.substr(0, text.find_last_not_of(" \n") + 1);
+}
+
+} // namespace
+
+Endpoint FleetVm::entryListen() const
+{
+    return {this->address, Ports::entryListen};
+}
+
+Endpoint FleetVm::entryAdmin() const
+{
+    return {this->address, Ports::entryAdmin};
+}
+
+Endpoint FleetVm::agentAdmin() const
+{
+    return {this->address, Ports::agentAdmin};
+}
+
+Fleet::Fleet(std::filesystem::path programDirectory, FleetSpec specValue)
+    : programs(std::move(programDirectory))
+    , spec(std::move(specValue))
+    , platformAddress(addresses.next())
+{
+    for (unsigned index = 0; index < this->spec.vms; ++index) {
+        this->vms.push_back({.id = "vm" + twoDigits(index + 1),
+                             .address = this->addresses.next(),
+                             .dataCentre = this->spec.dataCentres[index % this->spec.dataCentres.size()]});
+    }
+    for (const auto &service : this->spec.services) {
+        for (unsigned index = 0; index < service.upstreams; ++index) {
+            this->upstreams.push_back({.id = service.name + twoDigits(index + 1),
+                                       .service = service.name,
+                                       .address = this->addresses.next(),
+                                       .dataCentre = this->spec.dataCentres[index % this->spec.dataCentres.size()]});
+        }
+    }
+}
+
+Fleet::~Fleet()
+{
+    for (auto &vm : this->vms) {
+        for (auto *process : {vm.entry.get(), vm.agent.get()}) {
+            if (process != nullptr) {
+                process->signal(SIGCONT);
+                process->signal(SIGKILL);
+            }
+        }
+    }
+}
+
+void Fleet::start()
+{
+    this->startPlatform();
+    this->createOperators();
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+        this->startAgent(vm);
+        this->startEntry(vm);
+    }
+    for (const auto &vm : this->vms) {
+        waitFor("the administration ports of " + vm.id, startLimit, [&vm] {
+            getJson(vm.entryAdmin(), "/dump");
+            getJson(vm.agentAdmin(), "/dump");
+            return true;
+        });
+    }
+}
+
+void Fleet::startPlatform()
+{
+    const auto option = [this](const char *name, std::uint16_t port) {
+        return std::string("--") + name + "=" + this->platformAddress + ":" + std::to_string(port);
+    };
+    const auto start = [this](const std::string &name, const std::vector<std::string> &arguments) {
+        this->platform.push_back(this->startProgram("standin-" + name, name, arguments));
+    };
+    start("log", {option("listen", Ports::log), option("control", Ports::logControl)});
+    start("vmlist", {option("listen", Ports::vmList), option("control", Ports::vmListControl)});
+
+    std::vector<std::string> upstreamArguments
+        = {option("control", Ports::upstreamControl), "--behaviour=" + this->spec.behaviour.dump()};
+    std::vector<std::string> balancerArguments
+        = {option("listen", Ports::balancer), option("control", Ports::balancerControl), "--check-ms=50"};
+    for (const auto &upstream : this->upstreams) {
+        const auto port = this->spec.faultProxy ? Ports::upstreamBehindProxy : Ports::upstream;
+        upstreamArguments.push_back(upstream.id + "=" + toString({upstream.address, port}));
+    }
+    for (const auto &vm : this->vms) {
+        balancerArguments.push_back(toString(vm.entryListen()) + "," + toString(vm.entryAdmin()));
+    }
+    start("upstream", upstreamArguments);
+    start("balancer", balancerArguments);
+    if (this->spec.faultProxy) {
+        std::vector<std::string> proxyArguments = {option("control", Ports::proxyControl)};
+        for (const auto &route : proxyRoutes(this->vms, this->upstreams)) {
+            proxyArguments.push_back(route);
+        }
+        start("faultproxy", proxyArguments);
+        waitFor("the fault proxy", startLimit, [this] {
+            return getJson({this->platformAddress, Ports::proxyControl}, "/state").is_object();
+        });
+    }
+    for (const auto port : {Ports::logControl, Ports::vmListControl, Ports::upstreamControl, Ports::balancerControl}) {
+        waitFor("control port " + std::to_string(port), startLimit, [this, port] {
+            return getJson({this->platformAddress, port}, "/state").is_object();
+        });
+    }
+    this->publishVms();
+}
+
+void Fleet::createOperators()
+{
+    for (const std::string name : operators) {
+        const auto key = this->file(name + ".pem");
+        const auto publicKey = trimmed(runToEnd(this->programs / "verbenadock-ctl", {"keygen", key.string()}));
+        this->operatorTables += operatorTable(name, publicKey);
+    }
+    for (const std::string name : operators) {
+        writeFile(this->file(name + ".toml"),
+                  ctlSettings(name, this->file(name + ".pem"), this->platformAddress, this->vms)
+                      + this->operatorTables);
+    }
+}
+
+void Fleet::startAgent(std::size_t vm)
+{
+    auto &target = this->vms[vm];
+    target.agent.reset();
+    const auto settings = this->file("agent-" + target.id + ".toml");
+    writeFile(settings, agentSettings(target, this->platformAddress, this->spec.faultProxy) + this->operatorTables);
+    target.agent = this->startProgram("verbenadock-agent", "agent-" + target.id, {"--config", settings.string()});
+}
+
+void Fleet::startEntry(std::size_t vm)
+{
+    auto &target = this->vms[vm];
+    target.entry.reset();
+    const auto settings = this->file("entry-" + target.id + ".toml");
+    writeFile(settings, entrySettings(target, this->spec.faultProxy) + this->spec.entryExtra);
+    target.entry = this->startProgram("verbenadock-entry", "entry-" + target.id, {"--config", settings.string()});
+}
+
+std::string Fleet::bundleText(unsigned version) const
+{
+    return bundleToml(this->spec, this->upstreams, version);
+}
+
+void Fleet::rollOut(unsigned version)
+{
+    const auto bundle = this->file("bundle-" + std::to_string(version) + ".toml");
+    writeFile(bundle, this->bundleText(version));
+    this->ctl("jana", {"propose", bundle.string()});
+    this->ctl("petr", {"sign-off", bundleName, std::to_string(version)});
+    this->ctl("jana", {"roll-out", bundleName, std::to_string(version)});
+    for (const auto &vm : this->vms) {
+        waitFor("version " + std::to_string(version) + " at " + vm.id, rollOutLimit, [&vm, version] {
+            return bundleVersion(getJson(vm.entryAdmin(), "/dump")) == version
+                   && Net::fetchBlocking(vm.entryAdmin(), {.target = "/ready"}, startLimit).status == 200;
+        });
+    }
+    waitFor("the balancer to use every entry", rollOutLimit, [this] {
+        const auto entries = getJson({this->platformAddress, Ports::balancerControl}, "/state")["entries"];
+        return std::ranges::all_of(entries, [](const Json &entry) {
+            return entry["ready"].get<bool>();
+        });
+    });
+}
+
+std::string Fleet::ctl(const std::string &operatorName, const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> all = {"--config", this->file(operatorName + ".toml").string()};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    return runToEnd(this->programs / "verbenadock-ctl", all);
+}
+
+Net::HttpResponse Fleet::call(const Net::HttpRequest &request, Duration timeout) const
+{
+    return Net::fetchBlocking({this->platformAddress, Ports::balancer}, request, timeout);
+}
+
+void Fleet::setUpstreams(const Json &behaviour, const std::vector<std::string> &ids)
+{
+    postJson({this->platformAddress, Ports::upstreamControl},
+             "/set",
+             withNames({{"behaviour", behaviour}}, "upstreams", ids));
+}
+
+Json Fleet::upstreamState() const
+{
+    return getJson({this->platformAddress, Ports::upstreamControl}, "/state");
+}
+
+Json Fleet::executions() const
+{
+    return getJson({this->platformAddress, Ports::upstreamControl}, "/executions");
+}
+
+Json Fleet::doubles() const
+{
+    return getJson({this->platformAddress, Ports::upstreamControl}, "/doubles");
+}
+
+void Fleet::setRoutes(const Json &faults, const std::vector<std::string> &names)
+{
+    postJson({this->platformAddress, Ports::proxyControl}, "/set", withNames(faults, "routes", names));
+}
+
+void Fleet::silenceRoutes(const std::vector<std::string> &names)
+{
+    postJson({this->platformAddress, Ports::proxyControl}, "/silence", withNames(Json::object(), "routes", names));
+}
+
+void Fleet::setLog(const Json &faults)
+{
+    postJson({this->platformAddress, Ports::logControl}, "/set", faults);
+}
+
+void Fleet::publishVms(const std::vector<std::string> &leaving)
+{
+    postJson({this->platformAddress, Ports::vmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
+}
+
+Json Fleet::entryDump(std::size_t vm) const
+{
+    return getJson(this->vms[vm].entryAdmin(), "/dump");
+}
+
+Json Fleet::agentDump(std::size_t vm) const
+{
+    return getJson(this->vms[vm].agentAdmin(), "/dump");
+}
+
+std::unique_ptr<Process> Fleet::startProgram(const std::string &program,
+                                             const std::string &logName,
+                                             const std::vector<std::string> &arguments)
+{
+    return std::make_unique<Process>(this->programs / program, arguments, this->file(logName + ".log"));
+}
+
+std::filesystem::path Fleet::file(const std::string &name) const
+{
+    return this->directory.path() / name;
+}
+
+} // namespace Verbenadock::Test
