--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -9,6 +9,10 @@
 /// Callers whose buckets are kept, about 100 bytes each. The whole fleet has more callers than one entry sees at once.
 constexpr std::size_t KeptCallers = 65536;
 
+/// Longest time between a usual success and the evaluation that takes it into account. Evaluating costs time in
+/// proportion to the upstreams, and a usual success changes no stage unless an upstream is being judged.
+constexpr Duration UsualEvaluationDelay = std::chrono::milliseconds(1);
+
 } // namespace
 
 Engine::Engine(ReducerSettings initial)
@@ -76,12 +80,21 @@
     this->effects.emplace_back(ReportEvidence{.upstream = state.key, .sample = sample});
     if (state.configured) {
         service.detector->record(state.key.upstream, sample);
-        this->evaluate(service);
+        if (!this->mayWait(service, cause, latency)) {
+            this->evaluate(service);
+        }
     }
 }
 
+bool Engine::mayWait(const ServiceState &service, Health::Cause cause, Duration latency) const
+{
+    const bool isUsual = cause == Health::Cause::Success && latency <= 2 * service.latency.typical();
+    return isUsual && !service.pool.anyRestricted() && this->now - service.evaluatedAt < UsualEvaluationDelay;
+}
+
 void Engine::evaluate(ServiceState &service)
 {
+    service.evaluatedAt = this->now;
     const auto transitions = service.detector->evaluate(this->now);
     for (const auto &transition : transitions) {
         const UpstreamKey key{
@@ -94,6 +107,7 @@
     } else {
         service.pool.refreshAdmissions(*service.detector, this->now);
     }
+    service.detectorDeadline = service.detector->nextDeadline();
     this->touch(service);
 }
 
@@ -119,7 +133,7 @@
 
 void Engine::updateTimer(const ServiceState &service)
 {
-    auto earliest = service.detector ? service.detector->nextDeadline() : std::nullopt;
+    auto earliest = service.detectorDeadline;
     const auto consider = [&earliest](const std::optional<TimePoint> &time) {
         if (time && (!earliest || *time < *earliest)) {
             earliest = time;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -34,6 +34,9 @@
     bool touched = false;
     UpstreamPool pool;
     std::optional<Health::ServiceDetector> detector;
+    TimePoint evaluatedAt{};
+    /// The detector's next deadline as of the last evaluation.
+    std::optional<TimePoint> detectorDeadline;
     AttemptBudget retries;
     AttemptBudget hedges;
     LatencyTracker latency;
@@ -108,6 +111,7 @@
     // engine.cpp
     ServiceState &serviceOf(const Request &request);
     void record(ServiceState &service, std::uint32_t upstream, Health::Cause cause, Duration latency);
+    bool mayWait(const ServiceState &service, Health::Cause cause, Duration latency) const;
     void evaluate(ServiceState &service);
     void touch(ServiceState &service);
     void settleTouched();
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -160,6 +160,11 @@
     });
 }
 
+bool UpstreamPool::anyRestricted() const
+{
+    return !this->restricted.empty();
+}
+
 void UpstreamPool::start(std::uint32_t upstream)
 {
     ++this->upstreams[upstream].inFlight;
@@ -214,6 +219,7 @@
     auto &state = this->upstreams[upstream];
     const bool isNew = state.drainingUntil <= now;
     state.drainingUntil = now + LongestDrain;
+    this->lastDrainEnd = state.drainingUntil;
     return isNew;
 }
 
@@ -248,7 +254,7 @@
 
 std::optional<TimePoint> UpstreamPool::nextDrainEnd(TimePoint now) const
 {
-    return this->earliestAfter(now, &UpstreamState::drainingUntil);
+    return this->lastDrainEnd > now ? this->earliestAfter(now, &UpstreamState::drainingUntil) : std::nullopt;
 }
 
 std::optional<TimePoint> UpstreamPool::earliestAfter(TimePoint now, TimePoint UpstreamState::*time) const
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -51,6 +51,9 @@
     /// Whether any upstream could take such a request once slots are free or back-offs are over.
     bool couldServe(const Request &request, TimePoint now) const;
 
+    /// Whether the detector limits any upstream.
+    bool anyRestricted() const;
+
     void start(std::uint32_t upstream);
     void finish(std::uint32_t upstream);
 
@@ -93,6 +96,8 @@
     std::vector<std::uint32_t> active;
     /// Upstreams whose admission is not the full one.
     std::vector<std::uint32_t> restricted;
+    /// The latest end of any drain, so that nothing is searched while none drains.
+    TimePoint lastDrainEnd{};
 };
 
 } // namespace Verbenadock::Core::Internal
--- /dev/null
+++ b/test/core/benchmarktest.cpp
@@ -0,0 +1,64 @@
+#include "sessionbuilder.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Core;
+using namespace Verbenadock::Core::Test;
+
+namespace {
+
+constexpr RequestId Requests = 400000;
+/// Requests in flight at the same time.
+constexpr RequestId Window = 100;
+
+/// Requests per second of processor time with the upstreams spread over services.
+double requestsPerSecond(unsigned serviceCount, unsigned upstreamsEach)
+{
+    Configuration configuration{.revision = 1, .bundles = {Bundles::Bundle{}}};
+    auto &bundle = configuration.bundles.front();
+    bundle.name = "nalezeno";
+    for (unsigned number = 0; number < serviceCount; ++number) {
+        auto service = makeService(upstreamsEach, 4);
+        service.name = "service" + std::to_string(number);
+        bundle.routes.push_back(
+            Bundles::Route{.pathPrefix = "/" + service.name, .service = service.name, .idempotent = true});
+        bundle.services.push_back(std::move(service));
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 1, .requestLimit = 10000});
+    reducer.apply(configure(configuration));
+    std::vector<AttemptCompleted> inFlight(Window);
+    RequestId answered = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (RequestId request = 1; request <= Requests; ++request) {
+        auto &place = inFlight[request % Window];
+        const auto time = TimePoint(Duration(request * 5));
+        if (place.request != 0) {
+            place.at = time;
+            answered += only<ForwardAnswer>(reducer.apply(place)).size();
+        }
+        auto event = arrival(request, "GET", time);
+        event.target = "/service" + std::to_string(request % serviceCount) + "/search?q=umbrella";
+        const auto attempts = only<StartAttempt>(reducer.apply(event));
+        REQUIRE(attempts.size() == 1);
+        place = AttemptCompleted{
+            .at = time, .request = request, .attempt = attempts.front().attempt, .status = 200};
+    }
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    REQUIRE(answered == Requests - Window);
+    return static_cast<double>(Requests) / elapsed.count();
+}
+
+} // namespace
+
+// Guards against work per request that grows with the number of upstreams.
+TEST_CASE("the reducer keeps up with 200,000 requests per second on one core", "[.benchmark]")
+{
+    const auto spread = requestsPerSecond(10, 30);
+    const auto single = requestsPerSecond(1, 300);
+    std::printf("requests/s: 10 services x 30 upstreams %.0f, 1 service x 300 upstreams %.0f\n", spread, single);
+    CHECK(spread > 200000);
+    CHECK(single > 200000);
+}
