--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,90 @@
+#include "entryprocess.h"
+#include "verbenadock/bundle/parser.h"
+#include "verbenadock/telemetry/logging.h"
+
+#include <docopt/docopt.h>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Verbenadock;
+
+namespace {
+
+constexpr auto Usage = R"(verbenadock-entry accepts callers' requests and has them answered by upstreams.
+
+Usage:
+  verbenadock-entry --config FILE [--check] [--bundle FILE]...
+  verbenadock-entry (-h | --help)
+  verbenadock-entry --version
+
+Options:
+  --config FILE  Settings file.
+  --bundle FILE  Serve this bundle without waiting for the agent; may be repeated.
+  --check        Check the settings and the bundles, and exit.
+  -h --help      Show this text.
+  --version      Show the version.
+)";
+
+constexpr int ConfigurationExit = 2;
+
+Telemetry::LogLevel levelOf(const std::string &name)
+{
+    static const std::map<std::string, Telemetry::LogLevel> levels{{"debug", Telemetry::LogLevel::Debug},
+                                                                   {"info", Telemetry::LogLevel::Info},
+                                                                   {"warning", Telemetry::LogLevel::Warning},
+                                                                   {"error", Telemetry::LogLevel::Error}};
+    const auto found = levels.find(name);
+    return found == levels.end() ? Telemetry::LogLevel::Info : found->second;
+}
+
+std::vector<std::string> readBundles(const std::vector<std::string> &files)
+{
+    std::vector<std::string> texts;
+    for (const auto &file : files) {
+        auto text = Settings::readFile(file);
+        try {
+            Bundles::parseBundle(text);
+        } catch (const Bundles::InvalidBundle &error) {
+            throw Error(file + ": " + error.what());
+        }
+        texts.push_back(std::move(text));
+    }
+    return texts;
+}
+
+int runEntry(const std::map<std::string, docopt::value> &arguments)
+{
+    Settings::EntrySettings settings;
+    std::vector<std::string> bundles;
+    try {
+        settings = Settings::parseEntrySettings(Settings::readFile(arguments.at("--config").asString()));
+        bundles = readBundles(arguments.at("--bundle").asStringList());
+    } catch (const Error &error) {
+        std::cerr << "verbenadock-entry: " << error.what() << '\n';
+        return ConfigurationExit;
+    }
+    if (arguments.at("--check").asBool()) {
+        std::cout << "The settings are valid.\n";
+        return 0;
+    }
+    Telemetry::setUpLogging("verbenadock-entry", levelOf(settings.process.logLevel), settings.process.logFile);
+    Entry::EntryProcess process(settings, bundles);
+    return process.run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments
+        = docopt::docopt(Usage, {argv + 1, argv + argc}, true, "verbenadock-entry " VERBENADOCK_VERSION);
+    try {
+        return runEntry(arguments);
+    } catch (const std::exception &error) {
+        std::cerr << "verbenadock-entry: " << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/entry/statelines.h
@@ -0,0 +1,15 @@
+#ifndef VERBENADOCK_ENTRY_STATELINES_H
+#define VERBENADOCK_ENTRY_STATELINES_H
+
+#include "verbenadock/core/effect.h"
+
+#include <string>
+
+namespace Verbenadock::Entry {
+
+/// The log line of a state change.
+std::string stateLine(const Core::StateChange &change);
+
+} // namespace Verbenadock::Entry
+
+#endif
