Sign configuration records and fold them into versions in force

The fold depends on records and offsets only, so that all VMs agree. A version taken over from a peer makes records of its bundle up to its roll-out offset ineffective; without that rule, a VM that joined through a peer and then read the log from an earlier offset accepted a proposal that the others refused (found by the property test when the rule is removed).

Two operator names with one key count as one person. The bounded list of entries never decides what comes into force.

--- a/include/verbenadock/bundle/history.h
+++ b/include/verbenadock/bundle/history.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Verbenadock::Bundles {
@@ -62,6 +63,18 @@
     auto operator<=>(const HistoryEntry &) const = default;
 };
 
+/// A proposal that could still come into force.
+struct PendingProposal
+{
+    Proposal proposal;
+    /// Offset of the proposal record.
+    std::uint64_t offset = 0;
+    /// Operators whose sign-offs count, in the order of offsets.
+    std::vector<std::string> signers;
+
+    auto operator<=>(const PendingProposal &) const = default;
+};
+
 /// Folds the records of the configuration stream into the versions in force. The same records give the same state on
 /// every VM.
 ///
@@ -87,7 +100,11 @@
     /// The newest entries, oldest first, of one bundle or of all.
     std::vector<HistoryEntry> entries(const std::string &bundleName = {}) const;
 
-    /// A proposal that waits for its sign-off or roll-out.
+    /// The proposals that wait for their sign-off or roll-out, of one bundle or of all; oldest first within a
+    /// bundle.
+    std::vector<PendingProposal> pending(const std::string &bundleName = {}) const;
+
+    /// The newest proposal of this version that waits for its sign-off or roll-out.
     std::optional<Proposal> proposal(const std::string &bundleName, std::uint64_t version) const;
 
 private:
--- a/include/verbenadock/bundle/record.h
+++ b/include/verbenadock/bundle/record.h
@@ -74,6 +74,19 @@
 /// The text that the signature of a record covers: record type, reference and operator.
 std::string signedText(const Record &record);
 
+/// "proposal", "sign-off" or "roll-out".
+std::string_view kindOf(const Record &record);
+
+const VersionReference &referenceOf(const Record &record);
+
+/// The author, signer or initiator.
+const std::string &operatorOf(const Record &record);
+
+const std::string &signatureOf(const Record &record);
+
+/// The same record with this signature.
+Record withSignature(Record record, std::string signature);
+
 } // namespace Verbenadock::Bundles
 
 #endif
--- /dev/null
+++ b/src/bundle/history.cpp
@@ -0,0 +1,314 @@
+#include "verbenadock/bundle/history.h"
+
+#include "proof.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace Verbenadock::Bundles {
+
+namespace {
+
+constexpr std::size_t mostEntries = 1000;
+// Beyond this many proposals of one bundle the oldest is forgotten, so that memory stays bounded.
+constexpr std::size_t mostCandidates = 100;
+
+struct Candidate
+{
+    PendingProposal pending;
+    std::string record;
+    /// The first sign-off that counts; empty until then.
+    std::string signOffRecord;
+};
+
+struct Verdict
+{
+    RecordResult result = RecordResult::Malformed;
+    std::string reason;
+};
+
+bool hadEffect(RecordResult result)
+{
+    return result == RecordResult::Proposed || result == RecordResult::SignedOff || result == RecordResult::InForce;
+}
+
+} // namespace
+
+struct History::State
+{
+    internal::Trust trust;
+    std::map<std::string, AcceptedVersion> inForce;
+    std::map<std::string, internal::Actors> actors;
+    std::map<std::string, std::vector<Candidate>> candidates;
+    std::deque<HistoryEntry> entries;
+
+    std::uint64_t versionInForce(const std::string &name) const;
+    Candidate *candidate(const VersionReference &reference);
+    bool wasApplied(const Record &record);
+    std::string conflict(std::uint64_t offset, const VersionReference &reference) const;
+    Verdict judge(std::uint64_t offset, std::string_view data, const Record &record);
+    Verdict apply(std::uint64_t offset, std::string_view data, const Proposal &proposal);
+    Verdict apply(std::uint64_t offset, std::string_view data, const SignOff &signOff);
+    Verdict apply(std::uint64_t offset, std::string_view data, const RollOut &rollOut);
+    void putInForce(AcceptedVersion version, internal::Actors names);
+    void remember(const HistoryEntry &entry);
+};
+
+std::uint64_t History::State::versionInForce(const std::string &name) const
+{
+    const auto position = this->inForce.find(name);
+    return position == this->inForce.end() ? 0 : position->second.reference.version;
+}
+
+Candidate *History::State::candidate(const VersionReference &reference)
+{
+    const auto list = this->candidates.find(reference.name);
+    if (list == this->candidates.end()) {
+        return nullptr;
+    }
+    const auto matches = [&reference](const Candidate &item) {
+        return item.pending.proposal.reference == reference;
+    };
+    const auto position = std::ranges::find_if(list->second, matches);
+    return position == list->second.end() ? nullptr : &*position;
+}
+
+bool History::State::wasApplied(const Record &record)
+{
+    const auto &reference = referenceOf(record);
+    const auto &name = operatorOf(record);
+    if (const auto *item = this->candidate(reference)) {
+        return (std::holds_alternative<Proposal>(record) && item->pending.proposal.author == name)
+               || (std::holds_alternative<SignOff>(record) && std::ranges::count(item->pending.signers, name) > 0);
+    }
+    const auto current = this->inForce.find(reference.name);
+    if (current != this->inForce.end() && current->second.reference == reference) {
+        const auto &names = this->actors.at(reference.name);
+        const std::string &applied = std::holds_alternative<Proposal>(record)  ? names.author
+                                     : std::holds_alternative<SignOff>(record) ? names.signer
+                                                                               : names.initiator;
+        if (applied == name) {
+            return true;
+        }
+    }
+    // The entries are bounded, so they must not decide what comes into force. Here they only tell a repeated record of
+    // a version that is no longer in question from a conflicting one.
+    const auto isSame = [&record, &reference, &name](const HistoryEntry &entry) {
+        return hadEffect(entry.result) && entry.kind == kindOf(record) && entry.operatorName == name
+               && entry.reference == reference;
+    };
+    return reference.version <= this->versionInForce(reference.name) && std::ranges::any_of(this->entries, isSame);
+}
+
+std::string History::State::conflict(std::uint64_t offset, const VersionReference &reference) const
+{
+    const auto current = this->versionInForce(reference.name);
+    if (reference.version <= current) {
+        return "version " + std::to_string(current) + " is in force already";
+    }
+    if (reference.replaces != current) {
+        return "it replaces version " + std::to_string(reference.replaces) + ", but "
+               + (current == 0 ? std::string("no version") : "version " + std::to_string(current)) + " is in force";
+    }
+    // A version taken over from a peer came into force at this offset. What stands before it was decided without it.
+    if (current != 0 && offset <= this->inForce.at(reference.name).offset) {
+        return "version " + std::to_string(current) + " came into force later";
+    }
+    return {};
+}
+
+Verdict History::State::judge(std::uint64_t offset, std::string_view data, const Record &record)
+{
+    if (!this->trust.covers(record)) {
+        return {RecordResult::Untrusted, "the operator is not trusted or the signature does not match"};
+    }
+    if (this->wasApplied(record)) {
+        return {RecordResult::Repeated, "the same record was applied before"};
+    }
+    if (auto reason = this->conflict(offset, referenceOf(record)); !reason.empty()) {
+        return {RecordResult::Conflict, std::move(reason)};
+    }
+    return std::visit(
+        [this, offset, data](const auto &value) {
+            return this->apply(offset, data, value);
+        },
+        record);
+}
+
+Verdict History::State::apply(std::uint64_t offset, std::string_view data, const Proposal &proposal)
+{
+    if (auto fault = internal::contentFault(proposal); !fault.empty()) {
+        return {RecordResult::Malformed, std::move(fault)};
+    }
+    if (const auto *same = this->candidate(proposal.reference)) {
+        return {RecordResult::Conflict, same->pending.proposal.author + " has proposed the same content"};
+    }
+    auto &list = this->candidates[proposal.reference.name];
+    if (list.size() == mostCandidates) {
+        list.erase(list.begin());
+    }
+    list.push_back({.pending = {.proposal = proposal, .offset = offset, .signers = {}},
+                    .record = std::string(data),
+                    .signOffRecord = {}});
+    return {RecordResult::Proposed, {}};
+}
+
+Verdict History::State::apply(std::uint64_t, std::string_view data, const SignOff &signOff)
+{
+    auto *candidate = this->candidate(signOff.reference);
+    if (candidate == nullptr) {
+        return {RecordResult::NotAllowed, "there is no such proposal"};
+    }
+    if (this->trust.same(candidate->pending.proposal.author, signOff.signer)) {
+        return {RecordResult::NotAllowed, "the author cannot sign off the own proposal"};
+    }
+    if (candidate->signOffRecord.empty()) {
+        candidate->signOffRecord = std::string(data);
+    }
+    candidate->pending.signers.push_back(signOff.signer);
+    return {RecordResult::SignedOff, {}};
+}
+
+Verdict History::State::apply(std::uint64_t offset, std::string_view data, const RollOut &rollOut)
+{
+    const auto *candidate = this->candidate(rollOut.reference);
+    if (candidate == nullptr) {
+        return {RecordResult::NotAllowed, "there is no such proposal"};
+    }
+    if (candidate->signOffRecord.empty()) {
+        return {RecordResult::NotAllowed, "the proposal is not signed off"};
+    }
+    const auto &pending = candidate->pending;
+    AcceptedVersion version{.reference = rollOut.reference,
+                            .content = pending.proposal.content,
+                            .records = {candidate->record, candidate->signOffRecord, std::string(data)},
+                            .offset = offset};
+    internal::Actors names{
+        .author = pending.proposal.author, .signer = pending.signers.front(), .initiator = rollOut.initiator};
+    this->putInForce(std::move(version), std::move(names));
+    return {RecordResult::InForce, {}};
+}
+
+void History::State::putInForce(AcceptedVersion version, internal::Actors names)
+{
+    const std::string name = version.reference.name;
+    this->inForce.insert_or_assign(name, std::move(version));
+    this->actors.insert_or_assign(name, std::move(names));
+    // Every proposal replaces the version that was in force until now, so none of them can be accepted any more.
+    this->candidates.erase(name);
+}
+
+void History::State::remember(const HistoryEntry &entry)
+{
+    this->entries.push_back(entry);
+    if (this->entries.size() > mostEntries) {
+        this->entries.pop_front();
+    }
+}
+
+std::string_view toString(RecordResult result)
+{
+    switch (result) {
+    case RecordResult::Proposed:
+        return "proposed";
+    case RecordResult::SignedOff:
+        return "signed-off";
+    case RecordResult::InForce:
+        return "in-force";
+    case RecordResult::Repeated:
+        return "repeated";
+    case RecordResult::Conflict:
+        return "conflict";
+    case RecordResult::Untrusted:
+        return "untrusted";
+    case RecordResult::NotAllowed:
+        return "not-allowed";
+    case RecordResult::Malformed:
+        return "malformed";
+    }
+    return "malformed";
+}
+
+History::History(std::vector<TrustedOperator> operators)
+    : state(std::make_unique<State>(
+        State{.trust = internal::Trust(operators), .inForce = {}, .actors = {}, .candidates = {}, .entries = {}}))
+{
+}
+
+History::~History() = default;
+History::History(History &&) noexcept = default;
+History &History::operator=(History &&) noexcept = default;
+
+HistoryEntry History::apply(std::uint64_t offset, std::string_view data)
+{
+    HistoryEntry entry{.offset = offset,
+                       .result = RecordResult::Malformed,
+                       .kind = {},
+                       .reference = {},
+                       .operatorName = {},
+                       .reason = {}};
+    try {
+        const auto record = decodeRecord(data);
+        auto verdict = this->state->judge(offset, data, record);
+        entry.result = verdict.result;
+        entry.reason = std::move(verdict.reason);
+        entry.kind = kindOf(record);
+        entry.reference = referenceOf(record);
+        entry.operatorName = operatorOf(record);
+    } catch (const RecordError &error) {
+        entry.reason = error.what();
+    }
+    this->state->remember(entry);
+    return entry;
+}
+
+bool History::adopt(const AcceptedVersion &version)
+{
+    if (version.reference.version <= this->state->versionInForce(version.reference.name)) {
+        return false;
+    }
+    auto names = internal::checkProof(this->state->trust, version);
+    if (!names) {
+        return false;
+    }
+    this->state->putInForce(version, std::move(*names));
+    return true;
+}
+
+const std::map<std::string, AcceptedVersion> &History::inForce() const
+{
+    return this->state->inForce;
+}
+
+std::vector<HistoryEntry> History::entries(const std::string &bundleName) const
+{
+    std::vector<HistoryEntry> result;
+    std::ranges::copy_if(this->state->entries, std::back_inserter(result), [&bundleName](const HistoryEntry &entry) {
+        return bundleName.empty() || entry.reference.name == bundleName;
+    });
+    return result;
+}
+
+std::vector<PendingProposal> History::pending(const std::string &bundleName) const
+{
+    std::vector<PendingProposal> result;
+    for (const auto &[name, list] : this->state->candidates) {
+        if (bundleName.empty() || name == bundleName) {
+            std::ranges::transform(list, std::back_inserter(result), &Candidate::pending);
+        }
+    }
+    return result;
+}
+
+std::optional<Proposal> History::proposal(const std::string &bundleName, std::uint64_t version) const
+{
+    std::optional<Proposal> result;
+    for (auto &item : this->pending(bundleName)) {
+        if (item.proposal.reference.version == version) {
+            result = std::move(item.proposal);
+        }
+    }
+    return result;
+}
+
+} // namespace Verbenadock::Bundles
