--- a/include/verbenadock/platform/logclient.h
+++ b/include/verbenadock/platform/logclient.h
@@ -38,7 +38,7 @@
     std::uint64_t next = 0;
     std::vector<LogRecord> records;
 
-    auto operator<=>(const LogPage &) const = default;
+    bool operator==(const LogPage &) const = default;
 };
 
 /// Client of one stream of the log service.
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-constexpr auto connectionTimeout = std::chrono::seconds(5);
-constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+constexpr auto ConnectionTimeout = std::chrono::seconds(5);
+constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
 // Scrapers and operators need a handful; more would take memory from the process's real work.
-constexpr std::size_t maxConnections = 32;
+constexpr std::size_t MaxConnections = 32;
 // accept() fails at once while no file descriptor is free; the pause keeps the loop from spinning.
-constexpr auto acceptPause = std::chrono::milliseconds(100);
+constexpr auto AcceptPause = std::chrono::milliseconds(100);
 
 using Request = http::request<http::empty_body>;
 using Response = http::response<http::string_body>;
@@ -97,9 +97,9 @@
                 co_return;
             }
             if (error) {
-                asio::steady_timer pause(this->acceptor.get_executor(), acceptPause);
+                asio::steady_timer pause(this->acceptor.get_executor(), AcceptPause);
                 co_await pause.async_wait(asio::use_awaitable);
-            } else if (this->open.size() < maxConnections) {
+            } else if (this->open.size() < MaxConnections) {
                 asio::co_spawn(this->acceptor.get_executor(),
                                this->serve(this->shared_from_this(), std::move(socket)),
                                asio::detached);
@@ -124,9 +124,9 @@
         beast::flat_buffer buffer;
         bool keepAlive = true;
         while (keepAlive && !this->stopped) {
-            stream.expires_after(connectionTimeout);
+            stream.expires_after(ConnectionTimeout);
             http::request_parser<http::empty_body> parser;
-            parser.header_limit(maxHeaderBytes);
+            parser.header_limit(MaxHeaderBytes);
             co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
             const auto response = answer(this->handlers, parser.get());
             // A GET with a body would leave its bytes to be read as the next request.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
-constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 
 http::request<http::string_body> buildRequest(const Endpoint &endpoint, const HttpRequest &request)
 {
@@ -55,8 +55,8 @@
 
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    parser.header_limit(maxHeaderBytes);
+    parser.body_limit(MaxAnswerBytes);
+    parser.header_limit(MaxHeaderBytes);
     parser.skip(request.method == "HEAD");
     co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
     // An answer that ends with the connection cannot be told from a truncated one.
--- a/src/platform/exchange.cpp
+++ b/src/platform/exchange.cpp
@@ -17,8 +17,8 @@
 
 Json parseAnswer(const Net::HttpResponse &response)
 {
-    constexpr unsigned ok = 200;
-    if (response.status != ok) {
+    constexpr unsigned Ok = 200;
+    if (response.status != Ok) {
         throw PlatformError("status " + std::to_string(response.status));
     }
     auto json = Json::parse(response.body, nullptr, false);
--- a/src/telemetry/histogram.cpp
+++ b/src/telemetry/histogram.cpp
@@ -13,12 +13,12 @@
 
 namespace bh = boost::histogram;
 
-constexpr double lowestSeconds = 10e-6;
-constexpr double highestSeconds = 100;
+constexpr double LowestSeconds = 10e-6;
+constexpr double HighestSeconds = 100;
 // 7 decades with 20 bins each: a bin is 12% wide, which bounds the error of a quantile.
-constexpr int binCount = 140;
+constexpr int BinCount = 140;
 // Every fifth edge is exported: 28 buckets a series keep /metrics small.
-constexpr int binsPerBucket = 5;
+constexpr int BinsPerBucket = 5;
 
 using Axis = bh::axis::regular<double, bh::axis::transform::log>;
 using Storage = bh::dense_storage<std::uint64_t>;
@@ -28,7 +28,7 @@
 
 struct Histogram::Bins
 {
-    Bins140 counts = bh::make_histogram_with(Storage(), Axis(binCount, lowestSeconds, highestSeconds));
+    Bins140 counts = bh::make_histogram_with(Storage(), Axis(BinCount, LowestSeconds, HighestSeconds));
     std::uint64_t count = 0;
     double sum = 0;
     double largest = 0;
@@ -71,7 +71,7 @@
     const auto rank = std::max(1.0, std::ceil(std::clamp(fraction, 0.0, 1.0) * double(this->bins->count)));
     std::uint64_t below = 0;
     // Bin -1 holds the values under the lowest edge.
-    for (int bin = -1; bin < binCount; ++bin) {
+    for (int bin = -1; bin < BinCount; ++bin) {
         below += this->bins->counts.at(bin);
         if (double(below) >= rank) {
             return this->bins->counts.axis().value(bin + 1);
@@ -89,9 +89,9 @@
         text += name + "_bucket" + internal::labelText(withEdge) + " " + std::to_string(cumulative) + "\n";
     };
     std::uint64_t cumulative = this->bins->counts.at(-1);
-    for (int bin = 0; bin < binCount; ++bin) {
+    for (int bin = 0; bin < BinCount; ++bin) {
         cumulative += this->bins->counts.at(bin);
-        if ((bin + 1) % binsPerBucket == 0) {
+        if ((bin + 1) % BinsPerBucket == 0) {
             bucket(this->bins->counts.axis().value(bin + 1), cumulative);
         }
     }
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto loggerName = "default";
+constexpr auto LoggerName = "default";
 
 /// easylogging++ formats local time only; log lines of several VMs are compared in UTC.
 std::string utcTime(const el::LogMessage * /*message*/)
@@ -56,23 +56,23 @@
         configuration.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
     }
     setEnabledLevels(configuration, level);
-    el::Loggers::reconfigureLogger(loggerName, configuration);
+    el::Loggers::reconfigureLogger(LoggerName, configuration);
 }
 
 void logChange(LogLevel level, const std::string &line)
 {
     switch (level) {
     case LogLevel::Debug:
-        CLOG(DEBUG, loggerName) << line;
+        CLOG(DEBUG, LoggerName) << line;
         break;
     case LogLevel::Info:
-        CLOG(INFO, loggerName) << line;
+        CLOG(INFO, LoggerName) << line;
         break;
     case LogLevel::Warning:
-        CLOG(WARNING, loggerName) << line;
+        CLOG(WARNING, LoggerName) << line;
         break;
     case LogLevel::Error:
-        CLOG(ERROR, loggerName) << line;
+        CLOG(ERROR, LoggerName) << line;
         break;
     }
 }
--- a/test/harness/environment.cpp
+++ b/test/harness/environment.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-constexpr auto pollInterval = std::chrono::milliseconds(20);
-constexpr auto controlTimeout = std::chrono::seconds(5);
-constexpr std::uint16_t lockPort = 4999;
-constexpr int addressesPerBlock = 250;
-constexpr unsigned okStatus = 200;
+constexpr auto PollInterval = std::chrono::milliseconds(20);
+constexpr auto ControlTimeout = std::chrono::seconds(5);
+constexpr std::uint16_t LockPort = 4999;
+constexpr int AddressesPerBlock = 250;
+constexpr unsigned OkStatus = 200;
 
 std::atomic<bool> keepFiles = false;
 
@@ -27,7 +27,7 @@
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(lockPort);
+    address.sin_port = htons(LockPort);
     inet_pton(AF_INET, (prefix + "254").c_str(), &address.sin_addr);
     if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
         ::close(descriptor);
@@ -38,8 +38,8 @@
 
 Json exchangeJson(const Endpoint &endpoint, const Net::HttpRequest &request)
 {
-    const auto response = Net::fetchBlocking(endpoint, request, controlTimeout);
-    if (response.status != okStatus) {
+    const auto response = Net::fetchBlocking(endpoint, request, ControlTimeout);
+    if (response.status != OkStatus) {
         throw std::runtime_error(request.target + " answered " + std::to_string(response.status) + ": "
                                  + response.body);
     }
@@ -81,10 +81,10 @@
 AddressBlock::AddressBlock()
 {
     // Blocks 127.64.0 to 127.191.255; tests start at different places, so that they seldom meet.
-    constexpr unsigned blocks = 128 * 256;
+    constexpr unsigned Blocks = 128 * 256;
     const auto start = unsigned(::getpid()) * 7;
-    for (unsigned attempt = 0; attempt < blocks && this->lockSocket < 0; ++attempt) {
-        const unsigned block = (start + attempt) % blocks;
+    for (unsigned attempt = 0; attempt < Blocks && this->lockSocket < 0; ++attempt) {
+        const unsigned block = (start + attempt) % Blocks;
         this->prefix = "127." + std::to_string(64 + block / 256) + "." + std::to_string(block % 256) + ".";
         this->lockSocket = lockBlock(this->prefix);
     }
@@ -100,7 +100,7 @@
 
 std::string AddressBlock::next()
 {
-    if (++this->used > addressesPerBlock) {
+    if (++this->used > AddressesPerBlock) {
         throw std::runtime_error("a block has 250 addresses");
     }
     return this->prefix + std::to_string(this->used);
@@ -120,10 +120,10 @@
             lastError = std::string(": ") + error.what();
         }
         if (monotonicNow() >= deadline) {
-            throw std::runtime_error("waited " + std::to_string(int(toMilliseconds(limit))) + " ms in vain for " + what
-                                     + lastError);
+            const auto waited = std::to_string(int(toMilliseconds(limit)));
+            throw std::runtime_error("waited " + waited + " ms in vain for " + what + lastError);
         }
-        std::this_thread::sleep_for(pollInterval);
+        std::this_thread::sleep_for(PollInterval);
     }
 }
 
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr auto startLimit = std::chrono::seconds(20);
-constexpr auto rollOutLimit = std::chrono::seconds(10);
-constexpr std::array operators = {"jana", "petr"};
+constexpr auto StartLimit = std::chrono::seconds(20);
+constexpr auto RollOutLimit = std::chrono::seconds(10);
+constexpr std::array Operators = {"jana", "petr"};
 
 Json withNames(const Json &body, const char *key, const std::vector<std::string> &names)
 {
@@ -35,17 +35,17 @@
 
 Endpoint FleetVm::entryListen() const
 {
-    return {this->address, Ports::entryListen};
+    return {this->address, Ports::EntryListen};
 }
 
 Endpoint FleetVm::entryAdmin() const
 {
-    return {this->address, Ports::entryAdmin};
+    return {this->address, Ports::EntryAdmin};
 }
 
 Endpoint FleetVm::agentAdmin() const
 {
-    return {this->address, Ports::agentAdmin};
+    return {this->address, Ports::AgentAdmin};
 }
 
 Fleet::Fleet(std::filesystem::path programDirectory, FleetSpec specValue)
@@ -89,7 +89,7 @@
         this->startEntry(vm);
     }
     for (const auto &vm : this->vms) {
-        waitFor("the administration ports of " + vm.id, startLimit, [&vm] {
+        waitFor("the administration ports of " + vm.id, StartLimit, [&vm] {
             getJson(vm.entryAdmin(), "/dump");
             getJson(vm.agentAdmin(), "/dump");
             return true;
@@ -105,15 +105,15 @@
     const auto start = [this](const std::string &name, const std::vector<std::string> &arguments) {
         this->platform.push_back(this->startProgram("standin-" + name, name, arguments));
     };
-    start("log", {option("listen", Ports::log), option("control", Ports::logControl)});
-    start("vmlist", {option("listen", Ports::vmList), option("control", Ports::vmListControl)});
+    start("log", {option("listen", Ports::Log), option("control", Ports::LogControl)});
+    start("vmlist", {option("listen", Ports::VmList), option("control", Ports::VmListControl)});
 
     std::vector<std::string> upstreamArguments
-        = {option("control", Ports::upstreamControl), "--behaviour=" + this->spec.behaviour.dump()};
+        = {option("control", Ports::UpstreamControl), "--behaviour=" + this->spec.behaviour.dump()};
     std::vector<std::string> balancerArguments
-        = {option("listen", Ports::balancer), option("control", Ports::balancerControl), "--check-ms=50"};
+        = {option("listen", Ports::Balancer), option("control", Ports::BalancerControl), "--check-ms=50"};
     for (const auto &upstream : this->upstreams) {
-        const auto port = this->spec.faultProxy ? Ports::upstreamBehindProxy : Ports::upstream;
+        const auto port = this->spec.faultProxy ? Ports::UpstreamBehindProxy : Ports::Upstream;
         upstreamArguments.push_back(upstream.id + "=" + toString({upstream.address, port}));
     }
     for (const auto &vm : this->vms) {
@@ -122,17 +122,17 @@
     start("upstream", upstreamArguments);
     start("balancer", balancerArguments);
     if (this->spec.faultProxy) {
-        std::vector<std::string> proxyArguments = {option("control", Ports::proxyControl)};
+        std::vector<std::string> proxyArguments = {option("control", Ports::ProxyControl)};
         for (const auto &route : proxyRoutes(this->vms, this->upstreams)) {
             proxyArguments.push_back(route);
         }
         start("faultproxy", proxyArguments);
-        waitFor("the fault proxy", startLimit, [this] {
-            return getJson({this->platformAddress, Ports::proxyControl}, "/state").is_object();
+        waitFor("the fault proxy", StartLimit, [this] {
+            return getJson({this->platformAddress, Ports::ProxyControl}, "/state").is_object();
         });
     }
-    for (const auto port : {Ports::logControl, Ports::vmListControl, Ports::upstreamControl, Ports::balancerControl}) {
-        waitFor("control port " + std::to_string(port), startLimit, [this, port] {
+    for (const auto port : {Ports::LogControl, Ports::VmListControl, Ports::UpstreamControl, Ports::BalancerControl}) {
+        waitFor("control port " + std::to_string(port), StartLimit, [this, port] {
             return getJson({this->platformAddress, port}, "/state").is_object();
         });
     }
@@ -141,12 +141,12 @@
 
 void Fleet::createOperators()
 {
-    for (const std::string name : operators) {
+    for (const std::string name : Operators) {
         const auto key = this->file(name + ".pem");
         const auto publicKey = trimmed(runToEnd(this->programs / "verbenadock-ctl", {"keygen", key.string()}));
         this->operatorTables += operatorTable(name, publicKey);
     }
-    for (const std::string name : operators) {
+    for (const std::string name : Operators) {
         writeFile(this->file(name + ".toml"),
                   ctlSettings(name, this->file(name + ".pem"), this->platformAddress, this->vms)
                       + this->operatorTables);
@@ -181,16 +181,16 @@
     const auto bundle = this->file("bundle-" + std::to_string(version) + ".toml");
     writeFile(bundle, this->bundleText(version));
     this->ctl("jana", {"propose", bundle.string()});
-    this->ctl("petr", {"sign-off", bundleName, std::to_string(version)});
-    this->ctl("jana", {"roll-out", bundleName, std::to_string(version)});
+    this->ctl("petr", {"sign-off", BundleName, std::to_string(version)});
+    this->ctl("jana", {"roll-out", BundleName, std::to_string(version)});
     for (const auto &vm : this->vms) {
-        waitFor("version " + std::to_string(version) + " at " + vm.id, rollOutLimit, [&vm, version] {
+        waitFor("version " + std::to_string(version) + " at " + vm.id, RollOutLimit, [&vm, version] {
             return bundleVersion(getJson(vm.entryAdmin(), "/dump")) == version
-                   && Net::fetchBlocking(vm.entryAdmin(), {.target = "/ready"}, startLimit).status == 200;
+                   && Net::fetchBlocking(vm.entryAdmin(), {.target = "/ready"}, StartLimit).status == 200;
         });
     }
-    waitFor("the balancer to use every entry", rollOutLimit, [this] {
-        const auto entries = getJson({this->platformAddress, Ports::balancerControl}, "/state")["entries"];
+    waitFor("the balancer to use every entry", RollOutLimit, [this] {
+        const auto entries = getJson({this->platformAddress, Ports::BalancerControl}, "/state")["entries"];
         return std::ranges::all_of(entries, [](const Json &entry) {
             return entry["ready"].get<bool>();
         });
@@ -206,49 +206,49 @@
 
 Net::HttpResponse Fleet::call(const Net::HttpRequest &request, Duration timeout) const
 {
-    return Net::fetchBlocking({this->platformAddress, Ports::balancer}, request, timeout);
+    return Net::fetchBlocking({this->platformAddress, Ports::Balancer}, request, timeout);
 }
 
 void Fleet::setUpstreams(const Json &behaviour, const std::vector<std::string> &ids)
 {
-    postJson({this->platformAddress, Ports::upstreamControl},
+    postJson({this->platformAddress, Ports::UpstreamControl},
              "/set",
              withNames({{"behaviour", behaviour}}, "upstreams", ids));
 }
 
 Json Fleet::upstreamState() const
 {
-    return getJson({this->platformAddress, Ports::upstreamControl}, "/state");
+    return getJson({this->platformAddress, Ports::UpstreamControl}, "/state");
 }
 
 Json Fleet::executions() const
 {
-    return getJson({this->platformAddress, Ports::upstreamControl}, "/executions");
+    return getJson({this->platformAddress, Ports::UpstreamControl}, "/executions");
 }
 
 Json Fleet::doubles() const
 {
-    return getJson({this->platformAddress, Ports::upstreamControl}, "/doubles");
+    return getJson({this->platformAddress, Ports::UpstreamControl}, "/doubles");
 }
 
 void Fleet::setRoutes(const Json &faults, const std::vector<std::string> &names)
 {
-    postJson({this->platformAddress, Ports::proxyControl}, "/set", withNames(faults, "routes", names));
+    postJson({this->platformAddress, Ports::ProxyControl}, "/set", withNames(faults, "routes", names));
 }
 
 void Fleet::silenceRoutes(const std::vector<std::string> &names)
 {
-    postJson({this->platformAddress, Ports::proxyControl}, "/silence", withNames(Json::object(), "routes", names));
+    postJson({this->platformAddress, Ports::ProxyControl}, "/silence", withNames(Json::object(), "routes", names));
 }
 
 void Fleet::setLog(const Json &faults)
 {
-    postJson({this->platformAddress, Ports::logControl}, "/set", faults);
+    postJson({this->platformAddress, Ports::LogControl}, "/set", faults);
 }
 
 void Fleet::publishVms(const std::vector<std::string> &leaving)
 {
-    postJson({this->platformAddress, Ports::vmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
+    postJson({this->platformAddress, Ports::VmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
 }
 
 Json Fleet::entryDump(std::size_t vm) const
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -41,8 +41,8 @@
     std::string id;
     std::string address;
     std::string dataCentre;
-    std::unique_ptr<Process> agent;
-    std::unique_ptr<Process> entry;
+    std::unique_ptr<Process> agent = nullptr;
+    std::unique_ptr<Process> entry = nullptr;
 
     Endpoint entryListen() const;
     Endpoint entryAdmin() const;
--- a/test/harness/fleetsettings.cpp
+++ b/test/harness/fleetsettings.cpp
@@ -43,7 +43,7 @@
     for (const auto &upstream : upstreams) {
         if (upstream.service == service.name) {
             text += "[[services." + service.name + ".upstreams]]\nid = " + quoted(upstream.id) + "\nendpoint = "
-                    + quoted(upstream.address, Ports::upstream) + "\ndata_centre = " + quoted(upstream.dataCentre)
+                    + quoted(upstream.address, Ports::Upstream) + "\ndata_centre = " + quoted(upstream.dataCentre)
                     + "\nslots = " + std::to_string(service.slots) + "\nconnection_limit = 300\n\n";
         }
     }
@@ -63,29 +63,29 @@
                         const std::vector<FleetVm> &vms)
 {
     return "[operator]\nname = " + quoted(operatorName) + "\nprivate_key_file = " + quoted(key.string())
-           + "\n\n[log]\nendpoint = " + quoted(platformAddress, Ports::log) + "\n\n[fleet]\nagents = "
-           + endpointList(vms, Ports::agentAdmin) + "\nentries = " + endpointList(vms, Ports::entryAdmin) + "\n\n";
+           + "\n\n[log]\nendpoint = " + quoted(platformAddress, Ports::Log) + "\n\n[fleet]\nagents = "
+           + endpointList(vms, Ports::AgentAdmin) + "\nentries = " + endpointList(vms, Ports::EntryAdmin) + "\n\n";
 }
 
 std::string agentSettings(const FleetVm &vm, const std::string &platformAddress, bool faultProxy)
 {
-    return processTable(vm, Ports::agentAdmin)
-           + "[peers]\nlisten = " + quoted(vm.address, faultProxy ? Ports::peersBehindProxy : Ports::agentPeers)
-           + "\nport = " + std::to_string(Ports::agentPeers) + "\n\n[entry]\nlisten = "
-           + quoted(vm.address, Ports::agentForEntry) + "\n\n[log]\nendpoint = " + quoted(platformAddress, Ports::log)
-           + "\n\n[vm_list]\nendpoint = " + quoted(platformAddress, Ports::vmList) + "\n\n";
+    return processTable(vm, Ports::AgentAdmin)
+           + "[peers]\nlisten = " + quoted(vm.address, faultProxy ? Ports::PeersBehindProxy : Ports::AgentPeers)
+           + "\nport = " + std::to_string(Ports::AgentPeers) + "\n\n[entry]\nlisten = "
+           + quoted(vm.address, Ports::AgentForEntry) + "\n\n[log]\nendpoint = " + quoted(platformAddress, Ports::Log)
+           + "\n\n[vm_list]\nendpoint = " + quoted(platformAddress, Ports::VmList) + "\n\n";
 }
 
 std::string entrySettings(const FleetVm &vm, bool faultProxy)
 {
-    return processTable(vm, Ports::entryAdmin) + "[callers]\nlisten = " + quoted(vm.address, Ports::entryListen)
-           + "\n\n[agent]\nendpoint = " + quoted(vm.address, faultProxy ? Ports::linkProxy : Ports::agentForEntry)
+    return processTable(vm, Ports::EntryAdmin) + "[callers]\nlisten = " + quoted(vm.address, Ports::EntryListen)
+           + "\n\n[agent]\nendpoint = " + quoted(vm.address, faultProxy ? Ports::LinkProxy : Ports::AgentForEntry)
            + "\n\n";
 }
 
 std::string bundleToml(const FleetSpec &spec, const std::vector<FleetUpstream> &upstreams, unsigned version)
 {
-    std::string text = "[bundle]\nname = " + quoted(bundleName) + "\nversion = " + std::to_string(version) + "\n\n";
+    std::string text = "[bundle]\nname = " + quoted(BundleName) + "\nversion = " + std::to_string(version) + "\n\n";
     for (const auto &service : spec.services) {
         text += serviceTable(service, upstreams);
     }
@@ -105,11 +105,11 @@
               routes.push_back(name + "=" + toString({address, from}) + "," + toString({address, to}));
           };
     for (const auto &upstream : upstreams) {
-        add(upstream.id, upstream.address, Ports::upstream, Ports::upstreamBehindProxy);
+        add(upstream.id, upstream.address, Ports::Upstream, Ports::UpstreamBehindProxy);
     }
     for (const auto &vm : vms) {
-        add("agent-" + vm.id, vm.address, Ports::agentPeers, Ports::peersBehindProxy);
-        add("link-" + vm.id, vm.address, Ports::linkProxy, Ports::agentForEntry);
+        add("agent-" + vm.id, vm.address, Ports::AgentPeers, Ports::PeersBehindProxy);
+        add("link-" + vm.id, vm.address, Ports::LinkProxy, Ports::AgentForEntry);
     }
     return routes;
 }
@@ -139,7 +139,7 @@
 std::uint64_t bundleVersion(const Json &dump)
 {
     for (const auto &bundle : dump.value("bundles", Json::array())) {
-        if (bundle.value("name", "") == bundleName) {
+        if (bundle.value("name", "") == BundleName) {
             return bundle.value("version", std::uint64_t(0));
         }
     }
--- a/test/harness/fleetsettings.h
+++ b/test/harness/fleetsettings.h
@@ -10,28 +10,28 @@
 /// Every VM has addresses of its own, so all fleets use the same ports.
 struct Ports
 {
-    static constexpr std::uint16_t log = 7001;
-    static constexpr std::uint16_t vmList = 7002;
-    static constexpr std::uint16_t logControl = 7011;
-    static constexpr std::uint16_t vmListControl = 7012;
-    static constexpr std::uint16_t upstreamControl = 7013;
-    static constexpr std::uint16_t balancerControl = 7014;
-    static constexpr std::uint16_t proxyControl = 7015;
-    static constexpr std::uint16_t balancer = 8080;
-
-    static constexpr std::uint16_t entryListen = 8080;
-    static constexpr std::uint16_t entryAdmin = 9101;
-    static constexpr std::uint16_t agentForEntry = 9102;
-    static constexpr std::uint16_t agentAdmin = 9103;
-    static constexpr std::uint16_t agentPeers = 9104;
-    static constexpr std::uint16_t linkProxy = 9112;
-    static constexpr std::uint16_t peersBehindProxy = 9114;
-
-    static constexpr std::uint16_t upstream = 9000;
-    static constexpr std::uint16_t upstreamBehindProxy = 9001;
+    static constexpr std::uint16_t Log = 7001;
+    static constexpr std::uint16_t VmList = 7002;
+    static constexpr std::uint16_t LogControl = 7011;
+    static constexpr std::uint16_t VmListControl = 7012;
+    static constexpr std::uint16_t UpstreamControl = 7013;
+    static constexpr std::uint16_t BalancerControl = 7014;
+    static constexpr std::uint16_t ProxyControl = 7015;
+    static constexpr std::uint16_t Balancer = 8080;
+
+    static constexpr std::uint16_t EntryListen = 8080;
+    static constexpr std::uint16_t EntryAdmin = 9101;
+    static constexpr std::uint16_t AgentForEntry = 9102;
+    static constexpr std::uint16_t AgentAdmin = 9103;
+    static constexpr std::uint16_t AgentPeers = 9104;
+    static constexpr std::uint16_t LinkProxy = 9112;
+    static constexpr std::uint16_t PeersBehindProxy = 9114;
+
+    static constexpr std::uint16_t Upstream = 9000;
+    static constexpr std::uint16_t UpstreamBehindProxy = 9001;
 };
 
-constexpr auto bundleName = "fleet";
+constexpr auto BundleName = "fleet";
 
 std::string operatorTable(const std::string &name, const std::string &publicKey);
 std::string ctlSettings(const std::string &operatorName,
--- a/test/harness/process.cpp
+++ b/test/harness/process.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr auto terminationGrace = std::chrono::seconds(3);
-constexpr auto exitPollInterval = std::chrono::milliseconds(5);
+constexpr auto TerminationGrace = std::chrono::seconds(3);
+constexpr auto ExitPollInterval = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -48,7 +48,7 @@
     if (this->isRunning()) {
         this->signal(SIGCONT);
         this->signal(SIGTERM);
-        if (!this->waitForExit(terminationGrace)) {
+        if (!this->waitForExit(TerminationGrace)) {
             this->signal(SIGKILL);
         }
     }
@@ -82,7 +82,7 @@
         if (monotonicNow() >= deadline) {
             return std::nullopt;
         }
-        std::this_thread::sleep_for(exitPollInterval);
+        std::this_thread::sleep_for(ExitPollInterval);
     }
     const int status = this->child->process.native_exit_code();
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
@@ -93,7 +93,7 @@
     bp::ipstream output;
     bp::child process(
         bp::exe = program.string(), bp::args = arguments, (bp::std_out & bp::std_err) > output, bp::std_in < bp::null);
-    const std::string text{std::istreambuf_iterator<char>(output), {}};
+    std::string text{std::istreambuf_iterator<char>(output), {}};
     process.wait();
     if (process.exit_code() != 0) {
         throw std::runtime_error(program.string() + " ended with " + std::to_string(process.exit_code()) + ": " + text);
--- a/test/integration/standintest.cpp
+++ b/test/integration/standintest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto timeout = std::chrono::seconds(5);
+constexpr auto Timeout = std::chrono::seconds(5);
 
 /// Two stand-in upstreams, `a` behind the fault proxy.
 struct Stand
@@ -33,7 +33,7 @@
     Stand()
     {
         for (const auto &endpoint : {this->control, this->proxyControl}) {
-            waitFor("control port", timeout, [&] {
+            waitFor("control port", Timeout, [&] {
                 return getJson(endpoint, "/state").is_object();
             });
         }
@@ -47,7 +47,7 @@
     Net::HttpResponse send(const std::string &workId) const
     {
         return Net::fetchBlocking(
-            this->upstream, {.target = "/x", .headers = {{"X-Work-Id", workId}, {"X-Attempt-Id", workId}}}, timeout);
+            this->upstream, {.target = "/x", .headers = {{"X-Work-Id", workId}, {"X-Attempt-Id", workId}}}, Timeout);
     }
 };
 
--- a/test/net/httptest.cpp
+++ b/test/net/httptest.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr auto timeout = std::chrono::seconds(3);
+constexpr auto Timeout = std::chrono::seconds(3);
 
 /// An administration server on a thread of its own.
 struct RunningAdmin
@@ -48,7 +48,7 @@
 
     Net::HttpResponse get(const std::string &target, const std::string &method = "GET") const
     {
-        return Net::fetchBlocking(this->server.endpoint(), {.method = method, .target = target, .body = {}}, timeout);
+        return Net::fetchBlocking(this->server.endpoint(), {.method = method, .target = target, .body = {}}, Timeout);
     }
 };
 
@@ -99,7 +99,7 @@
 {
     const auto answerTo = [](const std::string &bytes) {
         CannedServer server(bytes);
-        return Net::fetchBlocking(server.endpoint(), {}, timeout);
+        return Net::fetchBlocking(server.endpoint(), {}, Timeout);
     };
     CHECK(answerTo("HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok")
           == Net::HttpResponse{.status = 201, .body = "ok", .headers = {{"content-length", "2"}}});
@@ -124,8 +124,8 @@
         closed = silent.endpoint();
         const auto start = std::chrono::steady_clock::now();
         CHECK_THROWS_AS(Net::fetchBlocking(closed, {}, std::chrono::milliseconds(50)), Net::NetError);
-        CHECK(std::chrono::steady_clock::now() - start < timeout);
+        CHECK(std::chrono::steady_clock::now() - start < Timeout);
     }
-    CHECK_THROWS_AS(Net::fetchBlocking(closed, {}, timeout), Net::NetError);
-    CHECK_THROWS_AS(Net::fetchBlocking({.address = "localhost", .port = 80}, {}, timeout), Net::NetError);
+    CHECK_THROWS_AS(Net::fetchBlocking(closed, {}, Timeout), Net::NetError);
+    CHECK_THROWS_AS(Net::fetchBlocking({.address = "localhost", .port = 80}, {}, Timeout), Net::NetError);
 }
--- a/test/platform/platformtest.cpp
+++ b/test/platform/platformtest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr auto timeout = std::chrono::seconds(3);
+constexpr auto Timeout = std::chrono::seconds(3);
 
 /// Runs the operation against a service that gives the body as its one answer.
 template<typename Operation>
@@ -28,19 +28,19 @@
 
 auto append(Endpoint endpoint) -> boost::asio::awaitable<std::uint64_t>
 {
-    const LogClient client(endpoint, "configuration", timeout);
+    const LogClient client(endpoint, "configuration", Timeout);
     co_return co_await client.append("{}");
 }
 
 auto readThree(Endpoint endpoint) -> boost::asio::awaitable<LogPage>
 {
-    const LogClient client(endpoint, "configuration", timeout);
+    const LogClient client(endpoint, "configuration", Timeout);
     co_return co_await client.read(3, 2);
 }
 
 auto listVms(Endpoint endpoint) -> boost::asio::awaitable<std::vector<Vm>>
 {
-    const VmListClient client(endpoint, timeout);
+    const VmListClient client(endpoint, Timeout);
     co_return co_await client.read();
 }
 
--- a/test/standins/balancer.cpp
+++ b/test/standins/balancer.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr auto usage = R"(Usage: standin-balancer --listen=ENDPOINT --control=ENDPOINT [--check-ms=MS] ENTRY...
+constexpr auto Usage = R"(Usage: standin-balancer --listen=ENDPOINT --control=ENDPOINT [--check-ms=MS] ENTRY...
 
 ENTRY is LISTEN,ADMIN: where the entry accepts callers, and its administration port.
 
@@ -126,7 +126,7 @@
 
 int main(int argc, char **argv)
 {
-    return runProgram(argc, argv, usage, [](asio::io_context &context, const Arguments &arguments) {
+    return runProgram(argc, argv, Usage, [](asio::io_context &context, const Arguments &arguments) {
         return std::make_shared<Balancer>(context, arguments);
     });
 }
--- a/test/standins/common/httpserver.cpp
+++ b/test/standins/common/httpserver.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint64_t maxBodyBytes = 1ULL << 30;
+constexpr std::uint64_t MaxBodyBytes = 1ULL << 30;
 
 } // namespace
 
@@ -61,7 +61,7 @@
     // Ends the watch of the request before.
     this->socket.cancel();
     http::request_parser<http::string_body> parser;
-    parser.body_limit(maxBodyBytes);
+    parser.body_limit(MaxBodyBytes);
     boost::system::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     co_await http::async_read_header(this->socket, this->buffer, parser, token);
--- a/test/standins/common/relay.cpp
+++ b/test/standins/common/relay.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::size_t chunkBytes = 64 * 1024;
-constexpr auto gatePollInterval = std::chrono::milliseconds(10);
+constexpr std::size_t ChunkBytes = 64 * 1024;
+constexpr auto GatePollInterval = std::chrono::milliseconds(10);
 
 void resetSocket(Tcp::socket &socket)
 {
@@ -53,7 +53,7 @@
 {
     auto &from = toTarget ? this->client : this->target;
     auto &to = toTarget ? this->target : this->client;
-    std::vector<char> chunk(chunkBytes);
+    std::vector<char> chunk(ChunkBytes);
     boost::system::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     while (!this->ended) {
@@ -82,7 +82,7 @@
 asio::awaitable<void> Relay::waitUntilOpen(bool toTarget)
 {
     while (!this->ended && (this->silent || (toTarget ? this->path->cutToTarget : this->path->cutToClient))) {
-        co_await this->sleep(gatePollInterval);
+        co_await this->sleep(GatePollInterval);
     }
 }
 
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr auto crossingWait = std::chrono::milliseconds(300);
-constexpr auto longTime = std::chrono::hours(24);
+constexpr auto CrossingWait = std::chrono::milliseconds(300);
+constexpr auto LongTime = std::chrono::hours(24);
 
 std::string header(const Request &request, const char *name)
 {
@@ -46,7 +46,7 @@
     std::int64_t milliseconds = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
     if (ignored || text.empty() || result.ec != std::errc()) {
-        return monotonicNow() + longTime;
+        return monotonicNow() + LongTime;
     }
     return monotonicNow() + std::chrono::milliseconds(milliseconds);
 }
@@ -129,7 +129,7 @@
 asio::awaitable<void> UpstreamServer::probe(ConnectionPointer connection)
 {
     ++this->probes;
-    if (co_await this->acquireSlot(connection, monotonicNow() + longTime)) {
+    if (co_await this->acquireSlot(connection, monotonicNow() + LongTime)) {
         co_await connection->pause(std::chrono::milliseconds(this->behaviour.probeMs));
         this->releaseSlot();
     }
@@ -163,7 +163,7 @@
     const bool gray = this->grayNow();
     if (gray && this->happens(this->behaviour.hangRate)) {
         execution.outcome = "hung";
-        co_await connection->pause(longTime);
+        co_await connection->pause(LongTime);
         this->releaseSlot();
         co_return;
     }
@@ -212,7 +212,7 @@
         other->connection->wake();
     } else {
         this->crossing = own;
-        co_await connection->pause(crossingWait);
+        co_await connection->pause(CrossingWait);
         if (!own->swapped) {
             this->crossing.reset();
         }
--- a/test/standins/faultproxy.cpp
+++ b/test/standins/faultproxy.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr auto usage = R"(Usage: standin-faultproxy --control=ENDPOINT [ROUTE...]
+constexpr auto Usage = R"(Usage: standin-faultproxy --control=ENDPOINT [ROUTE...]
 
 ROUTE is NAME=LISTEN,TARGET.
 Control port: POST /routes with {"route": "NAME=LISTEN,TARGET"} adds a route; POST /set with {"routes": [names], all
@@ -192,7 +192,7 @@
 
 int main(int argc, char **argv)
 {
-    return runProgram(argc, argv, usage, [](asio::io_context &context, const Arguments &arguments) {
+    return runProgram(argc, argv, Usage, [](asio::io_context &context, const Arguments &arguments) {
         return std::make_shared<FaultProxy>(context, arguments);
     });
 }
--- a/test/standins/log.cpp
+++ b/test/standins/log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr auto usage = R"(Usage: standin-log --listen=ENDPOINT --control=ENDPOINT
+constexpr auto Usage = R"(Usage: standin-log --listen=ENDPOINT --control=ENDPOINT
 
 Control port: POST /set with any of {"outage": "none"|"error"|"hang"|"refuse", "delayMs", "loseAppendAnswers" (the next
 appends take effect, but the connection is closed without an answer), "retain" (records kept per stream)}; GET /state.
@@ -102,10 +102,10 @@
 
     Response answer(const Request &request)
     {
-        static const std::regex pattern(R"(/streams/([A-Za-z0-9._-]+)/records(?:\?from=(\d+)&limit=(\d+))?)");
+        static const std::regex Pattern(R"(/streams/([A-Za-z0-9._-]+)/records(?:\?from=(\d+)&limit=(\d+))?)");
         const std::string target = request.target();
         std::smatch match;
-        if (!std::regex_match(target, match, pattern)) {
+        if (!std::regex_match(target, match, Pattern)) {
             return errorResponse("no such page", http::status::not_found);
         }
         auto &stream = this->streams[match[1]];
@@ -147,7 +147,7 @@
 
 int main(int argc, char **argv)
 {
-    return runProgram(argc, argv, usage, [](asio::io_context &context, const Arguments &arguments) {
+    return runProgram(argc, argv, Usage, [](asio::io_context &context, const Arguments &arguments) {
         return std::make_shared<LogService>(context,
                                             parseEndpoint(arguments.at("--listen").asString()),
                                             parseEndpoint(arguments.at("--control").asString()));
--- a/test/standins/upstream.cpp
+++ b/test/standins/upstream.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr auto usage = R"(Usage: standin-upstream --control=ENDPOINT [--behaviour=JSON] UPSTREAM...
+constexpr auto Usage = R"(Usage: standin-upstream --control=ENDPOINT [--behaviour=JSON] UPSTREAM...
 
 UPSTREAM is ID=ADDRESS:PORT. The keys of behaviours are in common/behaviour.h.
 Answers repeat the request's keys as JSON; ?size=N pads an answer by N bytes, &chunked=1 sends it in chunks.
@@ -102,7 +102,7 @@
 
 int main(int argc, char **argv)
 {
-    return runProgram(argc, argv, usage, [](asio::io_context &context, const Arguments &arguments) {
+    return runProgram(argc, argv, Usage, [](asio::io_context &context, const Arguments &arguments) {
         return std::make_shared<Upstreams>(context, arguments);
     });
 }
--- a/test/standins/vmlist.cpp
+++ b/test/standins/vmlist.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr auto usage = R"(Usage: standin-vmlist --listen=ENDPOINT --control=ENDPOINT
+constexpr auto Usage = R"(Usage: standin-vmlist --listen=ENDPOINT --control=ENDPOINT
 
 Control port: POST /vms with {"vms": [...]} replaces the list, visible after the lag; POST /set with any of
 {"lagMs", "outage": "none"|"error"|"hang"|"refuse"}; GET /state.
@@ -100,7 +100,7 @@
 
 int main(int argc, char **argv)
 {
-    return runProgram(argc, argv, usage, [](asio::io_context &context, const Arguments &arguments) {
+    return runProgram(argc, argv, Usage, [](asio::io_context &context, const Arguments &arguments) {
         return std::make_shared<VmList>(context,
                                         parseEndpoint(arguments.at("--listen").asString()),
                                         parseEndpoint(arguments.at("--control").asString()));
