--- a/src/measure/path.cpp
+++ b/src/measure/path.cpp
@@ -31,7 +31,7 @@
     const Endpoint entry = fleet.vms.front().entryListen();
     std::vector<Endpoint> upstreams;
     for (const auto &upstream : fleet.upstreams) {
-        upstreams.push_back({upstream.address, Test::Ports::upstream});
+        upstreams.push_back({upstream.address, Test::Ports::Upstream});
     }
     return {.requestsPerSecond = 2 * RequestsPerSecond,
             .length = length,
