--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -32,12 +32,12 @@
 
 Telemetry::LogLevel levelOf(const std::string &name)
 {
-    static const std::map<std::string, Telemetry::LogLevel> levels{{"debug", Telemetry::LogLevel::Debug},
+    static const std::map<std::string, Telemetry::LogLevel> Levels{{"debug", Telemetry::LogLevel::Debug},
                                                                    {"info", Telemetry::LogLevel::Info},
                                                                    {"warning", Telemetry::LogLevel::Warning},
                                                                    {"error", Telemetry::LogLevel::Error}};
-    const auto found = levels.find(name);
-    return found == levels.end() ? Telemetry::LogLevel::Info : found->second;
+    const auto found = Levels.find(name);
+    return found == Levels.end() ? Telemetry::LogLevel::Info : found->second;
 }
 
 std::vector<std::string> readBundles(const std::vector<std::string> &files)
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -120,7 +120,7 @@
     this->host->metrics().upstreamConnectionsOpened.add();
     this->limitTo(this->order.connectTimeout);
     ErrorCode error;
-    co_await socket.async_connect(this->peer->address, asio::redirect_error(useTask, error));
+    co_await socket.async_connect(this->peer->address, asio::redirect_error(UseTask, error));
     this->timer.clear();
     if (!error && socket.is_open()) {
         socket.non_blocking(true, error);
@@ -199,7 +199,7 @@
     this->bytesWritten += written;
     while (written < data.size() && !error) {
         const auto size = co_await socket.async_write_some(asio::buffer(data.substr(written)),
-                                                           asio::redirect_error(useTask, error));
+                                                           asio::redirect_error(UseTask, error));
         written += size;
         this->bytesWritten += size;
     }
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -70,7 +70,7 @@
     auto &buffer = this->connection->buffer;
     const bool large = this->headReported;
     const auto size = co_await this->connection->socket.async_read_some(
-        buffer.prepare(large ? LargeReadBytes : SmallReadBytes), asio::redirect_error(useTask, error));
+        buffer.prepare(large ? LargeReadBytes : SmallReadBytes), asio::redirect_error(UseTask, error));
     buffer.commit(size);
     if (this->stopped()) {
         co_return false;
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -293,7 +293,7 @@
     while (written < data.size()) {
         this->outputTimer.setAfter(this->host->limits().callerStallTimeout);
         written += co_await this->socket.async_write_some(asio::buffer(data.substr(written)),
-                                                          asio::redirect_error(useTask, error));
+                                                          asio::redirect_error(UseTask, error));
         this->outputTimer.clear();
         if (error) {
             co_return false;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -241,38 +241,40 @@
 
 void Host::attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining)
 {
-    const auto order = attempt.startOrder();
+    const auto request = attempt.startOrder().request;
+    const auto id = attempt.id();
     const auto cause
         = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
     this->proxyMetrics.countAttempt(cause);
-    auto *exchange = this->find(order.request);
+    auto *exchange = this->find(request);
     const bool streamed = exchange && exchange->headForwarded;
     this->apply(Core::AttemptCompleted{.at = monotonicNow(),
-                                       .request = order.request,
-                                       .attempt = order.attempt,
+                                       .request = request,
+                                       .attempt = id,
                                        .status = status,
                                        .notRun = notRun,
                                        .draining = draining});
-    exchange = this->find(order.request);
+    exchange = this->find(request);
     if (exchange) {
         if (streamed) {
             this->decide(*exchange, Streamed{});
         }
-        this->forget(*exchange, order.attempt);
+        this->forget(*exchange, id);
     }
 }
 
 void Host::attemptFailed(const Attempt &attempt, Health::Cause cause, bool nothingWritten)
 {
-    const auto order = attempt.startOrder();
+    const auto request = attempt.startOrder().request;
+    const auto id = attempt.id();
     this->proxyMetrics.countAttempt(cause);
     this->apply(Core::AttemptFailed{.at = monotonicNow(),
-                                    .request = order.request,
-                                    .attempt = order.attempt,
+                                    .request = request,
+                                    .attempt = id,
                                     .cause = cause,
                                     .nothingWritten = nothingWritten});
-    if (auto *exchange = this->find(order.request)) {
-        this->forget(*exchange, order.attempt);
+    if (auto *exchange = this->find(request)) {
+        this->forget(*exchange, id);
     }
 }
 
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -67,7 +67,7 @@
     while (this->acceptor.is_open()) {
         ErrorCode error;
         Socket socket(this->executor());
-        co_await this->acceptor.async_accept(socket, asio::redirect_error(useTask, error));
+        co_await this->acceptor.async_accept(socket, asio::redirect_error(UseTask, error));
         if (!error) {
             this->takeConnection(std::move(socket));
         } else if (this->acceptor.is_open()) {
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -26,7 +26,7 @@
 template<typename Result>
 using Task = asio::awaitable<Result, Executor>;
 
-inline constexpr asio::use_awaitable_t<Executor> useTask;
+inline constexpr asio::use_awaitable_t<Executor> UseTask;
 
 /// Suspends one coroutine until another part of the same thread wakes it. The waiter checks its condition in a loop,
 /// because nothing is remembered when nobody waits.
@@ -42,7 +42,7 @@
                     asio::post(std::move(*stored));
                 };
             },
-            useTask);
+            UseTask);
     }
 
     void notify()
--- a/test/proxy/answertest.cpp
+++ b/test/proxy/answertest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const std::string getRequest = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
-const std::string postRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
+const std::string GetRequest = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string PostRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
 
 /// A script that reads one request, sends the bytes and closes the connection.
 FakeUpstream::Script answerOnce(std::function<std::string(const ReceivedMessage &)> bytes)
@@ -103,7 +103,7 @@
         INFO("answer: " << broken.name);
         const FakeUpstream upstream("127.0.5.10", broken.script);
         const EntryFixture entry(optionsFor({upstream.endpoint()}));
-        const auto answer = entry.exchange(postRequest);
+        const auto answer = entry.exchange(PostRequest);
         CHECK(answer.status() == 504);
         CHECK(answer.field("Verbenadock-Outcome") == "unknown");
         CHECK(attempts(entry, broken.cause) == 1);
@@ -127,7 +127,7 @@
         const FakeUpstream one("127.0.5.10", firstBroken);
         const FakeUpstream other("127.0.5.11", firstBroken);
         const EntryFixture entry(optionsFor({one.endpoint(), other.endpoint()}));
-        const auto answer = entry.exchange(getRequest);
+        const auto answer = entry.exchange(GetRequest);
         CHECK(answer.status() == 200);
         CHECK(answer.body == "whole");
         CHECK(answer.field("Verbenadock-Outcome") == "answered");
@@ -183,11 +183,11 @@
     TestSocket caller(entry.endpoint());
     caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(caller.readMessage(true).field("Content-Length") == "5");
-    caller.send(getRequest);
+    caller.send(GetRequest);
     CHECK(caller.readMessage(true).status() == 204);
-    caller.send(getRequest);
+    caller.send(GetRequest);
     CHECK(caller.readMessage(true).status() == 304);
-    caller.send(getRequest);
+    caller.send(GetRequest);
     CHECK(caller.readMessage().body == "end");
     CHECK(upstream.connections() == 1);
 }
@@ -198,7 +198,7 @@
     const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
     const EntryFixture entry(optionsFor({upstream.endpoint()}));
     TestSocket caller(entry.endpoint());
-    caller.send(postRequest + "\r\n" + getRequest + postRequest);
+    caller.send(PostRequest + "\r\n" + GetRequest + PostRequest);
     for (int count = 0; count < 3; ++count) {
         CHECK(caller.readMessage().body == "ok");
     }
@@ -220,11 +220,11 @@
             connection.waitForEnd();
         });
         const EntryFixture entry(optionsFor({upstream.endpoint()}));
-        CHECK(entry.exchange(postRequest).body == "answer 1");
+        CHECK(entry.exchange(PostRequest).body == "answer 1");
         REQUIRE(eventually([&disturbed] {
             return disturbed.load();
         }));
-        CHECK(entry.exchange(postRequest).body == "answer 2");
+        CHECK(entry.exchange(PostRequest).body == "answer 2");
         CHECK(attempts(entry, "success") == 2);
     }
 }
@@ -239,16 +239,16 @@
         }
     });
     const EntryFixture entry(optionsFor({upstream.endpoint()}));
-    CHECK(entry.exchange(getRequest).body == "answer 1");
+    CHECK(entry.exchange(GetRequest).body == "answer 1");
     // The idle time itself is what the test is about; the pool counts it on the real clock.
     const auto idleSince = monotonicNow();
     REQUIRE(eventually([idleSince] {
         return monotonicNow() - idleSince > std::chrono::milliseconds(1100);
     }));
-    CHECK(entry.exchange(getRequest).status() == 504);
+    CHECK(entry.exchange(GetRequest).status() == 504);
     CHECK(attempts(entry, "silent-connection") == 1);
     CHECK(attempts(entry, "timeout") == 0);
-    CHECK(entry.exchange(getRequest).body == "answer 2");
+    CHECK(entry.exchange(GetRequest).body == "answer 2");
 }
 
 // Guards against a claim over a connection whose state is uncertain; a new one costs less than an unknown outcome.
@@ -256,14 +256,14 @@
 {
     const FakeUpstream upstream("127.0.5.10", answerAll("ok"));
     const EntryFixture entry(optionsFor({upstream.endpoint()}));
-    CHECK(entry.exchange(postRequest).body == "ok");
-    CHECK(entry.exchange(postRequest).body == "ok");
+    CHECK(entry.exchange(PostRequest).body == "ok");
+    CHECK(entry.exchange(PostRequest).body == "ok");
     CHECK(upstream.connections() == 1);
     const auto idleSince = monotonicNow();
     REQUIRE(eventually([idleSince] {
         return monotonicNow() - idleSince > std::chrono::milliseconds(1100);
     }));
-    CHECK(entry.exchange(postRequest).body == "ok");
+    CHECK(entry.exchange(PostRequest).body == "ok");
     CHECK(upstream.connections() == 2);
 }
 
@@ -276,7 +276,7 @@
         closed = upstream.endpoint();
     }
     const EntryFixture entry(optionsFor({closed}));
-    const auto answer = entry.exchange(postRequest);
+    const auto answer = entry.exchange(PostRequest);
     CHECK(answer.status() == 503);
     CHECK(answer.field("Verbenadock-Outcome") == "not-run");
     CHECK(answer.field("Retry-After") == "1");
--- a/test/proxy/benchmark.cpp
+++ b/test/proxy/benchmark.cpp
@@ -22,7 +22,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-const std::string requestText
+const std::string RequestText
     = "GET /item?id=1 HTTP/1.1\r\nHost: example\r\nUser-Agent: benchmark\r\nAccept: */*\r\n\r\n";
 
 /// Answers each request with 100 bytes. It expects one request per read, as the entry sends them.
@@ -84,7 +84,7 @@
             due += load.interval;
         }
         const auto start = monotonicNow();
-        co_await asio::async_write(socket, asio::buffer(requestText), asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(RequestText), asio::use_awaitable);
         std::string answer;
         while (!answer.ends_with(std::string(100, 'x'))) {
             const auto size = co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
--- a/test/proxy/streamtest.cpp
+++ b/test/proxy/streamtest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t LargeBytes = 3000000;
-const std::string getRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string GetRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Bytes without a short period, so that lost or repeated pieces show.
 std::string pattern(std::size_t size)
@@ -31,7 +31,7 @@
         const auto piece = body.substr(start, chunkBytes);
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", piece.size());
-        out += size + piece + "\r\n";
+        out.append(size).append(piece).append("\r\n");
     }
     return out + "0\r\n\r\n";
 }
@@ -122,7 +122,7 @@
     auto options = optionsFor({upstream.endpoint()});
     const EntryFixture entry(options);
     TestSocket caller(entry.endpoint());
-    caller.send(getRequest);
+    caller.send(GetRequest);
     std::size_t last = 0;
     REQUIRE(eventually([&] {
         const auto before = std::exchange(last, sent.load());
@@ -148,7 +148,7 @@
         });
         const EntryFixture entry(optionsFor({upstream.endpoint()}));
         TestSocket caller(entry.endpoint());
-        caller.send(getRequest);
+        caller.send(GetRequest);
         const auto answer = caller.readMessage();
         CHECK(answer.status() == 200);
         CHECK_FALSE(answer.complete);
@@ -227,7 +227,7 @@
     EntryFixture entry(optionsFor({upstream.endpoint()}));
     const auto body = pattern(LargeBytes);
     TestSocket idle(entry.endpoint());
-    idle.send(getRequest);
+    idle.send(GetRequest);
     CHECK(idle.readMessage().status() == 200);
     TestSocket uploading(entry.endpoint());
     uploading.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
