--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <exception>
 #include <optional>
 
@@ -13,8 +15,8 @@
 
 namespace {
 
-constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
-constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 
 http::request<http::string_body> buildRequest(const Endpoint &endpoint, const HttpRequest &request)
 {
@@ -24,11 +26,27 @@
     message.target(request.target);
     message.set(http::field::host, toString(endpoint));
     message.set(http::field::connection, "close");
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
     message.body() = request.body;
     message.prepare_payload();
     return message;
 }
 
+HttpResponse toResponse(http::response<http::string_body> message)
+{
+    HttpResponse response{.status = message.result_int(), .body = std::move(message.body())};
+    for (const auto &field : message) {
+        std::string name = field.name_string();
+        std::ranges::transform(name, name.begin(), [](unsigned char character) {
+            return std::tolower(character);
+        });
+        response.headers[name] = field.value();
+    }
+    return response;
+}
+
 asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
 {
     co_await stream.async_connect(toAsio(endpoint), asio::use_awaitable);
@@ -37,8 +55,8 @@
 
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    parser.header_limit(maxHeaderBytes);
+    parser.body_limit(MaxAnswerBytes);
+    parser.header_limit(MaxHeaderBytes);
     parser.skip(request.method == "HEAD");
     co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
     // An answer that ends with the connection cannot be told from a truncated one.
@@ -48,8 +66,7 @@
     if (!parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
     }
-    HttpResponse response{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
-    co_return response;
+    co_return toResponse(parser.release());
 }
 
 } // namespace
