--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -268,11 +268,8 @@
     const auto request = attempt.startOrder().request;
     const auto id = attempt.id();
     this->proxyMetrics.countAttempt(cause);
-    this->apply(Core::AttemptFailed{.at = monotonicNow(),
-                                    .request = request,
-                                    .attempt = id,
-                                    .cause = cause,
-                                    .nothingWritten = nothingWritten});
+    this->apply(Core::AttemptFailed{
+        .at = monotonicNow(), .request = request, .attempt = id, .cause = cause, .nothingWritten = nothingWritten});
     if (auto *exchange = this->find(request)) {
         this->forget(*exchange, id);
     }
