--- a/test/proxy/streamtest.cpp
+++ b/test/proxy/streamtest.cpp
@@ -54,8 +54,11 @@
     const auto body = pattern(LargeBytes);
     const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
-    for (const auto &request :
-         {post + length + body, post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 70001)}) {
+    std::string withLength = post;
+    withLength.append(length).append(body);
+    std::string withChunks = post;
+    withChunks.append("Transfer-Encoding: chunked\r\n\r\n").append(chunked(body, 70001));
+    for (const auto &request : {withLength, withChunks}) {
         TestSocket caller(entry.endpoint());
         std::thread sender([&caller, &request] {
             caller.send(request);
