--- a/src/ctl/fleetstatus.cpp
+++ b/src/ctl/fleetstatus.cpp
@@ -50,11 +50,19 @@
     return bundles;
 }
 
+Net::HttpRequest dumpRequest()
+{
+    Net::HttpRequest request;
+    request.target = "/dump";
+    return request;
+}
+
 boost::asio::awaitable<void> ask(ProcessState &state)
 {
+    // g++ 12 destroys an aggregate temporary inside a co_await expression twice, so the request has a name.
+    const auto request = dumpRequest();
     try {
-        const auto response
-            = co_await Net::fetch(state.endpoint, {.method = "GET", .target = "/dump", .body = {}}, dumpTimeout);
+        const auto response = co_await Net::fetch(state.endpoint, request, dumpTimeout);
         if (response.status == statusOk) {
             state.bundles = parseBundles(response.body);
         } else {
@@ -117,8 +125,7 @@
 std::string fetchDump(const Endpoint &endpoint)
 {
     try {
-        const auto response
-            = Net::fetchBlocking(endpoint, {.method = "GET", .target = "/dump", .body = {}}, dumpTimeout);
+        const auto response = Net::fetchBlocking(endpoint, dumpRequest(), dumpTimeout);
         if (response.status == statusOk) {
             return response.body;
         }
