--- a/src/bundle/difference.cpp
+++ b/src/bundle/difference.cpp
@@ -10,10 +10,10 @@
 
 using Lines = std::vector<std::string_view>;
 
-constexpr std::size_t contextLines = 3;
+constexpr std::size_t ContextLines = 3;
 // The table of common subsequences takes 4 bytes for each pair of lines. Larger changes are shown as one replaced
 // block.
-constexpr std::size_t mostPairs = 16'000'000;
+constexpr std::size_t MostPairs = 16'000'000;
 
 struct Edit
 {
@@ -36,7 +36,7 @@
 void appendMiddle(const Lines &before, const Lines &after, std::vector<Edit> &edits)
 {
     const std::size_t width = after.size() + 1;
-    const bool tooLarge = before.size() * after.size() > mostPairs;
+    const bool tooLarge = before.size() * after.size() > MostPairs;
     // common[i * width + j] is the number of lines that before[i..] and after[j..] have in common.
     std::vector<std::uint32_t> common(tooLarge ? 0 : (before.size() + 1) * width);
     for (std::size_t i = tooLarge ? 0 : before.size(); i-- > 0;) {
@@ -135,15 +135,15 @@
             return text;
         }
         const auto change = static_cast<std::size_t>(next - edits.begin());
-        const auto first = change - std::min(change - done, contextLines);
+        const auto first = change - std::min(change - done, ContextLines);
         beforeLine += first - done;
         afterLine += first - done;
         // The hunk ends where more unchanged lines follow than two contexts.
         std::size_t last = change;
-        for (auto index = change; index < edits.size() && index <= last + 2 * contextLines; ++index) {
+        for (auto index = change; index < edits.size() && index <= last + 2 * ContextLines; ++index) {
             last = isChange(edits[index]) ? index : last;
         }
-        last = std::min(last + 1 + contextLines, edits.size());
+        last = std::min(last + 1 + ContextLines, edits.size());
         text += hunk(edits, first, last, beforeLine, afterLine);
         for (auto index = first; index < last; ++index) {
             beforeLine += edits[index].mark != '+' ? 1 : 0;
--- a/src/bundle/history.cpp
+++ b/src/bundle/history.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr std::size_t mostEntries = 1000;
+constexpr std::size_t MostEntries = 1000;
 // Beyond this many proposals of one bundle the oldest is forgotten, so that memory stays bounded.
-constexpr std::size_t mostCandidates = 100;
+constexpr std::size_t MostCandidates = 100;
 
 struct Candidate
 {
@@ -144,7 +144,7 @@
         return {RecordResult::Conflict, same->pending.proposal.author + " has proposed the same content"};
     }
     auto &list = this->candidates[proposal.reference.name];
-    if (list.size() == mostCandidates) {
+    if (list.size() == MostCandidates) {
         list.erase(list.begin());
     }
     list.push_back({.pending = {.proposal = proposal, .offset = offset, .signers = {}},
@@ -201,7 +201,7 @@
 void History::State::remember(const HistoryEntry &entry)
 {
     this->entries.push_back(entry);
-    if (this->entries.size() > mostEntries) {
+    if (this->entries.size() > MostEntries) {
         this->entries.pop_front();
     }
 }
--- a/src/bundle/parser.cpp
+++ b/src/bundle/parser.cpp
@@ -14,7 +14,7 @@
 using Toml::Presence;
 using Toml::TableReader;
 
-constexpr double mostRequestsPerSecond = 10'000'000;
+constexpr double MostRequestsPerSecond = 10'000'000;
 
 void readHeader(TableReader &root, Bundle &bundle)
 {
@@ -113,9 +113,9 @@
     for (auto &reader : root.readTables("caller_limits")) {
         CallerLimit limit;
         reader.readText("caller", limit.caller, Presence::Required);
-        const Toml::Range<double> range{.least = 0, .most = mostRequestsPerSecond};
+        const Toml::Range<double> range{.least = 0, .most = MostRequestsPerSecond};
         reader.readNumber("requests_per_second", limit.requestsPerSecond, range, Presence::Required);
-        if (!reader.readNumber("burst", limit.burst, {.least = 1, .most = mostRequestsPerSecond})) {
+        if (!reader.readNumber("burst", limit.burst, {.least = 1, .most = MostRequestsPerSecond})) {
             limit.burst = std::max(1.0, limit.requestsPerSecond);
         }
         if (!callers.insert(limit.caller).second) {
--- a/src/bundle/proof.cpp
+++ b/src/bundle/proof.cpp
@@ -36,16 +36,16 @@
         }
     } catch (const InvalidBundle &error) {
         // The history keeps a thousand of these texts; the first mistakes are enough there.
-        constexpr std::size_t longestReason = 400;
-        return "the content is not a valid bundle: " + std::string(error.what()).substr(0, longestReason);
+        constexpr std::size_t LongestReason = 400;
+        return "the content is not a valid bundle: " + std::string(error.what()).substr(0, LongestReason);
     }
     return {};
 }
 
 std::optional<Actors> checkProof(const Trust &trust, const AcceptedVersion &version)
 {
-    constexpr std::size_t recordCount = 3;
-    if (version.records.size() != recordCount) {
+    constexpr std::size_t RecordCount = 3;
+    if (version.records.size() != RecordCount) {
         return std::nullopt;
     }
     try {
--- a/src/bundle/record.cpp
+++ b/src/bundle/record.cpp
@@ -12,27 +12,27 @@
 using nlohmann::json;
 
 // A record has to fit into one message between agents, which is at most 16 MiB, together with the exact content.
-constexpr std::size_t mostRecordBytes = 7 << 20;
-constexpr std::size_t mostNameLength = 64;
-constexpr std::size_t digestLength = 64;
+constexpr std::size_t MostRecordBytes = 7 << 20;
+constexpr std::size_t MostNameLength = 64;
+constexpr std::size_t DigestLength = 64;
 
 template<typename Type>
-constexpr std::string_view kind;
+constexpr std::string_view Kind;
 template<>
-constexpr std::string_view kind<Proposal> = "proposal";
+constexpr std::string_view Kind<Proposal> = "proposal";
 template<>
-constexpr std::string_view kind<SignOff> = "sign-off";
+constexpr std::string_view Kind<SignOff> = "sign-off";
 template<>
-constexpr std::string_view kind<RollOut> = "roll-out";
+constexpr std::string_view Kind<RollOut> = "roll-out";
 
 template<typename Type>
-constexpr const char *operatorKey = nullptr;
+constexpr const char *OperatorKey = nullptr;
 template<>
-constexpr const char *operatorKey<Proposal> = "author";
+constexpr const char *OperatorKey<Proposal> = "author";
 template<>
-constexpr const char *operatorKey<SignOff> = "signer";
+constexpr const char *OperatorKey<SignOff> = "signer";
 template<>
-constexpr const char *operatorKey<RollOut> = "operator";
+constexpr const char *OperatorKey<RollOut> = "operator";
 
 const std::string &operatorName(const Proposal &record)
 {
@@ -74,7 +74,7 @@
     const auto valid = [](unsigned char character) {
         return std::isalnum(character) != 0 || character == '.' || character == '-' || character == '_';
     };
-    if (text.empty() || text.size() > mostNameLength || !std::ranges::all_of(text, valid)) {
+    if (text.empty() || text.size() > MostNameLength || !std::ranges::all_of(text, valid)) {
         throw RecordError(std::string("'") + key + "' is not a name");
     }
     return text;
@@ -95,7 +95,7 @@
     const auto valid = [](char character) {
         return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f');
     };
-    if (text.size() != digestLength || !std::ranges::all_of(text, valid)) {
+    if (text.size() != DigestLength || !std::ranges::all_of(text, valid)) {
         throw RecordError("'digest' is not a SHA-256 digest in hexadecimal");
     }
     return text;
@@ -111,8 +111,8 @@
 
 json parseObject(std::string_view data)
 {
-    if (data.size() > mostRecordBytes) {
-        throw RecordError("longer than " + std::to_string(mostRecordBytes) + " bytes");
+    if (data.size() > MostRecordBytes) {
+        throw RecordError("longer than " + std::to_string(MostRecordBytes) + " bytes");
     }
     auto object = json::parse(data, nullptr, false);
     if (!object.is_object()) {
@@ -134,7 +134,7 @@
                    {"signature", signatureOf(record)}};
     std::visit(
         [&object]<typename Type>(const Type &value) {
-            object[operatorKey<Type>] = operatorName(value);
+            object[OperatorKey<Type>] = operatorName(value);
         },
         record);
     if (const auto *proposal = std::get_if<Proposal>(&record)) {
@@ -153,20 +153,20 @@
     const auto type = textMember(object, "type");
     auto reference = decodeReference(object);
     auto signature = textMember(object, "signature");
-    if (type == kind<Proposal>) {
+    if (type == Kind<Proposal>) {
         return Proposal{.reference = std::move(reference),
                         .content = textMember(object, "content"),
-                        .author = nameMember(object, operatorKey<Proposal>),
+                        .author = nameMember(object, OperatorKey<Proposal>),
                         .signature = std::move(signature)};
     }
-    if (type == kind<SignOff>) {
+    if (type == Kind<SignOff>) {
         return SignOff{.reference = std::move(reference),
-                       .signer = nameMember(object, operatorKey<SignOff>),
+                       .signer = nameMember(object, OperatorKey<SignOff>),
                        .signature = std::move(signature)};
     }
-    if (type == kind<RollOut>) {
+    if (type == Kind<RollOut>) {
         return RollOut{.reference = std::move(reference),
-                       .initiator = nameMember(object, operatorKey<RollOut>),
+                       .initiator = nameMember(object, OperatorKey<RollOut>),
                        .signature = std::move(signature)};
     }
     throw RecordError("unknown record type");
@@ -194,7 +194,7 @@
 {
     return std::visit(
         []<typename Type>(const Type &) {
-            return kind<Type>;
+            return Kind<Type>;
         },
         record);
 }
--- a/src/bundle/servicereader.cpp
+++ b/src/bundle/servicereader.cpp
@@ -12,24 +12,24 @@
 using Toml::Presence;
 using Toml::TableReader;
 
-constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
-constexpr Duration longestTimeout = std::chrono::hours(1);
-constexpr unsigned mostSlots = 10'000;
-constexpr unsigned mostConnections = 100'000;
-constexpr unsigned mostQueued = 100'000;
+constexpr Duration ShortestTimeout = std::chrono::milliseconds(1);
+constexpr Duration LongestTimeout = std::chrono::hours(1);
+constexpr unsigned MostSlots = 10'000;
+constexpr unsigned MostConnections = 100'000;
+constexpr unsigned MostQueued = 100'000;
 // Every request in flight may hold this much memory in an entry.
-constexpr std::size_t mostBuffered = 64 << 20;
-constexpr double percent = 100;
+constexpr std::size_t MostBuffered = 64 << 20;
+constexpr double Percent = 100;
 
 // Detection after a few failures at the price of more false alarms.
-constexpr Detection fastDetection{.samplesBetweenFalseAlarms = 2'000, .failureRate = 0.3, .slowFactor = 2};
+constexpr Detection FastDetection{.samplesBetweenFalseAlarms = 2'000, .failureRate = 0.3, .slowFactor = 2};
 // For upstreams with few slots, where a false ejection costs more than a few slow answers.
-constexpr Detection carefulDetection{.samplesBetweenFalseAlarms = 100'000, .failureRate = 0.3, .slowFactor = 4};
+constexpr Detection CarefulDetection{.samplesBetweenFalseAlarms = 100'000, .failureRate = 0.3, .slowFactor = 4};
 
 void readTimeouts(TableReader &service, Timeouts &timeouts)
 {
     auto reader = service.readTable("timeouts");
-    const Toml::Range<Duration> range{.least = shortestTimeout, .most = longestTimeout};
+    const Toml::Range<Duration> range{.least = ShortestTimeout, .most = LongestTimeout};
     reader.readDuration("total", timeouts.total, range);
     if (!reader.readDuration("first_byte", timeouts.firstByte, range)) {
         timeouts.firstByte = std::min(timeouts.firstByte, timeouts.total);
@@ -51,7 +51,7 @@
     if (!service.holdsTable("detection")) {
         std::size_t choice = 0;
         if (service.readChoice("detection", choice, {"fast", "careful"})) {
-            detection = choice == 0 ? fastDetection : carefulDetection;
+            detection = choice == 0 ? FastDetection : CarefulDetection;
         }
         return;
     }
@@ -65,8 +65,8 @@
 void readBudgets(TableReader &service, Budgets &budgets)
 {
     auto reader = service.readTable("budgets");
-    reader.readNumber("retry_percent", budgets.retryPercent, {.least = 0, .most = percent});
-    reader.readNumber("hedge_percent", budgets.hedgePercent, {.least = 0, .most = percent});
+    reader.readNumber("retry_percent", budgets.retryPercent, {.least = 0, .most = Percent});
+    reader.readNumber("hedge_percent", budgets.hedgePercent, {.least = 0, .most = Percent});
     reader.finish();
 }
 
@@ -84,9 +84,9 @@
     Upstream upstream;
     reader.readName("id", upstream.id, Presence::Required);
     reader.readName("data_centre", upstream.dataCentre, Presence::Required);
-    reader.readInteger("slots", upstream.slots, {.least = 1, .most = mostSlots});
+    reader.readInteger("slots", upstream.slots, {.least = 1, .most = MostSlots});
     const bool limited
-        = reader.readInteger("connection_limit", upstream.connectionLimit, {.least = 1, .most = mostConnections});
+        = reader.readInteger("connection_limit", upstream.connectionLimit, {.least = 1, .most = MostConnections});
     if (limited && upstream.connectionLimit < upstream.slots) {
         reader.report("connection_limit", "is below the number of slots, so some slots could never be used");
     }
@@ -115,7 +115,7 @@
 /// A floor that does not even allow to eject the smallest of several upstreams would switch ejection off silently.
 void checkFloor(TableReader &reader, const Service &service)
 {
-    if (service.floorPercent >= percent || service.upstreams.size() < 2) {
+    if (service.floorPercent >= Percent || service.upstreams.size() < 2) {
         return;
     }
     const auto total = std::accumulate(
@@ -123,7 +123,7 @@
             return sum + upstream.slots;
         });
     const auto smallest = std::ranges::min_element(service.upstreams, {}, &Upstream::slots);
-    const double left = (total - smallest->slots) / total * percent;
+    const double left = (total - smallest->slots) / total * Percent;
     if (left < service.floorPercent) {
         std::ostringstream text;
         text << "cannot be met when any upstream is ejected: without '" << smallest->id << "', " << left
@@ -141,12 +141,12 @@
     readTimeouts(reader, service.timeouts);
     readDetection(reader, service.detection);
     readBudgets(reader, service.budgets);
-    reader.readInteger("queue_limit", service.queueLimit, {.least = 0, .most = mostQueued});
-    reader.readSize("hold_back_bytes", service.holdBackBytes, {.least = 0, .most = mostBuffered});
-    reader.readSize("replay_bytes", service.replayBytes, {.least = 0, .most = mostBuffered});
+    reader.readInteger("queue_limit", service.queueLimit, {.least = 0, .most = MostQueued});
+    reader.readSize("hold_back_bytes", service.holdBackBytes, {.least = 0, .most = MostBuffered});
+    reader.readSize("replay_bytes", service.replayBytes, {.least = 0, .most = MostBuffered});
     reader.readFlag("echoes_attempt_id", service.echoesAttemptId);
     readUpstreams(reader, service, owners);
-    if (reader.readNumber("floor_percent", service.floorPercent, {.least = 0, .most = percent})) {
+    if (reader.readNumber("floor_percent", service.floorPercent, {.least = 0, .most = Percent})) {
         checkFloor(reader, service);
     }
     reader.finish();
--- a/src/bundle/signature.cpp
+++ b/src/bundle/signature.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::size_t keyLength = 32;
-constexpr std::size_t signatureLength = 64;
+constexpr std::size_t KeyLength = 32;
+constexpr std::size_t SignatureLength = 64;
 
 template<auto Function>
 struct Deleter
@@ -84,11 +84,11 @@
     if (EVP_Digest(content.data(), content.size(), bytes.data(), &length, EVP_sha256(), nullptr) != 1) {
         throw SignatureError("SHA-256 is not available");
     }
-    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr std::string_view Digits = "0123456789abcdef";
     std::string text;
     for (unsigned index = 0; index < length; ++index) {
-        text += digits[bytes[index] >> 4];
-        text += digits[bytes[index] & 0xf];
+        text += Digits[bytes[index] >> 4];
+        text += Digits[bytes[index] & 0xf];
     }
     return text;
 }
@@ -101,8 +101,8 @@
     if (!key || EVP_PKEY_get_base_id(key.get()) != EVP_PKEY_ED25519) {
         throw SignatureError("not an unencrypted Ed25519 private key in PEM format");
     }
-    PrivateKey result{.bytes = std::string(keyLength, '\0')};
-    std::size_t length = keyLength;
+    PrivateKey result{.bytes = std::string(KeyLength, '\0')};
+    std::size_t length = KeyLength;
     if (EVP_PKEY_get_raw_private_key(key.get(), octets(result.bytes), &length) != 1) {
         throw SignatureError("the private key cannot be read");
     }
@@ -125,8 +125,8 @@
 std::string publicKey(const PrivateKey &key)
 {
     const auto native = nativeKey(key);
-    std::string bytes(keyLength, '\0');
-    std::size_t length = keyLength;
+    std::string bytes(KeyLength, '\0');
+    std::size_t length = KeyLength;
     if (EVP_PKEY_get_raw_public_key(native.get(), octets(bytes), &length) != 1) {
         throw SignatureError("the public key cannot be derived");
     }
@@ -137,8 +137,8 @@
 {
     const auto native = nativeKey(key);
     const Digest context(EVP_MD_CTX_new());
-    std::string signature(signatureLength, '\0');
-    std::size_t length = signatureLength;
+    std::string signature(SignatureLength, '\0');
+    std::size_t length = SignatureLength;
     if (!context || EVP_DigestSignInit(context.get(), nullptr, nullptr, nullptr, native.get()) != 1
         || EVP_DigestSign(context.get(), octets(signature), &length, octets(text), text.size()) != 1) {
         throw SignatureError("cannot sign");
@@ -148,13 +148,13 @@
 
 bool verify(std::string_view publicKeyBase64, std::string_view text, std::string_view signatureBase64)
 {
-    const auto keyBytes = decodeBase64(publicKeyBase64, keyLength);
-    const auto signature = decodeBase64(signatureBase64, signatureLength);
+    const auto keyBytes = decodeBase64(publicKeyBase64, KeyLength);
+    const auto signature = decodeBase64(signatureBase64, SignatureLength);
     if (keyBytes.empty() || signature.empty()) {
         return false;
     }
     const Key key(
-        EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr, octets(std::string_view(keyBytes)), keyLength));
+        EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr, octets(std::string_view(keyBytes)), KeyLength));
     const Digest context(EVP_MD_CTX_new());
     return key && context && EVP_DigestVerifyInit(context.get(), nullptr, nullptr, nullptr, key.get()) == 1
            && EVP_DigestVerify(
--- a/src/ctl/changes.cpp
+++ b/src/ctl/changes.cpp
@@ -15,12 +15,12 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds waitInterval(200);
-constexpr std::size_t shownDigits = 12;
+constexpr std::size_t ShownDigits = 12;
 
 std::string describe(const Bundles::VersionReference &reference)
 {
     return "version " + std::to_string(reference.version) + " of " + reference.name + " (digest "
-           + reference.digest.substr(0, shownDigits) + ")";
+           + reference.digest.substr(0, ShownDigits) + ")";
 }
 
 json toJson(const Bundles::HistoryEntry &entry)
--- a/src/ctl/configurationlog.cpp
+++ b/src/ctl/configurationlog.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr Duration logTimeout = std::chrono::seconds(5);
-constexpr std::size_t pageSize = 500;
-constexpr unsigned mostAppends = 3;
+constexpr Duration LogTimeout = std::chrono::seconds(5);
+constexpr std::size_t PageSize = 500;
+constexpr unsigned MostAppends = 3;
 
 std::vector<Bundles::TrustedOperator> trustedOperators(const Settings::CtlSettings &settings)
 {
@@ -32,7 +32,7 @@
 } // namespace
 
 ConfigurationLog::ConfigurationLog(const Settings::CtlSettings &settings)
-    : client(settings.logService, "configuration", logTimeout)
+    : client(settings.logService, "configuration", LogTimeout)
     , fold(trustedOperators(settings))
 {
 }
@@ -55,7 +55,7 @@
 void ConfigurationLog::read()
 {
     while (true) {
-        const auto page = runBlocking(this->client.read(this->next, pageSize));
+        const auto page = runBlocking(this->client.read(this->next, PageSize));
         this->truncated = this->truncated || page.first > this->next;
         for (const auto &record : page.records) {
             if (record.offset >= this->next) {
@@ -82,7 +82,7 @@
 Bundles::HistoryEntry ConfigurationLog::append(const std::string &data)
 {
     std::string reason;
-    for (unsigned attempt = 0; attempt < mostAppends; ++attempt) {
+    for (unsigned attempt = 0; attempt < MostAppends; ++attempt) {
         try {
             runBlocking(this->client.append(data));
         } catch (const Platform::PlatformError &error) {
--- a/src/ctl/fleetstatus.cpp
+++ b/src/ctl/fleetstatus.cpp
@@ -17,10 +17,10 @@
 
 using nlohmann::json;
 
-constexpr Duration dumpTimeout = std::chrono::seconds(2);
-constexpr unsigned statusOk = 200;
+constexpr Duration DumpTimeout = std::chrono::seconds(2);
+constexpr unsigned StatusOk = 200;
 // Smaller numbers are ages: 10^11 ms since the epoch is in 1973, and no VM has a bundle in force for three years.
-constexpr std::int64_t leastTimeOfDayMs = 100'000'000'000;
+constexpr std::int64_t LeastTimeOfDayMs = 100'000'000'000;
 
 template<typename Type>
 Type valueOr(const json &object, const char *key, Type fallback)
@@ -62,8 +62,8 @@
     // g++ 12 destroys an aggregate temporary inside a co_await expression twice, so the request has a name.
     const auto request = dumpRequest();
     try {
-        const auto response = co_await Net::fetch(state.endpoint, request, dumpTimeout);
-        if (response.status == statusOk) {
+        const auto response = co_await Net::fetch(state.endpoint, request, DumpTimeout);
+        if (response.status == StatusOk) {
             state.bundles = parseBundles(response.body);
         } else {
             state.failure = "answered " + std::to_string(response.status);
@@ -78,7 +78,7 @@
     if (milliseconds <= 0) {
         return "-";
     }
-    if (milliseconds < leastTimeOfDayMs) {
+    if (milliseconds < LeastTimeOfDayMs) {
         return "for " + std::to_string(milliseconds / 1000) + " s";
     }
     const std::time_t seconds = milliseconds / 1000;
@@ -125,8 +125,8 @@
 std::string fetchDump(const Endpoint &endpoint)
 {
     try {
-        const auto response = Net::fetchBlocking(endpoint, dumpRequest(), dumpTimeout);
-        if (response.status == statusOk) {
+        const auto response = Net::fetchBlocking(endpoint, dumpRequest(), DumpTimeout);
+        if (response.status == StatusOk) {
             return response.body;
         }
         throw CtlError(ExitStatus::Unavailable, toString(endpoint) + " answered " + std::to_string(response.status));
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -12,7 +12,7 @@
 using namespace Verbenadock::Ctl;
 using Arguments = std::map<std::string, docopt::value>;
 
-constexpr const char *usage = R"(Operates the configuration of a Verbenadock fleet.
+constexpr const char *Usage = R"(Operates the configuration of a Verbenadock fleet.
 
 Usage:
   verbenadock-ctl [options] validate FILE
@@ -97,10 +97,10 @@
 
 unsigned waitOf(const Arguments &arguments)
 {
-    constexpr std::uint64_t longestWait = 3600;
+    constexpr std::uint64_t LongestWait = 3600;
     const auto seconds = parseNumber(textOf(arguments, "--wait-seconds"), "--wait-seconds");
-    if (seconds == 0 || seconds > longestWait) {
-        throw CtlError(ExitStatus::Usage, "--wait-seconds has to be from 1 to " + std::to_string(longestWait));
+    if (seconds == 0 || seconds > LongestWait) {
+        throw CtlError(ExitStatus::Usage, "--wait-seconds has to be from 1 to " + std::to_string(LongestWait));
     }
     return arguments.at("--wait").asBool() ? static_cast<unsigned>(seconds) : 0;
 }
@@ -168,9 +168,9 @@
 {
     Arguments arguments;
     try {
-        arguments = docopt::docopt_parse(usage, {values + 1, values + count}, true, true);
+        arguments = docopt::docopt_parse(Usage, {values + 1, values + count}, true, true);
     } catch (const docopt::DocoptExitHelp &) {
-        std::cout << usage;
+        std::cout << Usage;
         return static_cast<int>(ExitStatus::Ok);
     } catch (const docopt::DocoptExitVersion &) {
         std::cout << "verbenadock-ctl " VERBENADOCK_VERSION "\n";
--- a/src/settings/common.cpp
+++ b/src/settings/common.cpp
@@ -14,17 +14,17 @@
 
 namespace {
 
-const std::vector<std::string> logLevels = {"debug", "info", "warning", "error"};
+const std::vector<std::string> LogLevels = {"debug", "info", "warning", "error"};
 
 // 32 bytes in base64: 43 digits, of which the last has two unused bits, and one '='.
 bool isPublicKey(const std::string &text)
 {
-    constexpr std::size_t encodedLength = 44;
+    constexpr std::size_t EncodedLength = 44;
     const auto isDigit = [](unsigned char character) {
         return std::isalnum(character) != 0 || character == '+' || character == '/';
     };
-    return text.size() == encodedLength && text.back() == '=' && std::all_of(text.begin(), text.end() - 1, isDigit)
-           && std::string_view("AEIMQUYcgkosw048").find(text[encodedLength - 2]) != std::string_view::npos;
+    return text.size() == EncodedLength && text.back() == '=' && std::all_of(text.begin(), text.end() - 1, isDigit)
+           && std::string_view("AEIMQUYcgkosw048").find(text[EncodedLength - 2]) != std::string_view::npos;
 }
 
 void checkOperator(Toml::TableReader &reader, const Operator &candidate, const std::vector<Operator> &others)
@@ -68,8 +68,8 @@
 
     auto logging = root.readTable("logging");
     std::size_t level = 0;
-    if (logging.readChoice("level", level, logLevels)) {
-        process.logLevel = logLevels[level];
+    if (logging.readChoice("level", level, LogLevels)) {
+        process.logLevel = LogLevels[level];
     }
     logging.readText("file", process.logFile);
     logging.finish();
--- a/src/settings/common.h
+++ b/src/settings/common.h
@@ -11,7 +11,7 @@
 namespace Verbenadock::Settings::internal {
 
 /// Longest duration that a settings file may give.
-inline constexpr Duration longestDuration = std::chrono::hours(24);
+inline constexpr Duration LongestDuration = std::chrono::hours(24);
 
 /// Parses the text, lets the function read the root table, and throws InvalidSettings when there was any mistake.
 void parseDocument(const std::string &toml, const std::function<void(Toml::TableReader &)> &read);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -11,17 +11,17 @@
 using Toml::Presence;
 using Toml::TableReader;
 
-constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
+constexpr Duration ShortestTimeout = std::chrono::milliseconds(1);
 // Polling more often than this costs the platform more than the fleet gains.
-constexpr Duration shortestPollInterval = std::chrono::milliseconds(10);
-constexpr Duration longestPollInterval = std::chrono::minutes(1);
-constexpr std::size_t gibibyte = 1 << 30;
-constexpr std::uint64_t mostConnections = 1'000'000;
+constexpr Duration ShortestPollInterval = std::chrono::milliseconds(10);
+constexpr Duration LongestPollInterval = std::chrono::minutes(1);
+constexpr std::size_t Gibibyte = 1 << 30;
+constexpr std::uint64_t MostConnections = 1'000'000;
 
 void readCount(TableReader &reader, std::string_view key, std::size_t &target, std::uint64_t least = 1)
 {
     std::uint64_t count = 0;
-    if (reader.readInteger(key, count, {.least = least, .most = mostConnections})) {
+    if (reader.readInteger(key, count, {.least = least, .most = MostConnections})) {
         target = count;
     }
 }
@@ -29,14 +29,14 @@
 void readLimits(TableReader &root, EntryLimits &limits)
 {
     auto reader = root.readTable("limits");
-    constexpr std::size_t leastHeaderBytes = 1024;
-    constexpr std::size_t mostHeaderBytes = 1 << 20;
-    reader.readSize("max_header_bytes", limits.maxHeaderBytes, {.least = leastHeaderBytes, .most = mostHeaderBytes});
-    reader.readSize("max_body_bytes", limits.maxBodyBytes, {.least = 1, .most = 1024 * gibibyte});
+    constexpr std::size_t LeastHeaderBytes = 1024;
+    constexpr std::size_t MostHeaderBytes = 1 << 20;
+    reader.readSize("max_header_bytes", limits.maxHeaderBytes, {.least = LeastHeaderBytes, .most = MostHeaderBytes});
+    reader.readSize("max_body_bytes", limits.maxBodyBytes, {.least = 1, .most = 1024 * Gibibyte});
     readCount(reader, "max_caller_connections", limits.maxCallerConnections);
     readCount(reader, "max_requests", limits.maxRequests);
     readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
-    const Toml::Range<Duration> range{.least = shortestTimeout, .most = internal::longestDuration};
+    const Toml::Range<Duration> range{.least = ShortestTimeout, .most = internal::LongestDuration};
     reader.readDuration("caller_idle_timeout", limits.callerIdleTimeout, range);
     reader.readDuration("header_timeout", limits.headerTimeout, range);
     reader.readDuration("caller_stall_timeout", limits.callerStallTimeout, range);
@@ -46,7 +46,7 @@
 void readShutdown(TableReader &root, EntrySettings &settings)
 {
     auto reader = root.readTable("shutdown");
-    const Toml::Range<Duration> range{.least = Duration(0), .most = internal::longestDuration};
+    const Toml::Range<Duration> range{.least = Duration(0), .most = internal::LongestDuration};
     reader.readDuration("drain_delay", settings.drainDelay, range);
     reader.readDuration("limit", settings.shutdownLimit, range);
     if (settings.shutdownLimit < settings.drainDelay) {
@@ -60,7 +60,7 @@
 {
     auto reader = root.readTable(table, Presence::Required);
     reader.readEndpoint("endpoint", endpoint, Presence::Required);
-    reader.readDuration("poll_interval", interval, {.least = shortestPollInterval, .most = longestPollInterval});
+    reader.readDuration("poll_interval", interval, {.least = ShortestPollInterval, .most = LongestPollInterval});
     reader.finish();
 }
 
--- a/src/toml/tablereader.cpp
+++ b/src/toml/tablereader.cpp
@@ -13,7 +13,7 @@
 
 using internal::joined;
 using internal::nameOfType;
-using internal::typeName;
+using internal::TypeName;
 using internal::wrongType;
 
 template<typename Number>
@@ -88,7 +88,7 @@
     }
     const auto *content = std::get_if<Type>(&value->content);
     if (content == nullptr) {
-        this->report(key, wrongType(typeName<Type>, *value));
+        this->report(key, wrongType(TypeName<Type>, *value));
     }
     return content;
 }
@@ -137,7 +137,7 @@
         return false;
     }
     if (!internal::isName(text)) {
-        this->report(key, "'" + text + "' is not a name: " + std::string(internal::nameRule));
+        this->report(key, "'" + text + "' is not a name: " + std::string(internal::NameRule));
         return false;
     }
     target = std::move(text);
@@ -327,7 +327,7 @@
     for (const auto &member : *this->table) {
         this->known.push_back(member.key);
         if (!internal::isName(member.key)) {
-            this->report(member.key, "is not a name: " + std::string(internal::nameRule));
+            this->report(member.key, "is not a name: " + std::string(internal::NameRule));
         } else if (!std::holds_alternative<Table>(member.value.content)) {
             this->report(member.key, wrongType("a table", member.value));
         } else {
--- a/src/toml/units.cpp
+++ b/src/toml/units.cpp
@@ -17,12 +17,12 @@
 };
 
 // Smallest first; durations are counted in microseconds and sizes in bytes.
-constexpr std::array durationUnits{Unit{"us", 1},
+constexpr std::array DurationUnits{Unit{"us", 1},
                                    Unit{"ms", 1'000},
                                    Unit{"s", 1'000'000},
                                    Unit{"min", 60'000'000},
                                    Unit{"h", 3'600'000'000}};
-constexpr std::array sizeUnits{Unit{"B", 1}, Unit{"KiB", 1 << 10}, Unit{"MiB", 1 << 20}, Unit{"GiB", 1 << 30}};
+constexpr std::array SizeUnits{Unit{"B", 1}, Unit{"KiB", 1 << 10}, Unit{"MiB", 1 << 20}, Unit{"GiB", 1 << 30}};
 
 std::optional<std::int64_t> parseQuantity(std::string_view text, std::span<const Unit> units)
 {
@@ -59,24 +59,24 @@
 
 std::optional<Duration> parseDuration(std::string_view text)
 {
-    const auto amount = parseQuantity(text, durationUnits);
+    const auto amount = parseQuantity(text, DurationUnits);
     return amount ? std::optional(Duration(*amount)) : std::nullopt;
 }
 
 std::optional<std::size_t> parseSize(std::string_view text)
 {
-    const auto amount = parseQuantity(text, sizeUnits);
+    const auto amount = parseQuantity(text, SizeUnits);
     return amount ? std::optional(static_cast<std::size_t>(*amount)) : std::nullopt;
 }
 
 std::string formatDuration(const Duration &duration)
 {
-    return formatQuantity(duration.count(), durationUnits);
+    return formatQuantity(duration.count(), DurationUnits);
 }
 
 std::string formatSize(const std::size_t &bytes)
 {
-    return formatQuantity(static_cast<std::int64_t>(bytes), sizeUnits);
+    return formatQuantity(static_cast<std::int64_t>(bytes), SizeUnits);
 }
 
 } // namespace Verbenadock::Toml::internal
--- a/src/toml/wording.cpp
+++ b/src/toml/wording.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t maxNameLength = 64;
+constexpr std::size_t MaxNameLength = 64;
 
 } // namespace
 
@@ -15,7 +15,7 @@
 {
     return std::visit(
         []<typename Type>(const Type &) {
-            return typeName<Type>;
+            return TypeName<Type>;
         },
         value.content);
 }
@@ -39,7 +39,7 @@
     const auto valid = [](unsigned char character) {
         return std::isalnum(character) != 0 || character == '.' || character == '-' || character == '_';
     };
-    return !text.empty() && text.size() <= maxNameLength && std::ranges::all_of(text, valid);
+    return !text.empty() && text.size() <= MaxNameLength && std::ranges::all_of(text, valid);
 }
 
 } // namespace Verbenadock::Toml::internal
--- a/src/toml/wording.h
+++ b/src/toml/wording.h
@@ -10,21 +10,21 @@
 namespace Verbenadock::Toml::internal {
 
 template<typename Type>
-constexpr std::string_view typeName;
+constexpr std::string_view TypeName;
 template<>
-constexpr std::string_view typeName<bool> = "true or false";
+constexpr std::string_view TypeName<bool> = "true or false";
 template<>
-constexpr std::string_view typeName<std::int64_t> = "an integer";
+constexpr std::string_view TypeName<std::int64_t> = "an integer";
 template<>
-constexpr std::string_view typeName<double> = "a number";
+constexpr std::string_view TypeName<double> = "a number";
 template<>
-constexpr std::string_view typeName<std::string> = "text";
+constexpr std::string_view TypeName<std::string> = "text";
 template<>
-constexpr std::string_view typeName<Array> = "an array";
+constexpr std::string_view TypeName<Array> = "an array";
 template<>
-constexpr std::string_view typeName<Table> = "a table";
+constexpr std::string_view TypeName<Table> = "a table";
 template<>
-constexpr std::string_view typeName<DateOrTime> = "a date or time";
+constexpr std::string_view TypeName<DateOrTime> = "a date or time";
 
 /// What a value is, for messages.
 std::string_view nameOfType(const Value &value);
@@ -38,7 +38,7 @@
 /// Whether the text is a name as TableReader::readName takes it.
 bool isName(std::string_view text);
 
-inline constexpr std::string_view nameRule = "use 1 to 64 letters, digits, '.', '-' and '_'";
+inline constexpr std::string_view NameRule = "use 1 to 64 letters, digits, '.', '-' and '_'";
 
 } // namespace Verbenadock::Toml::internal
 
--- a/test/bundle/historytest.cpp
+++ b/test/bundle/historytest.cpp
@@ -13,12 +13,12 @@
 
 namespace {
 
-const Operators operators({"alice", "bob", "carol"});
+const Operators Team({"alice", "bob", "carol"});
 
 /// A log with its fold.
 struct Log
 {
-    History history{operators.trusted()};
+    History history{Team.trusted()};
     std::uint64_t next = 0;
 
     RecordResult append(const std::string &data)
@@ -29,9 +29,9 @@
     void accept(std::uint64_t version, std::uint64_t replaces, unsigned variant = 0)
     {
         const auto what = reference(version, replaces, variant);
-        REQUIRE(this->append(operators.proposal(content(version, variant), what, "alice")) == RecordResult::Proposed);
-        REQUIRE(this->append(operators.signOff(what, "bob")) == RecordResult::SignedOff);
-        REQUIRE(this->append(operators.rollOut(what, "carol")) == RecordResult::InForce);
+        REQUIRE(this->append(Team.proposal(content(version, variant), what, "alice")) == RecordResult::Proposed);
+        REQUIRE(this->append(Team.signOff(what, "bob")) == RecordResult::SignedOff);
+        REQUIRE(this->append(Team.rollOut(what, "carol")) == RecordResult::InForce);
     }
 
     std::uint64_t version() const
@@ -60,16 +60,16 @@
 // Guards against one person who changes the configuration alone, also under two names.
 TEST_CASE("the author cannot sign off, and nothing is rolled out without a sign-off")
 {
-    auto trusted = operators.trusted();
+    auto trusted = Team.trusted();
     trusted.push_back({.name = "alias", .publicKey = trusted[0].publicKey});
     History history(trusted);
     const auto what = reference(1, 0);
-    CHECK(history.apply(0, operators.signOff(what, "bob")).result == RecordResult::NotAllowed);
-    CHECK(history.apply(1, operators.rollOut(what, "bob")).result == RecordResult::NotAllowed);
-    CHECK(history.apply(2, operators.proposal(content(1), what, "alice")).result == RecordResult::Proposed);
-    CHECK(history.apply(3, operators.signOff(what, "alice")).result == RecordResult::NotAllowed);
-    CHECK(history.apply(4, operators.record(SignOff{what, "alias", {}}, "alice")).result == RecordResult::NotAllowed);
-    CHECK(history.apply(5, operators.rollOut(what, "bob")).result == RecordResult::NotAllowed);
+    CHECK(history.apply(0, Team.signOff(what, "bob")).result == RecordResult::NotAllowed);
+    CHECK(history.apply(1, Team.rollOut(what, "bob")).result == RecordResult::NotAllowed);
+    CHECK(history.apply(2, Team.proposal(content(1), what, "alice")).result == RecordResult::Proposed);
+    CHECK(history.apply(3, Team.signOff(what, "alice")).result == RecordResult::NotAllowed);
+    CHECK(history.apply(4, Team.record(SignOff{what, "alias", {}}, "alice")).result == RecordResult::NotAllowed);
+    CHECK(history.apply(5, Team.rollOut(what, "bob")).result == RecordResult::NotAllowed);
     CHECK(history.inForce().empty());
     REQUIRE(history.pending("n").size() == 1);
     CHECK(history.pending("n")[0].signers.empty());
@@ -82,13 +82,13 @@
     log.accept(1, 0);
     const auto first = reference(2, 1, 1);
     const auto second = reference(2, 1, 2);
-    CHECK(log.append(operators.proposal(content(2, 1), first, "alice")) == RecordResult::Proposed);
-    CHECK(log.append(operators.proposal(content(2, 2), second, "bob")) == RecordResult::Proposed);
-    CHECK(log.append(operators.signOff(first, "carol")) == RecordResult::SignedOff);
-    CHECK(log.append(operators.signOff(second, "carol")) == RecordResult::SignedOff);
+    CHECK(log.append(Team.proposal(content(2, 1), first, "alice")) == RecordResult::Proposed);
+    CHECK(log.append(Team.proposal(content(2, 2), second, "bob")) == RecordResult::Proposed);
+    CHECK(log.append(Team.signOff(first, "carol")) == RecordResult::SignedOff);
+    CHECK(log.append(Team.signOff(second, "carol")) == RecordResult::SignedOff);
     CHECK(log.history.proposal("n", 2)->reference == second);
-    CHECK(log.append(operators.rollOut(second, "bob")) == RecordResult::InForce);
-    CHECK(log.append(operators.rollOut(first, "alice")) == RecordResult::Conflict);
+    CHECK(log.append(Team.rollOut(second, "bob")) == RecordResult::InForce);
+    CHECK(log.append(Team.rollOut(first, "alice")) == RecordResult::Conflict);
     CHECK(log.history.inForce().at("n").reference == second);
 }
 
@@ -99,7 +99,7 @@
     log.accept(3, 0);
     for (const auto &what : {reference(4, 0), reference(4, 2), reference(3, 3), reference(2, 3)}) {
         INFO("version " << what.version << " replaces " << what.replaces);
-        CHECK(log.append(operators.proposal(content(what.version), what, "alice")) == RecordResult::Conflict);
+        CHECK(log.append(Team.proposal(content(what.version), what, "alice")) == RecordResult::Conflict);
     }
 }
 
@@ -108,9 +108,8 @@
 {
     Log log;
     const auto what = reference(1, 0);
-    const std::string records[] = {operators.proposal(content(1), what, "alice"),
-                                   operators.signOff(what, "bob"),
-                                   operators.rollOut(what, "carol")};
+    const std::string records[]
+        = {Team.proposal(content(1), what, "alice"), Team.signOff(what, "bob"), Team.rollOut(what, "carol")};
     for (const auto &record : records) {
         log.append(record);
         CHECK(log.append(record) == RecordResult::Repeated);
@@ -122,14 +121,14 @@
     }
     CHECK(log.version() == 2);
     // Another operator with the same roll-out was simply too late.
-    CHECK(log.append(operators.rollOut(reference(2, 1), "bob")) == RecordResult::Conflict);
+    CHECK(log.append(Team.rollOut(reference(2, 1), "bob")) == RecordResult::Conflict);
 }
 
 // A proposal that lost against another version may be proposed again on top of the winner, with the same content.
 TEST_CASE("the same content can be proposed again with another replaced version")
 {
     Log log;
-    CHECK(log.append(operators.proposal(content(9), reference(9, 0), "alice")) == RecordResult::Proposed);
+    CHECK(log.append(Team.proposal(content(9), reference(9, 0), "alice")) == RecordResult::Proposed);
     log.accept(1, 0);
     log.accept(9, 1);
     CHECK(log.version() == 9);
@@ -141,14 +140,13 @@
     const auto what = reference(1, 0);
     const Operators strangers({"mallory"});
     CHECK(log.append(strangers.proposal(content(1), what, "mallory")) == RecordResult::Untrusted);
-    CHECK(log.append(operators.record(Proposal{what, content(1), "alice", {}}, "bob")) == RecordResult::Untrusted);
-    CHECK(log.append(operators.proposal(content(1, 7), what, "alice")) == RecordResult::Malformed);
+    CHECK(log.append(Team.record(Proposal{what, content(1), "alice", {}}, "bob")) == RecordResult::Untrusted);
+    CHECK(log.append(Team.proposal(content(1, 7), what, "alice")) == RecordResult::Malformed);
     auto wrong = reference(2, 0);
     wrong.digest = contentDigest(content(1));
-    CHECK(log.append(operators.proposal(content(1), wrong, "alice")) == RecordResult::Malformed);
+    CHECK(log.append(Team.proposal(content(1), wrong, "alice")) == RecordResult::Malformed);
     const std::string broken = "[bundle]\n";
-    CHECK(log.append(operators.proposal(broken, {"n", 1, 0, contentDigest(broken)}, "alice"))
-          == RecordResult::Malformed);
+    CHECK(log.append(Team.proposal(broken, {"n", 1, 0, contentDigest(broken)}, "alice")) == RecordResult::Malformed);
     CHECK(log.append("garbage") == RecordResult::Malformed);
     CHECK(log.history.pending().empty());
     for (const auto &entry : log.history.entries()) {
@@ -166,7 +164,7 @@
     const auto proof = log.history.inForce().at("n");
 
     const auto refused = [&proof](const auto &change) {
-        History fresh(operators.trusted());
+        History fresh(Team.trusted());
         auto copy = proof;
         change(copy);
         return !fresh.adopt(copy) && fresh.inForce().empty();
@@ -187,13 +185,13 @@
         version.records[1] = version.records[2];
     }));
     CHECK(refused([](auto &version) {
-        version.records[1] = operators.signOff(version.reference, "alice");
+        version.records[1] = Team.signOff(version.reference, "alice");
     }));
     CHECK(refused([](auto &version) {
-        version.records[2] = operators.record(RollOut{version.reference, "carol", {}}, "bob");
+        version.records[2] = Team.record(RollOut{version.reference, "carol", {}}, "bob");
     }));
 
-    History fresh(operators.trusted());
+    History fresh(Team.trusted());
     CHECK(fresh.adopt(proof));
     CHECK_FALSE(fresh.adopt(old));
     CHECK_FALSE(fresh.adopt(proof));
@@ -232,9 +230,9 @@
     static const std::vector<std::string> names = {"alice", "bob", "carol"};
     const auto what = reference(step.versions.first, step.versions.second, step.variant);
     const auto &name = names[step.person];
-    return step.kind == 0   ? operators.proposal(content(step.versions.first, step.variant), what, name)
-           : step.kind == 1 ? operators.signOff(what, name)
-                            : operators.rollOut(what, name);
+    return step.kind == 0   ? Team.proposal(content(step.versions.first, step.variant), what, name)
+           : step.kind == 1 ? Team.signOff(what, name)
+                            : Team.rollOut(what, name);
 }
 
 /// Records in which proposals, sign-offs and roll-outs of few versions meet in random order.
--- a/test/bundle/parsertest.cpp
+++ b/test/bundle/parsertest.cpp
@@ -29,8 +29,8 @@
     return text.str();
 }
 
-const std::string header = "[bundle]\nname = \"n\"\nversion = 1\n";
-const std::string route = "[[routes]]\nservice = \"s\"\nidempotent = true\n";
+const std::string Header = "[bundle]\nname = \"n\"\nversion = 1\n";
+const std::string RouteToml = "[[routes]]\nservice = \"s\"\nidempotent = true\n";
 
 std::string mistakesOf(const std::string &toml)
 {
@@ -44,7 +44,7 @@
 
 std::string mistakesOfService(const std::string &keys, const std::string &tail = {})
 {
-    return mistakesOf(header + "[services.s]\n" + keys + "\n" + upstream("s", 1) + tail + route);
+    return mistakesOf(Header + "[services.s]\n" + keys + "\n" + upstream("s", 1) + tail + RouteToml);
 }
 
 } // namespace
@@ -73,14 +73,14 @@
 TEST_CASE("every key of a service reaches the bundle")
 {
     const auto bundle
-        = parseBundle(header
+        = parseBundle(Header
                       + "[services.s]\nfloor_percent = 55.5\nqueue_limit = 7\n"
                         "hold_back_bytes = \"1 KiB\"\nreplay_bytes = 9\nechoes_attempt_id = false\n"
                         "timeouts = { connect = \"1 ms\", first_byte = \"2 ms\", total = \"3 ms\" }\n"
                         "budgets = { retry_percent = 1, hedge_percent = 2 }\n"
                         "detection = { samples_between_false_alarms = 50, failure_rate = 0.5, "
                         "slow_factor = 6 }\n"
-                      + upstream("s", 1) + "slots = 3\nconnection_limit = 4\n" + route
+                      + upstream("s", 1) + "slots = 3\nconnection_limit = 4\n" + RouteToml
                       + "host = \"h.example\"\nmethod = \"GET\"\npath_prefix = \"/p\"\npriority = \"low\"\n"
                         "[[caller_limits]]\ncaller = \"c\"\nrequests_per_second = 5\nburst = 6\n");
     Service service;
@@ -142,7 +142,7 @@
 TEST_CASE("a shorter total timeout shortens the other defaults")
 {
     const auto bundle
-        = parseBundle(header + "[services.s]\ntimeouts = { total = \"100 ms\" }\n" + upstream("s", 1) + route);
+        = parseBundle(Header + "[services.s]\ntimeouts = { total = \"100 ms\" }\n" + upstream("s", 1) + RouteToml);
     CHECK(bundle.services[0].timeouts == Timeouts{.connect = 100ms, .firstByte = 100ms, .total = 100ms});
 }
 
@@ -154,7 +154,7 @@
                    && Catch::Contains("127.0.0.1:1001 is already the endpoint of upstream s/u1"));
     CHECK_THAT(mistakesOfService("", "[services.t]\n" + upstream("t", 1)),
                Catch::Contains("services.t.upstreams[0].endpoint: 127.0.0.1:1001 is already"));
-    CHECK_THAT(mistakesOfService("", route), Catch::Contains("routes[1]: another route has the same host"));
+    CHECK_THAT(mistakesOfService("", RouteToml), Catch::Contains("routes[1]: another route has the same host"));
     const std::string limit = "[[caller_limits]]\ncaller = \"c\"\nrequests_per_second = 1\n";
     CHECK_THAT(mistakesOfService("", limit + limit),
                Catch::Contains("caller_limits[1].caller: 'c' has a limit already"));
@@ -169,7 +169,8 @@
     CHECK(mistakesOfService("floor_percent = 50", upstream("s", 2)).empty());
     CHECK(mistakesOfService("floor_percent = 100", upstream("s", 2)).empty());
     CHECK(mistakesOfService("floor_percent = 99").empty());
-    CHECK_THAT(mistakesOf(header + "[services.s]\nupstreams = []\n" + route), Catch::Contains("at least one upstream"));
+    CHECK_THAT(mistakesOf(Header + "[services.s]\nupstreams = []\n" + RouteToml),
+               Catch::Contains("at least one upstream"));
 }
 
 TEST_CASE("a route that no request could match is refused")
@@ -181,13 +182,13 @@
         {"path_prefix = \"/a?b\"", "is not a path"},
         {"priority = \"urgent\"", "'urgent' is not one of: high, normal, low"},
     }));
-    CHECK_THAT(mistakesOf(header + upstream("s", 1) + route + key + "\n"), Catch::Contains(expected));
+    CHECK_THAT(mistakesOf(Header + upstream("s", 1) + RouteToml + key + "\n"), Catch::Contains(expected));
 }
 
 // Guards against a parser that is quadratic in upstreams: an agent parses bundles while it handles heartbeats.
 TEST_CASE("200 services with 2000 upstreams parse in less than a second")
 {
-    std::string text = header;
+    std::string text = Header;
     for (unsigned number = 0; number < 2000; ++number) {
         text += upstream("s" + std::to_string(number / 10), number);
     }
--- a/test/integration/ctltest.cpp
+++ b/test/integration/ctltest.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-const std::filesystem::path ctl = std::filesystem::path(PROGRAM_DIR) / "verbenadock-ctl";
-const std::string sample = std::string(SAMPLES_DIR) + "/moka.toml";
+const std::filesystem::path Ctl = std::filesystem::path(PROGRAM_DIR) / "verbenadock-ctl";
+const std::string Sample = std::string(SAMPLES_DIR) + "/moka.toml";
 
 struct Answer
 {
@@ -38,9 +38,13 @@
     {
         std::string table;
         for (const std::string name : {"a", "b"}) {
-            auto key = runToEnd(ctl, {"keygen", this->file(name + ".pem")});
+            auto key = runToEnd(Ctl, {"keygen", this->file(name + ".pem")});
             key.pop_back();
-            table += "[[operators]]\nname = \"" + name + "\"\npublic_key = \"" + key + "\"\n";
+            table.append("[[operators]]\nname = \"")
+                .append(name)
+                .append("\"\npublic_key = \"")
+                .append(key)
+                .append("\"\n");
         }
         for (const std::string name : {"a", "b"}) {
             std::ofstream(this->file(name + ".toml"))
@@ -63,7 +67,7 @@
     {
         arguments.insert(arguments.begin(), {"--config", this->file(name + ".toml")});
         const auto output = this->directory.path() / ("output" + std::to_string(this->runs++));
-        Process process(ctl, arguments, output);
+        Process process(Ctl, arguments, output);
         Answer answer{.status = process.waitForExit(std::chrono::seconds(30)).value_or(-1), .text = {}};
         std::ifstream stream(output);
         answer.text.assign(std::istreambuf_iterator<char>(stream), {});
@@ -95,12 +99,12 @@
 {
     Operators operators;
     CHECK(operators.status("a", {"roll-out", "moka", "1"}) == 3);
-    CHECK(operators.status("a", {"propose", sample}) == 0);
+    CHECK(operators.status("a", {"propose", Sample}) == 0);
     CHECK(operators.status("a", {"sign-off", "moka", "1"}) == 3);
     CHECK(operators.status("b", {"roll-out", "moka", "1"}) == 3);
     CHECK(operators.status("b", {"sign-off", "moka", "1"}) == 0);
     CHECK(operators.status("b", {"roll-out", "moka", "1"}) == 0);
-    CHECK(operators.status("b", {"propose", sample}) == 3);
+    CHECK(operators.status("b", {"propose", Sample}) == 3);
     CHECK(operators.status("a", {"diff", "moka", "7"}) == 2);
     CHECK(operators.status("a", {"diff", "moka"}) == 1);
     const auto waited = operators.run("b", {"roll-out", "moka", "1", "--wait", "--wait-seconds", "1"});
@@ -114,7 +118,7 @@
 {
     Operators operators;
     postJson(operators.control, "/set", {{"loseAppendAnswers", 1}});
-    CHECK(operators.status("a", {"propose", sample}) == 0);
+    CHECK(operators.status("a", {"propose", Sample}) == 0);
     CHECK(getJson(operators.control, "/state")["streams"]["configuration"]["next"] == 1);
     const auto history = Json::parse(operators.run("a", {"--json", "history"}).text);
     REQUIRE(history["entries"].size() == 1);
@@ -126,7 +130,7 @@
     Operators operators;
     const auto outage = GENERATE(as<std::string>(), "error", "refuse");
     postJson(operators.control, "/set", {{"outage", outage}});
-    const auto answer = operators.run("a", {"propose", sample});
+    const auto answer = operators.run("a", {"propose", Sample});
     INFO(answer.text);
     CHECK(answer.status == 4);
     CHECK_THAT(answer.text, Catch::Contains("nothing can be accepted while the log is unavailable"));
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -23,7 +23,7 @@
     return readFile(std::string(SAMPLES_DIR) + "/" + name);
 }
 
-const std::string validEntry = "[process]\nvm_id = \"a\"\ndata_centre = \"b\"\n"
+const std::string ValidEntry = "[process]\nvm_id = \"a\"\ndata_centre = \"b\"\n"
                                "[callers]\nlisten = \"127.0.0.1:1\"\n[agent]\nendpoint = \"127.0.0.1:2\"\n";
 
 } // namespace
@@ -76,7 +76,7 @@
 
 TEST_CASE("durations and sizes are read in every unit")
 {
-    const auto settings = parseEntrySettings(validEntry
+    const auto settings = parseEntrySettings(ValidEntry
                                              + "[limits]\nheader_timeout = \"1500 us\"\n"
                                                "caller_idle_timeout = \"2 h\"\nmax_header_bytes = 2048\n"
                                                "max_body_bytes = \"3 GiB\"\n[shutdown]\nlimit = \"5 min\"\n");
@@ -100,7 +100,7 @@
                                     "\"25 h\"",
                                     "\"\"",
                                     "true"}) {
-        auto toml = validEntry + "[limits]\nheader_timeout = ";
+        auto toml = ValidEntry + "[limits]\nheader_timeout = ";
         toml += value + "\n";
         const auto text = mistakesOf(toml);
         INFO("value " << value << ": " << text);
