--- a/src/ctl/changes.cpp
+++ b/src/ctl/changes.cpp
@@ -14,7 +14,7 @@
 using Bundles::RecordResult;
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds waitInterval(200);
+constexpr std::chrono::milliseconds WaitInterval(200);
 constexpr std::size_t ShownDigits = 12;
 
 std::string describe(const Bundles::VersionReference &reference)
@@ -57,7 +57,7 @@
                              const Bundles::Record &record)
 {
     const auto key = readPrivateKey(settings);
-    const auto entry = log.append(
+    auto entry = log.append(
         Bundles::encodeRecord(Bundles::withSignature(record, Bundles::sign(key, Bundles::signedText(record)))));
     const bool stands = entry.result == RecordResult::Proposed || entry.result == RecordResult::SignedOff
                         || entry.result == RecordResult::InForce || entry.result == RecordResult::Repeated;
@@ -130,7 +130,7 @@
     const auto deadline = start + std::chrono::seconds(waitSeconds);
     auto missing = laggards(askFleet(settings), reference);
     while (!missing.empty() && std::chrono::steady_clock::now() < deadline) {
-        std::this_thread::sleep_for(waitInterval);
+        std::this_thread::sleep_for(WaitInterval);
         missing = laggards(askFleet(settings), reference);
     }
     const auto elapsed
@@ -166,7 +166,7 @@
     }
     const Bundles::VersionReference reference{
         .name = bundle.name, .version = bundle.version, .replaces = current, .digest = Bundles::contentDigest(content)};
-    const auto entry
+    auto entry
         = submit(log,
                  settings,
                  Bundles::Proposal{
@@ -188,7 +188,7 @@
                        "you have proposed " + describe(proposal.reference)
                            + " yourself\nnext: ask another operator to sign it off");
     }
-    const auto entry
+    auto entry
         = submit(log,
                  settings,
                  Bundles::SignOff{.reference = proposal.reference, .signer = settings.operatorName, .signature = {}});
@@ -217,7 +217,7 @@
                                + pending.proposal.author + " to run `verbenadock-ctl sign-off " + selection.name + " "
                                + std::to_string(selection.version) + "`");
         }
-        const auto entry
+        auto entry
             = submit(log,
                      settings,
                      Bundles::RollOut{.reference = reference, .initiator = settings.operatorName, .signature = {}});
--- a/src/toml/tablereader.cpp
+++ b/src/toml/tablereader.cpp
@@ -288,14 +288,14 @@
 
 TableReader TableReader::readTable(std::string_view key, Presence presence)
 {
-    static const Value empty{.line = 0, .content = Table{}};
+    static const Value Empty{.line = 0, .content = Table{}};
     const auto *value = this->take(key, presence);
     if (value != nullptr && !std::holds_alternative<Table>(value->content)) {
         this->report(key, wrongType("a table", *value));
         value = nullptr;
     }
     const auto *member = value == nullptr ? nullptr : this->find(key);
-    return {value == nullptr ? empty : *value,
+    return {value == nullptr ? Empty : *value,
             this->keyPath(key),
             std::string(key),
             member == nullptr ? this->line : member->line,
