--- /dev/null
+++ b/src/keys/uuid.h
@@ -0,0 +1,16 @@
+#ifndef VERBENADOCK_KEYS_UUID_H
+#define VERBENADOCK_KEYS_UUID_H
+
+#include "verbenadock/keys/epoch.h"
+
+#include <optional>
+#include <string_view>
+
+namespace Verbenadock::Keys::Internal {
+
+/// The time in a UUID of version 7 (RFC 9562), or nothing when the text is not one.
+std::optional<WallTime> uuidTime(std::string_view text);
+
+} // namespace Verbenadock::Keys::Internal
+
+#endif
