--- a/src/keys/engine.cpp
+++ b/src/keys/engine.cpp
@@ -1,7 +1,6 @@
 #include "engine.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Verbenadock::Keys::Internal {
 
--- a/src/keys/ownership.cpp
+++ b/src/keys/ownership.cpp
@@ -115,10 +115,9 @@
     if (epoch == nullptr) {
         return nullptr;
     }
-    const auto found
-        = std::find_if(epoch->members.begin(), epoch->members.end(), [&](const EpochMember &candidate) {
-              return candidate.vm == member.vm && candidate.incarnation == member.incarnation;
-          });
+    const auto found = std::find_if(epoch->members.begin(), epoch->members.end(), [&](const EpochMember &candidate) {
+        return candidate.vm == member.vm && candidate.incarnation == member.incarnation;
+    });
     return found == epoch->members.end() ? nullptr : &*found;
 }
 
@@ -163,8 +162,7 @@
         const auto last = std::find_if(this->epochs.rbegin(), this->epochs.rend(), [&](const auto &entry) {
             return entry.second.known.epoch.contains(current);
         });
-        const auto *heir
-            = last == this->epochs.rend() ? nullptr : heirOf(last->second.known.epoch, current.vm, key);
+        const auto *heir = last == this->epochs.rend() ? nullptr : heirOf(last->second.known.epoch, current.vm, key);
         if (heir == nullptr) {
             return std::nullopt;
         }
--- a/test/keys/network.h
+++ b/test/keys/network.h
@@ -56,11 +56,7 @@
 /// One run of the work behind a key, as the upstream sees it.
 struct Run
 {
-    enum class State {
-        Running,
-        Ran,
-        NotRun
-    };
+    enum class State { Running, Ran, NotRun };
     RequestId request = 0;
     State state = State::Running;
     TimePoint endedAt{};
--- a/test/keys/networkfaults.cpp
+++ b/test/keys/networkfaults.cpp
@@ -43,8 +43,8 @@
     } else if (process != nullptr && fault == 2) {
         this->feed(*process, StopRequested{.at = this->now});
     } else if (fault == 3) {
-        this->cuts.insert({"vm" + std::to_string(this->choose(this->vmCount)),
-                           "vm" + std::to_string(this->choose(this->vmCount))});
+        this->cuts.insert(
+            {"vm" + std::to_string(this->choose(this->vmCount)), "vm" + std::to_string(this->choose(this->vmCount))});
     } else {
         this->cuts.clear();
         for (auto &other : this->processes) {
@@ -127,7 +127,7 @@
     }
     ended->endedAt = this->now;
     const auto kind = this->choose(10);
-    const auto result = kind < 6 ? ExecutionResult::Answered
+    const auto result = kind < 6   ? ExecutionResult::Answered
                         : kind < 8 ? ExecutionResult::NotRun
                                    : ExecutionResult::Unknown;
     ended->state = result == ExecutionResult::NotRun ? Run::State::NotRun : Run::State::Ran;
@@ -181,8 +181,7 @@
     }
     const auto count = 1 + this->choose(this->log.size() - process->epochsRead);
     for (std::size_t read = 0; read < count; ++read) {
-        process->known.push_back(
-            {.epoch = this->log[process->epochsRead++], .knownBy = this->wall(process->id.vm)});
+        process->known.push_back({.epoch = this->log[process->epochsRead++], .knownBy = this->wall(process->id.vm)});
     }
     this->feed(*process, EpochsChanged{.at = this->now, .epochs = process->known});
     if (auto *peer = this->randomLive(); peer != nullptr && peer != process) {
@@ -206,8 +205,9 @@
 
 void Network::restart()
 {
-    const auto name = "vm" + std::to_string(this->processes.size() < this->vmCount ? this->processes.size()
-                                                                                   : this->choose(this->vmCount));
+    const auto name = "vm"
+                      + std::to_string(this->processes.size() < this->vmCount ? this->processes.size()
+                                                                              : this->choose(this->vmCount));
     std::uint64_t incarnation = 1;
     for (const auto &process : this->processes) {
         if (process.id.vm == name) {
