--- a/src/keys/handover.cpp
+++ b/src/keys/handover.cpp
@@ -30,7 +30,7 @@
     if (this->stopping) {
         return;
     }
-    this->stopping.emplace();
+    this->stopping = Stopping{};
     std::vector<RequestId> waiting;
     for (const auto &[id, key] : std::map(this->questions)) {
         const auto some = this->abortAsking(*this->table.find(key));
