Add the agent's reducer and program

The reducer folds the log, exchanges bundles with peers by digests, follows the VM list and pools evidence at two collectors per service, which act only on what two observers support. A periodic digest is one hash; lists follow only when the hashes differ, so a quiet fleet pays a few bytes per neighbour and second.

--- /dev/null
+++ b/include/verbenadock/control/agentevent.h
@@ -0,0 +1,210 @@
+#ifndef VERBENADOCK_CONTROL_AGENTEVENT_H
+#define VERBENADOCK_CONTROL_AGENTEVENT_H
+
+#include "verbenadock/control/message.h"
+#include "verbenadock/membership/member.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Verbenadock::Control {
+
+struct ReadRecord
+{
+    std::uint64_t offset = 0;
+    std::string data;
+
+    auto operator<=>(const ReadRecord &) const = default;
+};
+
+/// The answer to ReadLog.
+struct LogRecordsRead
+{
+    TimePoint at;
+    /// Oldest offset that the log still has.
+    std::uint64_t first = 0;
+    /// Offset that the next record will get.
+    std::uint64_t next = 0;
+    std::vector<ReadRecord> records;
+
+    auto operator<=>(const LogRecordsRead &) const = default;
+};
+
+/// ReadLog failed.
+struct LogUnavailable
+{
+    TimePoint at;
+
+    auto operator<=>(const LogUnavailable &) const = default;
+};
+
+struct VmListRead
+{
+    TimePoint at;
+    /// The VMs that run an agent.
+    std::vector<Membership::Identity> members;
+    /// Addresses of the upstreams that leave.
+    std::vector<std::string> leavingUpstreams;
+
+    auto operator<=>(const VmListRead &) const = default;
+};
+
+/// A peer introduced itself on a new stream.
+struct PeerConnected
+{
+    TimePoint at;
+    Hello hello;
+    std::string address;
+
+    auto operator<=>(const PeerConnected &) const = default;
+};
+
+struct PeerMessageReceived
+{
+    TimePoint at;
+    std::string peer;
+    Message message;
+
+    auto operator<=>(const PeerMessageReceived &) const = default;
+};
+
+/// No stream to the peer is left.
+struct PeerDisconnected
+{
+    TimePoint at;
+    std::string peer;
+
+    auto operator<=>(const PeerDisconnected &) const = default;
+};
+
+struct EntryConnected
+{
+    TimePoint at;
+
+    auto operator<=>(const EntryConnected &) const = default;
+};
+
+struct EntryDisconnected
+{
+    TimePoint at;
+
+    auto operator<=>(const EntryDisconnected &) const = default;
+};
+
+/// The entry of this VM reported outcomes.
+struct EvidenceReceived
+{
+    TimePoint at;
+    EvidenceReport report;
+
+    auto operator<=>(const EvidenceReceived &) const = default;
+};
+
+/// The time that AgentReducer::nextDeadline() returned has come.
+struct AgentTimerExpired
+{
+    TimePoint at;
+
+    auto operator<=>(const AgentTimerExpired &) const = default;
+};
+
+using AgentEvent = std::variant<LogRecordsRead,
+                                LogUnavailable,
+                                VmListRead,
+                                PeerConnected,
+                                PeerMessageReceived,
+                                PeerDisconnected,
+                                EntryConnected,
+                                EntryDisconnected,
+                                EvidenceReceived,
+                                AgentTimerExpired>;
+
+/// Sends a message on any stream to the peer. ConnectPeer comes before it unless the peer has connected by itself.
+struct SendToPeer
+{
+    std::string peer;
+    Message message;
+
+    auto operator<=>(const SendToPeer &) const = default;
+};
+
+struct ConnectPeer
+{
+    std::string peer;
+    std::string address;
+
+    auto operator<=>(const ConnectPeer &) const = default;
+};
+
+/// Closes all streams to the peer; no PeerDisconnected follows.
+struct DisconnectPeer
+{
+    std::string peer;
+
+    auto operator<=>(const DisconnectPeer &) const = default;
+};
+
+struct SendToEntry
+{
+    Message message;
+
+    auto operator<=>(const SendToEntry &) const = default;
+};
+
+/// Reads the configuration stream; LogRecordsRead or LogUnavailable answers.
+struct ReadLog
+{
+    std::uint64_t from = 0;
+    std::size_t limit = 0;
+
+    auto operator<=>(const ReadLog &) const = default;
+};
+
+struct BundleChanged
+{
+    BundleDigest bundle;
+    /// The peer that it came from; empty for the log.
+    std::string source;
+
+    auto operator<=>(const BundleChanged &) const = default;
+};
+
+struct LogAvailabilityChanged
+{
+    bool available = false;
+
+    auto operator<=>(const LogAvailabilityChanged &) const = default;
+};
+
+struct MemberStateChanged
+{
+    Membership::Update update;
+
+    auto operator<=>(const MemberStateChanged &) const = default;
+};
+
+struct VerdictChanged
+{
+    UpstreamKey upstream;
+    bool sick = false;
+
+    auto operator<=>(const VerdictChanged &) const = default;
+};
+
+using AgentStateChange = std::variant<BundleChanged, LogAvailabilityChanged, MemberStateChanged, VerdictChanged>;
+
+/// The host writes one log line.
+struct ReportAgentChange
+{
+    AgentStateChange change;
+
+    auto operator<=>(const ReportAgentChange &) const = default;
+};
+
+using AgentEffect = std::variant<SendToPeer, ConnectPeer, DisconnectPeer, SendToEntry, ReadLog, ReportAgentChange>;
+using AgentEffects = std::vector<AgentEffect>;
+
+} // namespace Verbenadock::Control
+
+#endif
--- /dev/null
+++ b/src/control/agentstate.h
@@ -0,0 +1,57 @@
+#ifndef VERBENADOCK_CONTROL_AGENTSTATE_H
+#define VERBENADOCK_CONTROL_AGENTSTATE_H
+
+#include "bundlesync.h"
+#include "evidencepool.h"
+#include "verdicttable.h"
+
+namespace Verbenadock::Control {
+
+struct AgentReducer::State
+{
+    State(AgentReducerSettings newSettings, TimePoint now);
+
+    void handle(const LogRecordsRead &event);
+    void handle(const LogUnavailable &event);
+    void handle(const VmListRead &event);
+    void handle(const PeerConnected &event);
+    void handle(const PeerMessageReceived &event);
+    void handle(const PeerDisconnected &event);
+    void handle(const EntryConnected &event);
+    void handle(const EntryDisconnected &event);
+    void handle(const EvidenceReceived &event);
+    void handle(const AgentTimerExpired &event);
+
+    void receive(TimePoint now, const std::string &peer, const HealthVerdicts &message);
+    void bundlesChanged(const std::vector<std::string> &names);
+    void sendToEntry(Message message);
+    void sendConfiguration(const std::vector<std::string> &names);
+    void judgeEvidence(TimePoint now);
+    void publish(TimePoint now, HealthVerdicts message);
+    void refreshVerdicts(TimePoint now);
+    void reportVerdicts(const std::vector<UpstreamVerdict> &changes);
+    void flood(const HealthVerdicts &message, const std::string &from);
+    void carryOut(const Membership::Effects &effects);
+    void dropIdlePeers(TimePoint now);
+    AgentEffects withConnections(TimePoint now);
+
+    AgentReducerSettings settings;
+    AgentCounters counters;
+    Membership::Detector membership;
+    internal::BundleSync bundles;
+    internal::EvidencePool pool;
+    internal::VerdictTable verdicts;
+    /// Peers with a stream, and when it was last used for sending.
+    std::map<std::string, TimePoint> streams;
+    std::vector<std::string> leaving;
+    std::uint64_t lastSequence;
+    TimePoint nextRefresh;
+    TimePoint nextCleanup;
+    bool publishedSick = false;
+    bool entryConnected = false;
+    AgentEffects effects;
+};
+
+} // namespace Verbenadock::Control
+
+#endif
--- /dev/null
+++ b/src/control/bundlesync.cpp
@@ -0,0 +1,252 @@
+#include "bundlesync.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Verbenadock::Control::internal {
+
+namespace {
+
+constexpr std::size_t ReadLimit = 500;
+constexpr Duration DigestInterval = std::chrono::seconds(1);
+constexpr Duration LongestPollDelay = std::chrono::seconds(5);
+constexpr Duration RequestInterval = std::chrono::milliseconds(500);
+constexpr Duration AnswerInterval = std::chrono::milliseconds(500);
+
+BundleInForce toMessage(const Bundles::AcceptedVersion &version)
+{
+    return {.name = version.reference.name,
+            .version = version.reference.version,
+            .digest = version.reference.digest,
+            .content = version.content,
+            .records = version.records,
+            .offset = version.offset,
+            .replaces = version.reference.replaces};
+}
+
+Bundles::AcceptedVersion toAccepted(const BundleInForce &bundle)
+{
+    return {.reference
+            = {.name = bundle.name, .version = bundle.version, .replaces = bundle.replaces, .digest = bundle.digest},
+            .content = bundle.content,
+            .records = bundle.records,
+            .offset = bundle.offset};
+}
+
+BundleDigest toDigest(const Bundles::AcceptedVersion &version)
+{
+    return {.name = version.reference.name,
+            .version = version.reference.version,
+            .digest = version.reference.digest,
+            .offset = version.offset};
+}
+
+} // namespace
+
+BundleSync::BundleSync(const AgentReducerSettings &settings, AgentCounters &agentCounters, TimePoint now)
+    : history(settings.operators)
+    , counters(agentCounters)
+    , pollInterval(settings.logPollInterval)
+    , pollDelay(settings.logPollInterval)
+    , nextRead(now)
+    , nextDigest(now + DigestInterval)
+{
+}
+
+std::vector<std::string> BundleSync::handle(const LogRecordsRead &event, AgentEffects &effects)
+{
+    this->reading = false;
+    this->pollDelay = this->pollInterval;
+    this->setAvailable(true, effects);
+    this->logState.lastContact = event.at;
+    if (event.first > this->logState.nextOffset) {
+        // At the start it is usual that old records have expired; what they said comes from peers.
+        this->counters.retentionGaps += this->logState.nextOffset > 0 ? 1 : 0;
+        this->logState.nextOffset = event.first;
+    }
+    std::vector<std::string> changed;
+    for (const auto &record : event.records) {
+        if (record.offset < this->logState.nextOffset) {
+            continue;
+        }
+        const auto entry = this->history.apply(record.offset, record.data);
+        this->logState.nextOffset = record.offset + 1;
+        ++this->counters.records[std::string(Bundles::toString(entry.result))];
+        if (entry.result == Bundles::RecordResult::InForce) {
+            this->noteChange(event.at, entry.reference.name, {}, effects);
+            changed.push_back(entry.reference.name);
+        }
+    }
+    // An empty page before the end would otherwise be asked for again without a pause.
+    const bool more = this->logState.nextOffset < event.next && !event.records.empty();
+    this->logState.readToEnd = this->logState.readToEnd || !more;
+    this->nextRead = more ? event.at : event.at + this->pollInterval;
+    return changed;
+}
+
+void BundleSync::handle(const LogUnavailable &event, AgentEffects &effects)
+{
+    this->reading = false;
+    this->setAvailable(false, effects);
+    this->nextRead = event.at + this->pollDelay;
+    this->pollDelay = std::min(this->pollDelay * 2, LongestPollDelay);
+}
+
+void BundleSync::setAvailable(bool available, AgentEffects &effects)
+{
+    if (!this->availabilityKnown || this->logState.available != available) {
+        effects.emplace_back(ReportAgentChange{LogAvailabilityChanged{available}});
+    }
+    this->availabilityKnown = true;
+    this->logState.available = available;
+}
+
+void BundleSync::handle(TimePoint now,
+                        const std::string &from,
+                        const ConfigurationDigest &digest,
+                        AgentEffects &effects)
+{
+    const auto &own = this->history.inForce();
+    std::vector<std::string> behind;
+    std::vector<std::string> ahead;
+    std::size_t known = 0;
+    for (const auto &theirs : digest.bundles) {
+        const auto mine = own.find(theirs.name);
+        known += mine != own.end() ? 1 : 0;
+        const std::uint64_t version = mine != own.end() ? mine->second.reference.version : 0;
+        if (version < theirs.version) {
+            auto &last = this->requested[theirs.name];
+            if (now - last >= RequestInterval) {
+                last = now;
+                behind.push_back(theirs.name);
+            }
+        } else if (version > theirs.version) {
+            ahead.push_back(theirs.name);
+        }
+    }
+    if (digest.complete && known < own.size()) {
+        for (const auto &[name, version] : own) {
+            const bool listed = std::any_of(digest.bundles.begin(), digest.bundles.end(), [&](const auto &theirs) {
+                return theirs.name == name;
+            });
+            if (!listed) {
+                ahead.push_back(name);
+            }
+        }
+    }
+    if (!behind.empty()) {
+        effects.emplace_back(SendToPeer{from, BundleRequest{std::move(behind)}});
+    }
+    if (!ahead.empty()) {
+        // Names only versions that the peer lacks, so that the peer has no reason to answer with a digest again.
+        effects.emplace_back(SendToPeer{from, this->digest(ahead, false)});
+    }
+    const bool onlySummary = digest.bundles.empty() && !digest.complete;
+    if (onlySummary && digest.summary != this->summary() && now - this->answered[from] >= AnswerInterval) {
+        this->answered[from] = now;
+        effects.emplace_back(SendToPeer{from, this->digest({}, true)});
+    }
+}
+
+void BundleSync::handle(const std::string &from, const BundleRequest &request, AgentEffects &effects) const
+{
+    if (request.names.empty()) {
+        return;
+    }
+    // One message each, since the size of a message is limited.
+    for (auto &bundle : this->bundles(request.names)) {
+        effects.emplace_back(SendToPeer{from, BundleTransfer{{std::move(bundle)}}});
+    }
+}
+
+std::vector<std::string> BundleSync::handle(TimePoint now,
+                                            const std::string &from,
+                                            const BundleTransfer &transfer,
+                                            AgentEffects &effects)
+{
+    std::vector<std::string> changed;
+    for (const auto &bundle : transfer.bundles) {
+        if (!this->history.adopt(toAccepted(bundle))) {
+            ++this->counters.refusedTransfers;
+            continue;
+        }
+        ++this->counters.adoptedTransfers;
+        this->noteChange(now, bundle.name, from, effects);
+        changed.push_back(bundle.name);
+    }
+    return changed;
+}
+
+void BundleSync::noteChange(TimePoint now, const std::string &name, const std::string &source, AgentEffects &effects)
+{
+    this->since[name] = now;
+    this->requested.erase(name);
+    const auto &version = this->history.inForce().at(name);
+    effects.emplace_back(ReportAgentChange{BundleChanged{.bundle = toDigest(version), .source = source}});
+}
+
+void BundleSync::expire(TimePoint now, const std::vector<std::string> &peers, AgentEffects &effects)
+{
+    if (!this->reading && this->nextRead <= now) {
+        this->reading = true;
+        effects.emplace_back(ReadLog{.from = this->logState.nextOffset, .limit = ReadLimit});
+    }
+    if (this->nextDigest <= now) {
+        this->nextDigest = now + DigestInterval;
+        std::erase_if(this->answered, [&](const auto &item) {
+            return now - item.second >= AnswerInterval;
+        });
+        for (const auto &peer : peers) {
+            effects.emplace_back(SendToPeer{peer, ConfigurationDigest{this->summary(), false, {}}});
+        }
+    }
+}
+
+TimePoint BundleSync::nextDeadline() const
+{
+    return this->reading ? this->nextDigest : std::min(this->nextDigest, this->nextRead);
+}
+
+std::vector<BundleInForce> BundleSync::bundles(const std::vector<std::string> &names) const
+{
+    std::vector<BundleInForce> found;
+    for (const auto &[name, version] : this->history.inForce()) {
+        if (names.empty() || std::find(names.begin(), names.end(), name) != names.end()) {
+            found.push_back(toMessage(version));
+        }
+    }
+    return found;
+}
+
+ConfigurationDigest BundleSync::digest(const std::vector<std::string> &names, bool complete) const
+{
+    ConfigurationDigest digest{this->summary(), complete, {}};
+    for (const auto &[name, version] : this->history.inForce()) {
+        if (complete || std::find(names.begin(), names.end(), name) != names.end()) {
+            digest.bundles.push_back(toDigest(version));
+        }
+    }
+    return digest;
+}
+
+std::uint64_t BundleSync::summary() const
+{
+    std::string text;
+    for (const auto &[name, version] : this->history.inForce()) {
+        text += name + ' ' + std::to_string(version.reference.version) + ' ' + version.reference.digest + '\n';
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
+const BundleSync::LogState &BundleSync::log() const
+{
+    return this->logState;
+}
+
+const std::map<std::string, TimePoint> &BundleSync::inForceSince() const
+{
+    return this->since;
+}
+
+} // namespace Verbenadock::Control::internal
