Name the agent's address in Hello and test the agent's reducer

A peer's address was taken from its connection, which is wrong behind a proxy, and would have replaced the right address of the VM list; Hello now names it, and an agent refuses to listen on an address that peers cannot use. The tests run several reducers on virtual time with real signatures: versions reach agents without the log within 400 ms, old and unproven versions are refused, reading continues after a retention gap and backs off while the log is down, and a verdict needs the evidence of two VMs and then reaches every entry.

--- a/include/verbenadock/control/agentevent.h
+++ b/include/verbenadock/control/agentevent.h
@@ -55,7 +55,6 @@
 {
     TimePoint at;
     Hello hello;
-    std::string address;
 
     auto operator<=>(const PeerConnected &) const = default;
 };
--- a/include/verbenadock/control/message.h
+++ b/include/verbenadock/control/message.h
@@ -40,6 +40,8 @@
     std::string dataCentre;
     /// Rises with each start of the process (milliseconds since 1970 at the start).
     std::uint64_t incarnation = 0;
+    /// Where other agents reach the sender; empty for an entry.
+    std::string address;
 
     auto operator<=>(const Hello &) const = default;
 };
--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -71,8 +71,8 @@
             this->makeHello(),
             this->peerTraffic,
             {.onHello =
-                 [this](const Control::Hello &hello, const std::string &address) {
-                     this->process(Control::PeerConnected{monotonicNow(), hello, address});
+                 [this](const Control::Hello &hello) {
+                     this->process(Control::PeerConnected{monotonicNow(), hello});
                  },
              .onMessage =
                  [this](const std::string &peer, Control::Message message) {
@@ -121,11 +121,16 @@
             .role = Control::PeerRole::Agent,
             .vmId = this->settings.process.vmId,
             .dataCentre = this->settings.process.dataCentre,
-            .incarnation = this->incarnation};
+            .incarnation = this->incarnation,
+            .address = this->settings.peerListen.address};
 }
 
 void Host::start()
 {
+    const auto &address = this->settings.peerListen.address;
+    if (address == "0.0.0.0" || address == "::") {
+        throw Net::NetError("peers.listen has to name the address at which other agents reach this VM, not " + address);
+    }
     asio::co_spawn(this->context, this->followVmList(), asio::detached);
     this->process(Control::AgentTimerExpired{monotonicNow()});
 }
--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -4,17 +4,6 @@
 
 namespace Verbenadock::Agent {
 
-namespace {
-
-// Streams leave from the address that other agents know, so that both directions of a VM look alike to a network.
-std::string localAddress(const Endpoint &listen)
-{
-    const bool any = listen.address == "0.0.0.0" || listen.address == "::";
-    return any ? std::string() : listen.address;
-}
-
-} // namespace
-
 Peers::Peers(boost::asio::io_context &ioContext,
              const Endpoint &listen,
              std::uint16_t peerPort,
@@ -26,7 +15,8 @@
     , ownHello(std::move(hello))
     , handlers(std::move(peerHandlers))
 {
-    this->options.localAddress = localAddress(listen);
+    // Streams leave from the address that other agents know, so that both directions of a VM look alike to a network.
+    this->options.localAddress = listen.address;
     this->options.counters = std::move(counters);
     this->server.emplace(
         ioContext,
@@ -115,7 +105,8 @@
 {
     const bool wrongPeer = !link->expected.empty() && hello.vmId != link->expected;
     const bool refused = wrongPeer || !link->peer.empty() || hello.vmId.empty() || hello.vmId == this->ownHello.vmId
-                         || hello.role != Control::PeerRole::Agent || hello.protocolVersion != Control::ProtocolVersion;
+                         || hello.address.empty() || hello.role != Control::PeerRole::Agent
+                         || hello.protocolVersion != Control::ProtocolVersion;
     if (refused) {
         ++this->totals.refusedHellos;
         this->close(link);
@@ -129,7 +120,7 @@
             this->close(previous);
         }
     }
-    this->handlers.onHello(hello, link->stream.remote().address);
+    this->handlers.onHello(hello);
 }
 
 void Peers::handleClosed(const LinkPointer &link)
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -26,7 +26,7 @@
 public:
     struct Handlers
     {
-        std::function<void(const Control::Hello &, const std::string &address)> onHello;
+        std::function<void(const Control::Hello &)> onHello;
         std::function<void(const std::string &peer, Control::Message)> onMessage;
         std::function<void(const std::string &peer)> onGone;
     };
--- a/src/control/agentreducer.cpp
+++ b/src/control/agentreducer.cpp
@@ -61,7 +61,7 @@
 {
     this->streams[event.hello.vmId] = event.at;
     const Membership::Identity identity{
-        .id = event.hello.vmId, .address = event.address, .dataCentre = event.hello.dataCentre};
+        .id = event.hello.vmId, .address = event.hello.address, .dataCentre = event.hello.dataCentre};
     this->carryOut(this->membership.introduce(event.at, identity, event.hello.incarnation));
     // A restarted VM has to get what is in force even when the log is unavailable, and at once.
     this->effects.emplace_back(SendToPeer{event.hello.vmId, this->bundles.digest({}, true)});
--- a/src/control/bundlesync.cpp
+++ b/src/control/bundlesync.cpp
@@ -126,12 +126,12 @@
         }
     }
     if (digest.complete && known < own.size()) {
-        for (const auto &[name, version] : own) {
+        for (const auto &mine : own) {
             const bool listed = std::any_of(digest.bundles.begin(), digest.bundles.end(), [&](const auto &theirs) {
-                return theirs.name == name;
+                return theirs.name == mine.first;
             });
             if (!listed) {
-                ahead.push_back(name);
+                ahead.push_back(mine.first);
             }
         }
     }
--- a/src/control/membershipmessages.cpp
+++ b/src/control/membershipmessages.cpp
@@ -25,6 +25,7 @@
 std::vector<MemberUpdate> fromUpdates(const std::vector<Membership::Update> &updates)
 {
     std::vector<MemberUpdate> converted;
+    converted.reserve(updates.size());
     for (const auto &update : updates) {
         converted.push_back(fromUpdate(update));
     }
@@ -34,6 +35,7 @@
 std::vector<Membership::Update> toUpdates(const std::vector<MemberUpdate> &updates)
 {
     std::vector<Membership::Update> converted;
+    converted.reserve(updates.size());
     for (const auto &update : updates) {
         converted.push_back(toUpdate(update));
     }
--- a/src/control/messagefields.h
+++ b/src/control/messagefields.h
@@ -27,6 +27,7 @@
     archive("m", value.vmId);
     archive("d", value.dataCentre);
     archive("i", value.incarnation);
+    archive("a", value.address);
 }
 
 void describe(auto &archive, Like<BundleInForce> auto &value)
--- a/src/net/messageframing.cpp
+++ b/src/net/messageframing.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstring>
 
 namespace Verbenadock::Net::internal {
 
@@ -76,7 +75,7 @@
     while (taken < size && !this->chunks.empty()) {
         const auto &chunk = this->chunks.front();
         const std::size_t part = std::min(size - taken, chunk.size() - this->offset);
-        std::memcpy(target + taken, chunk.data() + this->offset, part);
+        std::copy_n(chunk.data() + this->offset, part, target + taken);
         taken += part;
         this->offset += part;
         if (this->offset == chunk.size()) {
--- /dev/null
+++ b/test/control/agentreducertest.cpp
@@ -0,0 +1,281 @@
+#include "verbenadock/control/agentreducer.h"
+
+#include "bundle/operators.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Control;
+using namespace Verbenadock::Bundles::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Operators Team({"jana", "petr"});
+
+/// The three records that put a version in force.
+std::vector<std::string> acceptance(std::uint64_t version, std::uint64_t replaces)
+{
+    const auto named = reference(version, replaces);
+    return {Team.proposal(content(version), named, "jana"), Team.signOff(named, "petr"), Team.rollOut(named, "jana")};
+}
+
+/// Agents on virtual time whose messages arrive at once.
+class Fleet
+{
+public:
+    explicit Fleet(const std::vector<std::string> &ids)
+    {
+        VmListRead list{.at = this->now, .members = {}, .leavingUpstreams = {"127.0.0.8"}};
+        for (const auto &id : ids) {
+            AgentReducerSettings settings;
+            settings.vmId = id;
+            settings.address = id;
+            settings.incarnation = 1000;
+            settings.operators = Team.trusted();
+            this->agents.emplace(id, AgentReducer(settings, this->now));
+            list.members.push_back({.id = id, .address = id, .dataCentre = {}});
+        }
+        for (const auto &id : ids) {
+            this->apply(id, list);
+        }
+    }
+
+    void apply(const std::string &id, const AgentEvent &event)
+    {
+        this->events.emplace_back(id, event);
+        while (!this->events.empty()) {
+            const auto [target, next] = this->events.front();
+            this->events.pop_front();
+            for (const auto &effect : this->agents.at(target).apply(next)) {
+                this->carryOut(target, effect);
+            }
+        }
+    }
+
+    void run(Duration duration)
+    {
+        const auto end = this->now + duration;
+        while (this->now < end) {
+            this->now += 50ms;
+            for (auto &[id, agent] : this->agents) {
+                if (agent.nextDeadline() <= this->now) {
+                    this->apply(id, AgentTimerExpired{this->now});
+                }
+            }
+        }
+    }
+
+    void carryOut(const std::string &id, const AgentEffect &effect)
+    {
+        if (const auto *connect = std::get_if<ConnectPeer>(&effect)) {
+            this->events.emplace_back(connect->peer, PeerConnected{this->now, hello(id)});
+            this->events.emplace_back(id, PeerConnected{this->now, hello(connect->peer)});
+        } else if (const auto *send = std::get_if<SendToPeer>(&effect)) {
+            this->events.emplace_back(send->peer, PeerMessageReceived{this->now, id, send->message});
+        } else if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
+            this->entries[id].push_back(toEntry->message);
+        } else if (const auto *read = std::get_if<ReadLog>(&effect)) {
+            this->reads[id].push_back(*read);
+            this->answer(id, *read);
+        }
+    }
+
+    void answer(const std::string &id, const ReadLog &read)
+    {
+        if (this->withoutLog.contains(id)) {
+            this->events.emplace_back(id, LogUnavailable{this->now});
+            return;
+        }
+        LogRecordsRead page{.at = this->now, .first = this->first, .next = this->log.size(), .records = {}};
+        for (auto offset = std::max(read.from, this->first); offset < this->log.size(); ++offset) {
+            page.records.push_back({.offset = offset, .data = this->log[offset]});
+        }
+        this->events.emplace_back(id, page);
+    }
+
+    void append(const std::vector<std::string> &records)
+    {
+        this->log.insert(this->log.end(), records.begin(), records.end());
+    }
+
+    static Hello hello(const std::string &id)
+    {
+        return {.vmId = id, .dataCentre = {}, .incarnation = 1000, .address = id};
+    }
+
+    /// The version that the entry was given last.
+    std::uint64_t entryVersion(const std::string &id)
+    {
+        std::uint64_t version = 0;
+        for (const auto &message : this->entries[id]) {
+            if (const auto *update = std::get_if<ConfigurationUpdate>(&message)) {
+                version = update->bundles.back().version;
+            }
+        }
+        return version;
+    }
+
+    std::size_t sickReports(const std::string &id)
+    {
+        std::size_t count = 0;
+        for (const auto &message : this->entries[id]) {
+            if (const auto *verdicts = std::get_if<HealthVerdicts>(&message)) {
+                count += static_cast<std::size_t>(
+                    std::count_if(verdicts->verdicts.begin(), verdicts->verdicts.end(), [](const auto &verdict) {
+                        return verdict.sick;
+                    }));
+            }
+        }
+        return count;
+    }
+
+    TimePoint now{1000s};
+    std::map<std::string, AgentReducer> agents;
+    std::deque<std::pair<std::string, AgentEvent>> events;
+    std::map<std::string, std::vector<Message>> entries;
+    std::map<std::string, std::vector<ReadLog>> reads;
+    std::vector<std::string> log;
+    std::uint64_t first = 0;
+    std::set<std::string> withoutLog;
+};
+
+} // namespace
+
+// Guards against a VM that stays behind because the log is unavailable to it.
+TEST_CASE("agents without the log get each version from their peers")
+{
+    Fleet fleet({"vm-1", "vm-2", "vm-3"});
+    fleet.withoutLog = {"vm-2", "vm-3"};
+    for (const auto &[id, agent] : fleet.agents) {
+        fleet.apply(id, EntryConnected{fleet.now});
+    }
+    fleet.append(acceptance(1, 0));
+    fleet.run(2s);
+    for (const std::string id : {"vm-1", "vm-2", "vm-3"}) {
+        CHECK(fleet.entryVersion(id) == 1);
+        CHECK(fleet.agents.at(id).ready());
+    }
+    fleet.append(acceptance(2, 1));
+    fleet.run(400ms);
+    CHECK(fleet.entryVersion("vm-3") == 2);
+    CHECK(fleet.agents.at("vm-1").counters().adoptedTransfers == 0);
+    CHECK(fleet.agents.at("vm-3").counters().adoptedTransfers == 2);
+}
+
+// Guards against a peer that brings back an old version or gives one that nobody signed off.
+TEST_CASE("old and unproven versions from a peer are refused")
+{
+    Fleet fleet({"vm-1"});
+    fleet.apply("vm-1", EntryConnected{fleet.now});
+    const auto transfer = [](std::uint64_t version, const std::vector<std::string> &records) {
+        return BundleTransfer{{{.name = "n",
+                                .version = version,
+                                .digest = reference(version, version - 1).digest,
+                                .content = content(version),
+                                .records = records,
+                                .offset = 2,
+                                .replaces = version - 1}}};
+    };
+    const auto give = [&](const BundleTransfer &message) {
+        fleet.apply("vm-1", PeerMessageReceived{fleet.now, "vm-2", message});
+        return fleet.entryVersion("vm-1");
+    };
+    CHECK(give(transfer(2, acceptance(2, 1))) == 2);
+    CHECK(give(transfer(1, acceptance(1, 0))) == 2);
+    auto unsignedOff = acceptance(3, 2);
+    unsignedOff.erase(unsignedOff.begin() + 1);
+    CHECK(give(transfer(3, unsignedOff)) == 2);
+    auto changed = transfer(3, acceptance(3, 2));
+    changed.bundles[0].content += "# changed\n";
+    CHECK(give(changed) == 2);
+    CHECK(fleet.agents.at("vm-1").counters().refusedTransfers == 3);
+    CHECK(give(transfer(3, acceptance(3, 2))) == 3);
+}
+
+TEST_CASE("reading continues after a retention gap and skips broken records")
+{
+    Fleet fleet({"vm-1"});
+    fleet.append(acceptance(1, 0));
+    fleet.run(1s);
+    fleet.append({"lost", "lost", "broken"});
+    fleet.first = 5;
+    fleet.append(acceptance(2, 1));
+    fleet.apply("vm-1", EntryConnected{fleet.now});
+    fleet.run(1s);
+    CHECK(fleet.entryVersion("vm-1") == 2);
+    const auto &counters = fleet.agents.at("vm-1").counters();
+    CHECK(counters.retentionGaps == 1);
+    CHECK(counters.records.at("malformed") == 1);
+    CHECK(fleet.reads["vm-1"].back().from == 9);
+}
+
+// Guards against a fleet that overloads a log which is about to recover.
+TEST_CASE("reads of an unavailable log are spaced out and resume")
+{
+    Fleet fleet({"vm-1"});
+    fleet.withoutLog = {"vm-1"};
+    fleet.run(60s);
+    const auto during = fleet.reads["vm-1"].size();
+    CHECK(during >= 10);
+    CHECK(during <= 20);
+    CHECK_FALSE(fleet.agents.at("vm-1").ready());
+    fleet.withoutLog.clear();
+    fleet.run(6s);
+    CHECK(fleet.agents.at("vm-1").ready());
+    CHECK(fleet.reads["vm-1"].size() >= during + 3);
+}
+
+TEST_CASE("an entry gets the whole state when it connects")
+{
+    Fleet fleet({"vm-1"});
+    fleet.append(acceptance(1, 0));
+    fleet.run(1s);
+    CHECK(fleet.entries["vm-1"].empty());
+    fleet.apply("vm-1", EntryConnected{fleet.now});
+    const auto &messages = fleet.entries["vm-1"];
+    REQUIRE(messages.size() == 3);
+    CHECK(std::get<ConfigurationUpdate>(messages[0]).bundles.at(0).content == content(1));
+    CHECK(messages[1] == Message(LeavingUpdate{{"127.0.0.8"}}));
+    CHECK(std::get<HealthVerdicts>(messages[2]).complete);
+}
+
+// Guards against verdicts that do not leave the collectors, and against one VM that decides alone.
+TEST_CASE("evidence of two VMs reaches every entry as a verdict")
+{
+    const std::vector<std::string> ids{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7", "vm-8"};
+    Fleet fleet(ids);
+    // Siblings are the reference, so the service needs several upstreams.
+    std::string text = "[bundle]\nname = \"n\"\nversion = 1\n[services.s]\n";
+    for (const std::string upstream : {"a", "b", "c", "d"}) {
+        text += "[[services.s.upstreams]]\nid = \"" + upstream
+                + "\"\nendpoint = \"127.0.0.1:" + std::to_string(upstream.front()) + "\"\ndata_centre = \"d\"\n";
+    }
+    text += "[[routes]]\nservice = \"s\"\nidempotent = true\n";
+    const Bundles::VersionReference named{
+        .name = "n", .version = 1, .replaces = 0, .digest = Bundles::contentDigest(text)};
+    fleet.append({Team.proposal(text, named, "jana"), Team.signOff(named, "petr"), Team.rollOut(named, "jana")});
+    for (const auto &id : ids) {
+        fleet.apply(id, EntryConnected{fleet.now});
+    }
+    fleet.run(2s);
+    REQUIRE(fleet.entryVersion("vm-8") == 1);
+    EvidenceReport report;
+    for (const std::string upstream : {"a", "b", "c", "d"}) {
+        const auto cause = upstream == "a" ? Health::Cause::Reset : Health::Cause::Success;
+        report.upstreams.push_back({.upstream = {"n", "s", upstream}, .counts = {{cause, 30}}, .latencySum = 30000});
+    }
+    fleet.apply("vm-1", EvidenceReceived{fleet.now, report});
+    for (const auto &id : ids) {
+        CHECK(fleet.sickReports(id) == 0);
+    }
+    fleet.apply("vm-2", EvidenceReceived{fleet.now, report});
+    for (const auto &id : ids) {
+        INFO("entry of " << id);
+        CHECK(fleet.sickReports(id) == 1);
+    }
+}
--- a/test/control/messagetest.cpp
+++ b/test/control/messagetest.cpp
@@ -58,6 +58,7 @@
 {
     std::vector<decltype(make())> values;
     const auto count = *rc::gen::inRange(0, 4);
+    values.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         values.push_back(make());
     }
@@ -71,7 +72,7 @@
     const auto flag = *rc::gen::arbitrary<bool>();
     const Duration age(*rc::gen::inRange<std::int64_t>(0, INT64_MAX));
     return {
-        Hello{1, flag ? PeerRole::Entry : PeerRole::Agent, text, "cz-1", number},
+        Hello{1, flag ? PeerRole::Entry : PeerRole::Agent, text, "cz-1", number, text},
         ConfigurationDigest{number, flag, {{text, number, "d", 7}}},
         BundleRequest{*rc::gen::arbitrary<std::vector<std::string>>()},
         BundleTransfer{several(anyBundle)},
@@ -149,7 +150,7 @@
 TEST_CASE("numbers beyond the range of their member are refused")
 {
     const auto hello = [](std::uint64_t role, std::uint64_t version) {
-        return cbor({{"type", "hi"}, {"v", version}, {"r", role}, {"m", ""}, {"d", ""}, {"i", 1U}});
+        return cbor({{"type", "hi"}, {"v", version}, {"r", role}, {"m", ""}, {"d", ""}, {"i", 1U}, {"a", ""}});
     };
     CHECK_NOTHROW(decode(hello(1, 1)));
     CHECK_THROWS_AS(decode(hello(2, 1)), MessageError);
