--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -49,12 +49,11 @@
                                                   Field{"service", &UpstreamKey::service},
                                                   Field{"upstream", &UpstreamKey::upstream}};
 template<>
-inline constexpr std::tuple FieldsOf<Bundles::Upstream>{
-    Field{"id", &Bundles::Upstream::id},
-    Field{"endpoint", &Bundles::Upstream::endpoint},
-    Field{"data_centre", &Bundles::Upstream::dataCentre},
-    Field{"slots", &Bundles::Upstream::slots},
-    Field{"connection_limit", &Bundles::Upstream::connectionLimit}};
+inline constexpr std::tuple FieldsOf<Bundles::Upstream>{Field{"id", &Bundles::Upstream::id},
+                                                        Field{"endpoint", &Bundles::Upstream::endpoint},
+                                                        Field{"data_centre", &Bundles::Upstream::dataCentre},
+                                                        Field{"slots", &Bundles::Upstream::slots},
+                                                        Field{"connection_limit", &Bundles::Upstream::connectionLimit}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::Timeouts>{Field{"connect", &Bundles::Timeouts::connect},
                                                         Field{"first_byte", &Bundles::Timeouts::firstByte},
@@ -68,17 +67,16 @@
 inline constexpr std::tuple FieldsOf<Bundles::Budgets>{Field{"retry_percent", &Bundles::Budgets::retryPercent},
                                                        Field{"hedge_percent", &Bundles::Budgets::hedgePercent}};
 template<>
-inline constexpr std::tuple FieldsOf<Bundles::Service>{
-    Field{"name", &Bundles::Service::name},
-    Field{"upstreams", &Bundles::Service::upstreams},
-    Field{"timeouts", &Bundles::Service::timeouts},
-    Field{"detection", &Bundles::Service::detection},
-    Field{"budgets", &Bundles::Service::budgets},
-    Field{"floor_percent", &Bundles::Service::floorPercent},
-    Field{"queue_limit", &Bundles::Service::queueLimit},
-    Field{"hold_back_bytes", &Bundles::Service::holdBackBytes},
-    Field{"replay_bytes", &Bundles::Service::replayBytes},
-    Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId}};
+inline constexpr std::tuple FieldsOf<Bundles::Service>{Field{"name", &Bundles::Service::name},
+                                                       Field{"upstreams", &Bundles::Service::upstreams},
+                                                       Field{"timeouts", &Bundles::Service::timeouts},
+                                                       Field{"detection", &Bundles::Service::detection},
+                                                       Field{"budgets", &Bundles::Service::budgets},
+                                                       Field{"floor_percent", &Bundles::Service::floorPercent},
+                                                       Field{"queue_limit", &Bundles::Service::queueLimit},
+                                                       Field{"hold_back_bytes", &Bundles::Service::holdBackBytes},
+                                                       Field{"replay_bytes", &Bundles::Service::replayBytes},
+                                                       Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::Route>{Field{"host", &Bundles::Route::host},
                                                      Field{"method", &Bundles::Route::method},
@@ -160,7 +158,8 @@
 inline constexpr std::string_view NameOf<ConfigurationChanged> = "ConfigurationChanged";
 template<>
 inline constexpr std::tuple FieldsOf<ConfigurationChanged>{
-    Field{"at", &ConfigurationChanged::at}, Field{"configuration", &ConfigurationChanged::configuration}};
+    Field{"at", &ConfigurationChanged::at},
+    Field{"configuration", &ConfigurationChanged::configuration}};
 template<>
 inline constexpr std::string_view NameOf<HealthChanged> = "HealthChanged";
 template<>
@@ -187,18 +186,17 @@
 template<>
 inline constexpr std::string_view NameOf<StartAttempt> = "StartAttempt";
 template<>
-inline constexpr std::tuple FieldsOf<StartAttempt>{
-    Field{"request", &StartAttempt::request},
-    Field{"attempt", &StartAttempt::attempt},
-    Field{"upstream", &StartAttempt::upstream},
-    Field{"endpoint", &StartAttempt::endpoint},
-    Field{"policy", &StartAttempt::policy},
-    Field{"connect_timeout", &StartAttempt::connectTimeout},
-    Field{"first_byte_timeout", &StartAttempt::firstByteTimeout},
-    Field{"deadline", &StartAttempt::deadline},
-    Field{"hold_back_bytes", &StartAttempt::holdBackBytes},
-    Field{"replay_bytes", &StartAttempt::replayBytes},
-    Field{"echoes_attempt_id", &StartAttempt::echoesAttemptId}};
+inline constexpr std::tuple FieldsOf<StartAttempt>{Field{"request", &StartAttempt::request},
+                                                   Field{"attempt", &StartAttempt::attempt},
+                                                   Field{"upstream", &StartAttempt::upstream},
+                                                   Field{"endpoint", &StartAttempt::endpoint},
+                                                   Field{"policy", &StartAttempt::policy},
+                                                   Field{"connect_timeout", &StartAttempt::connectTimeout},
+                                                   Field{"first_byte_timeout", &StartAttempt::firstByteTimeout},
+                                                   Field{"deadline", &StartAttempt::deadline},
+                                                   Field{"hold_back_bytes", &StartAttempt::holdBackBytes},
+                                                   Field{"replay_bytes", &StartAttempt::replayBytes},
+                                                   Field{"echoes_attempt_id", &StartAttempt::echoesAttemptId}};
 template<>
 inline constexpr std::string_view NameOf<CancelAttempt> = "CancelAttempt";
 template<>
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -144,8 +144,9 @@
         co_return false;
     }
     if (error && this->bytesWritten == 0) {
-        this->fail(this->timedOut ? this->silenceCause()
-                                  : (this->connection->reused ? Health::Cause::SilentConnection : Health::Cause::Reset));
+        this->fail(this->timedOut
+                       ? this->silenceCause()
+                       : (this->connection->reused ? Health::Cause::SilentConnection : Health::Cause::Reset));
         co_return false;
     }
     // After a failure in the middle the upstream may have answered already, so the answer is read in any case.
@@ -161,10 +162,10 @@
 std::string Attempt::requestText()
 {
     const auto remaining = this->order.deadline - this->startedWritingAt;
-    const AttemptFields fields{
-        .requestId = this->exchange->requestIdText,
-        .attemptId = this->idText,
-        .deadlineMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()};
+    const AttemptFields fields{.requestId = this->exchange->requestIdText,
+                               .attemptId = this->idText,
+                               .deadlineMilliseconds
+                               = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()};
     const auto &request = this->exchange->request;
     BodyFraming framing;
     if (this->exchange->bodyStreams && !request.bodyBytes) {
@@ -197,8 +198,8 @@
     error = {};
     this->bytesWritten += written;
     while (written < data.size() && !error) {
-        const auto size
-            = co_await socket.async_write_some(asio::buffer(data.substr(written)), asio::redirect_error(useTask, error));
+        const auto size = co_await socket.async_write_some(asio::buffer(data.substr(written)),
+                                                           asio::redirect_error(useTask, error));
         written += size;
         this->bytesWritten += size;
     }
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -191,10 +191,8 @@
     this->answerComplete = true;
     this->answeredAt = monotonicNow();
     this->releaseConnection();
-    this->host->attemptCompleted(*this,
-                                 this->response->parser.statusCode,
-                                 this->answerFlag("X-Not-Run"),
-                                 this->answerFlag("X-Draining"));
+    this->host->attemptCompleted(
+        *this, this->response->parser.statusCode, this->answerFlag("X-Not-Run"), this->answerFlag("X-Draining"));
 }
 
 void Attempt::releaseConnection()
@@ -272,8 +270,8 @@
     if (answerBegun) {
         return Health::Cause::Truncated;
     }
-    const bool closing = error == asio::error::eof || error == asio::error::connection_reset
-                         || error == asio::error::broken_pipe;
+    const bool closing
+        = error == asio::error::eof || error == asio::error::connection_reset || error == asio::error::broken_pipe;
     const auto since = this->requestWritten ? this->writtenAt : this->startedWritingAt;
     const bool idleRace = closing && this->connection->reused && monotonicNow() - since <= IdleCloseRace;
     return idleRace ? Health::Cause::SilentConnection : Health::Cause::Reset;
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -74,12 +74,12 @@
 Task<CallerConnection::Next> CallerConnection::writeRefusal(Exchange &current, const RefuseBody &refusal)
 {
     this->host->metrics().countBadRequest(refusal.reason);
-    const auto text = localAnswerText(
-        LocalAnswer{.status = statusOf(refusal.reason),
-                    .outcome = refusal.mayHaveRun ? Core::Outcome::Unknown : Core::Outcome::NotRun,
-                    .reason = toString(refusal.reason),
-                    .close = true,
-                    .headMethod = current.request.headMethod});
+    const auto text
+        = localAnswerText(LocalAnswer{.status = statusOf(refusal.reason),
+                                      .outcome = refusal.mayHaveRun ? Core::Outcome::Unknown : Core::Outcome::NotRun,
+                                      .reason = toString(refusal.reason),
+                                      .close = true,
+                                      .headMethod = current.request.headMethod});
     const bool written = co_await this->write(text);
     co_return written ? Next::Linger : Next::Close;
 }
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -28,7 +28,9 @@
                      this->inputTimedOut = true;
                      this->input.notify();
                  })
-    , outputTimer(this->host->timers(), [this] { this->close(); })
+    , outputTimer(this->host->timers(), [this] {
+        this->close();
+    })
 {
     ErrorCode ignored;
     this->peerText = this->socket.remote_endpoint(ignored).address().to_string();
@@ -110,8 +112,8 @@
     if (begun && !this->message->firstByteAt) {
         this->message->firstByteAt = monotonicNow();
     }
-    const auto limit = begun ? *this->message->firstByteAt + limits.headerTimeout - monotonicNow()
-                             : limits.callerIdleTimeout;
+    const auto limit
+        = begun ? *this->message->firstByteAt + limits.headerTimeout - monotonicNow() : limits.callerIdleTimeout;
     if (co_await this->waitForInput(limit)) {
         co_return Next::Request;
     }
@@ -258,9 +260,10 @@
     this->reading = true;
     const bool body = this->exchange && !this->watching;
     const auto size = std::min(room, body ? LargeReadBytes : SmallReadBytes);
-    this->socket.async_read_some(
-        this->buffer.prepare(size),
-        [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) { self->finishRead(error, bytes); });
+    this->socket.async_read_some(this->buffer.prepare(size),
+                                 [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                     self->finishRead(error, bytes);
+                                 });
 }
 
 void CallerConnection::finishRead(ErrorCode error, std::size_t size)
--- a/src/proxy/configurationstore.cpp
+++ b/src/proxy/configurationstore.cpp
@@ -29,8 +29,7 @@
     };
     const auto known = this->held.find(offered.name);
     if (known != this->held.end() && offered.version <= known->second.bundle.version) {
-        const bool repeated
-            = offered.version == known->second.bundle.version && offered.digest == known->second.digest;
+        const bool repeated = offered.version == known->second.bundle.version && offered.digest == known->second.digest;
         return repeated ? false : refuse("it is not newer than the version in force");
     }
     if (Bundles::contentDigest(offered.content) != offered.digest) {
--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -70,7 +70,9 @@
     static constexpr std::array<std::string_view, 3> RequestFields{"X-Request-Id", "X-Attempt-Id", "X-Deadline-Ms"};
     static constexpr std::array<std::string_view, 4> AnswerFields{
         "Verbenadock-Outcome", "X-Attempt-Id", "X-Not-Run", "X-Draining"};
-    const auto same = [&field](std::string_view name) { return equalsIgnoringCase(field.nameText, name); };
+    const auto same = [&field](std::string_view name) {
+        return equalsIgnoringCase(field.nameText, name);
+    };
     return request ? std::any_of(RequestFields.begin(), RequestFields.end(), same)
                    : std::any_of(AnswerFields.begin(), AnswerFields.end(), same);
 }
@@ -90,8 +92,7 @@
     });
     for (const auto &field : fields) {
         // Host is kept whatever Connection names, because the request would be invalid without it.
-        const bool named
-            = namesFields && field.name != http::field::host && isNamedByConnection(fields, field);
+        const bool named = namesFields && field.name != http::field::host && isNamedByConnection(fields, field);
         if (!isHopByHop(field) && !isOwnField(field, request) && !named) {
             appendField(out, field.nameText, field.value);
         }
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -70,7 +70,10 @@
                      this->upstreams.sweep(monotonicNow());
                      this->sweepTimer.setAfter(SweepInterval);
                  })
-    , acceptPause(this->wheel, [this] { this->acceptResumed.notify(); })
+    , acceptPause(this->wheel,
+                  [this] {
+                      this->acceptResumed.notify();
+                  })
     , deadlineTimer(loop.get_executor())
 {
     this->sweepTimer.setAfter(SweepInterval);
@@ -239,8 +242,8 @@
 void Host::attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining)
 {
     const auto order = attempt.startOrder();
-    const auto cause = notRun ? Health::Cause::Shed
-                              : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
+    const auto cause
+        = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
     this->proxyMetrics.countAttempt(cause);
     auto *exchange = this->find(order.request);
     const bool streamed = exchange && exchange->headForwarded;
@@ -280,7 +283,9 @@
 
 void Host::forget(Exchange &exchange, AttemptId id)
 {
-    std::erase_if(exchange.attempts, [id](const auto &attempt) { return attempt->id() == id; });
+    std::erase_if(exchange.attempts, [id](const auto &attempt) {
+        return attempt->id() == id;
+    });
     if (exchange.ended && exchange.attempts.empty()) {
         this->release(exchange);
     }
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -108,8 +108,8 @@
 {
     this->proxyMetrics.callerConnectionsRefused.add();
     ErrorCode ignored;
-    socket.write_some(asio::buffer(localAnswerText(
-                          LocalAnswer{.status = 503, .reason = "too-many-connections", .retryAfterSeconds = 1, .close = true})),
+    socket.write_some(asio::buffer(localAnswerText(LocalAnswer{
+                          .status = 503, .reason = "too-many-connections", .retryAfterSeconds = 1, .close = true})),
                       ignored);
     socket.shutdown(asio::socket_base::shutdown_send, ignored);
 }
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -11,7 +11,11 @@
 
 void Host::carryOut(const Core::Effect &effect)
 {
-    std::visit([this](const auto &specific) { this->carryOut(specific); }, effect);
+    std::visit(
+        [this](const auto &specific) {
+            this->carryOut(specific);
+        },
+        effect);
 }
 
 void Host::carryOut(const Core::StartAttempt &effect)
@@ -42,7 +46,9 @@
     if (!exchange) {
         return;
     }
-    std::erase_if(exchange->pending, [&effect](const auto &order) { return order.attempt == effect.attempt; });
+    std::erase_if(exchange->pending, [&effect](const auto &order) {
+        return order.attempt == effect.attempt;
+    });
     for (const auto &attempt : exchange->attempts) {
         if (attempt->id() == effect.attempt) {
             attempt->cancel();
@@ -58,9 +64,10 @@
     if (!exchange) {
         return;
     }
-    const auto found = std::find_if(exchange->attempts.begin(),
-                                    exchange->attempts.end(),
-                                    [&effect](const auto &attempt) { return attempt->id() == effect.attempt; });
+    const auto found
+        = std::find_if(exchange->attempts.begin(), exchange->attempts.end(), [&effect](const auto &attempt) {
+              return attempt->id() == effect.attempt;
+          });
     if (found == exchange->attempts.end()) {
         return;
     }
@@ -102,7 +109,9 @@
 {
     this->acceptStopped = true;
     // Requests that were read already are taken up first; their handlers are queued before this one.
-    asio::post(this->executor(), [self = this->shared_from_this()] { self->closeIdleCallers(); });
+    asio::post(this->executor(), [self = this->shared_from_this()] {
+        self->closeIdleCallers();
+    });
 }
 
 void Host::closeIdleCallers()
--- a/src/proxy/httpparser.cpp
+++ b/src/proxy/httpparser.cpp
@@ -67,8 +67,9 @@
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
-    return left.size() == right.size()
-           && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) { return lower(a) == lower(b); });
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
+               return lower(a) == lower(b);
+           });
 }
 
 bool hasToken(std::string_view list, std::string_view token)
--- a/src/proxy/httpparser.h
+++ b/src/proxy/httpparser.h
@@ -104,8 +104,9 @@
     {
     }
 
-    std::size_t
-    on_chunk_body_impl(std::uint64_t /*remaining*/, boost::beast::string_view body, ErrorCode &error) override
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/,
+                                   boost::beast::string_view body,
+                                   ErrorCode &error) override
     {
         return this->on_body_impl(body, error);
     }
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -38,7 +38,9 @@
         return asio::async_initiate<const asio::use_awaitable_t<Executor>, void()>(
             [this](auto handler) {
                 auto stored = std::make_shared<decltype(handler)>(std::move(handler));
-                this->waiter = [stored] { asio::post(std::move(*stored)); };
+                this->waiter = [stored] {
+                    asio::post(std::move(*stored));
+                };
             },
             useTask);
     }
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -35,16 +35,14 @@
     , callerDisconnected(
           metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller-disconnected"}, {"refusal", ""}}))
     , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
-    , callerConnectionsRefused(metrics.counter("verbenadock_caller_connections_refused_total",
-                                                "Connections of callers over the limit."))
+    , callerConnectionsRefused(
+          metrics.counter("verbenadock_caller_connections_refused_total", "Connections of callers over the limit."))
     , openCallerConnections(metrics.gauge("verbenadock_caller_connections", "Open connections of callers."))
-    , upstreamConnectionsOpened(
-          metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "opened"}}))
-    , upstreamConnectionsReused(
-          metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "reused"}}))
+    , upstreamConnectionsOpened(metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "opened"}}))
+    , upstreamConnectionsReused(metrics.counter(UpstreamConnectionsName, UpstreamConnectionsHelp, {{"kind", "reused"}}))
     , totalLatency(metrics.histogram("verbenadock_request_seconds", "From the caller's request to the written answer."))
     , addedLatency(metrics.histogram("verbenadock_added_seconds",
-                                      "Part of the latency that the entry adds, for requests with one attempt."))
+                                     "Part of the latency that the entry adds, for requests with one attempt."))
     , registry(metrics)
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
 {
@@ -75,10 +73,10 @@
     // Few of the combinations occur, so the series are made when first needed.
     auto *&counter = this->local[static_cast<std::size_t>(outcome)][static_cast<std::size_t>(refusal)];
     if (!counter) {
-        counter = &this->registry.counter(RequestsName,
-                                          RequestsHelp,
-                                          {{"outcome", std::string(Core::toString(outcome))},
-                                           {"refusal", std::string(Core::toString(refusal))}});
+        counter = &this->registry.counter(
+            RequestsName,
+            RequestsHelp,
+            {{"outcome", std::string(Core::toString(outcome))}, {"refusal", std::string(Core::toString(refusal))}});
     }
     counter->add();
 }
--- a/src/proxy/requestcheck.cpp
+++ b/src/proxy/requestcheck.cpp
@@ -126,8 +126,9 @@
     }
     if (framing.transferEncoding) {
         // Other codings would have to be decoded here to know where the body ends.
-        return equalsIgnoringCase(*framing.transferEncoding, "chunked") ? std::nullopt
-                                                                        : std::optional(BadRequest::BadTransferEncoding);
+        return equalsIgnoringCase(*framing.transferEncoding, "chunked")
+                   ? std::nullopt
+                   : std::optional(BadRequest::BadTransferEncoding);
     }
     request.bodyBytes = 0;
     if (framing.length) {
--- a/src/proxy/upstreampool.cpp
+++ b/src/proxy/upstreampool.cpp
@@ -57,8 +57,9 @@
     return created;
 }
 
-std::unique_ptr<UpstreamConnection>
-UpstreamPool::takeIdle(UpstreamPeer &peer, Core::ConnectionPolicy policy, TimePoint now)
+std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(UpstreamPeer &peer,
+                                                           Core::ConnectionPolicy policy,
+                                                           TimePoint now)
 {
     peer.lastUsedAt = now;
     if (policy == Core::ConnectionPolicy::Fresh) {
--- a/test/core/benchmarktest.cpp
+++ b/test/core/benchmarktest.cpp
@@ -43,8 +43,7 @@
         event.target = "/service" + std::to_string(request % serviceCount) + "/search?q=umbrella";
         const auto attempts = only<StartAttempt>(reducer.apply(event));
         REQUIRE(attempts.size() == 1);
-        place = AttemptCompleted{
-            .at = time, .request = request, .attempt = attempts.front().attempt, .status = 200};
+        place = AttemptCompleted{.at = time, .request = request, .attempt = attempts.front().attempt, .status = 200};
     }
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
     REQUIRE(answered == Requests - Window);
--- a/test/harness/environment.cpp
+++ b/test/harness/environment.cpp
@@ -121,7 +121,8 @@
         }
         if (monotonicNow() >= deadline) {
             const auto waited = std::to_string(int(toMilliseconds(limit)));
-            throw std::runtime_error("waited " + waited + " ms in vain for " + what + lastError);
+            throw std::runtime_error(
+                std::string("waited ").append(waited).append(" ms in vain for ").append(what).append(lastError));
         }
         std::this_thread::sleep_for(PollInterval);
     }
--- a/test/proxy/answertest.cpp
+++ b/test/proxy/answertest.cpp
@@ -14,7 +14,9 @@
 /// A script that reads one request, sends the bytes and closes the connection.
 FakeUpstream::Script answerOnce(std::function<std::string(const ReceivedMessage &)> bytes)
 {
-    return [bytes](TestSocket &connection, unsigned) { connection.send(bytes(connection.readMessage())); };
+    return [bytes](TestSocket &connection, unsigned) {
+        connection.send(bytes(connection.readMessage()));
+    };
 }
 
 struct BrokenAnswer
@@ -29,29 +31,55 @@
     const auto once = answerOnce;
     return {
         {"shorter than its length",
-         once([](const auto &request) { return answerHead(request, 200, "Content-Length: 10\r\n") + "abc"; }),
+         once([](const auto &request) {
+             return answerHead(request, 200, "Content-Length: 10\r\n") + "abc";
+         }),
          "truncated"},
         {"without the final chunk",
-         once([](const auto &request) { return answerHead(request, 200, "Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n"; }),
+         once([](const auto &request) {
+             return answerHead(request, 200, "Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n";
+         }),
+         "truncated"},
+        {"ended within the head",
+         once([](const auto &) {
+             return std::string("HTTP/1.1 200 OK\r\nX-Att");
+         }),
+         "truncated"},
+        {"without a length",
+         once([](const auto &request) {
+             return answerHead(request, 200, "") + "abc";
+         }),
          "truncated"},
-        {"ended within the head", once([](const auto &) { return std::string("HTTP/1.1 200 OK\r\nX-Att"); }), "truncated"},
-        {"without a length", once([](const auto &request) { return answerHead(request, 200, "") + "abc"; }), "truncated"},
         {"with another attempt's id",
          once([](const auto &) {
              return std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: test-1-999\r\nContent-Length: 0\r\n\r\n");
          }),
          "mismatched"},
-        {"without an id", once([](const auto &) { return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); }), "mismatched"},
+        {"without an id",
+         once([](const auto &) {
+             return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+         }),
+         "mismatched"},
         {"with both lengths",
          once([](const auto &request) {
              return answerHead(request, 200, "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n";
          }),
          "malformed"},
-        {"that is not HTTP", once([](const auto &) { return std::string("hello\r\n\r\n"); }), "malformed"},
+        {"that is not HTTP",
+         once([](const auto &) {
+             return std::string("hello\r\n\r\n");
+         }),
+         "malformed"},
         {"that switches protocols",
-         once([](const auto &request) { return answerHead(request, 101, "Upgrade: x\r\n"); }),
+         once([](const auto &request) {
+             return answerHead(request, 101, "Upgrade: x\r\n");
+         }),
          "malformed"},
-        {"that never comes", [](TestSocket &connection, unsigned) { connection.waitForEnd(); }, "timeout"},
+        {"that never comes",
+         [](TestSocket &connection, unsigned) {
+             connection.waitForEnd();
+         },
+         "timeout"},
         {"replaced by a reset",
          [](TestSocket &connection, unsigned) {
              connection.readMessage();
@@ -119,8 +147,9 @@
                         + "ok");
     });
     const EntryFixture entry(optionsFor({upstream.endpoint()}));
-    const auto answer = entry.exchange("GET http://h/a?b=c HTTP/1.1\r\nHost: h\r\nConnection: X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\n"
-                                       "X-Deadline-Ms: 1\r\nX-Attempt-Id: forged\r\nX-Request-Id: abc\r\nX-Kept: 3\r\n\r\n");
+    const auto answer
+        = entry.exchange("GET http://h/a?b=c HTTP/1.1\r\nHost: h\r\nConnection: X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\n"
+                         "X-Deadline-Ms: 1\r\nX-Attempt-Id: forged\r\nX-Request-Id: abc\r\nX-Kept: 3\r\n\r\n");
     CHECK(seen.head.starts_with("GET /a?b=c HTTP/1.1\r\n"));
     CHECK(seen.field("X-Kept") == "3");
     CHECK(seen.field("X-Request-Id") == "abc");
@@ -192,7 +221,9 @@
         });
         const EntryFixture entry(optionsFor({upstream.endpoint()}));
         CHECK(entry.exchange(postRequest).body == "answer 1");
-        REQUIRE(eventually([&disturbed] { return disturbed.load(); }));
+        REQUIRE(eventually([&disturbed] {
+            return disturbed.load();
+        }));
         CHECK(entry.exchange(postRequest).body == "answer 2");
         CHECK(attempts(entry, "success") == 2);
     }
@@ -211,7 +242,9 @@
     CHECK(entry.exchange(getRequest).body == "answer 1");
     // The idle time itself is what the test is about; the pool counts it on the real clock.
     const auto idleSince = monotonicNow();
-    REQUIRE(eventually([idleSince] { return monotonicNow() - idleSince > std::chrono::milliseconds(1100); }));
+    REQUIRE(eventually([idleSince] {
+        return monotonicNow() - idleSince > std::chrono::milliseconds(1100);
+    }));
     CHECK(entry.exchange(getRequest).status() == 504);
     CHECK(attempts(entry, "silent-connection") == 1);
     CHECK(attempts(entry, "timeout") == 0);
@@ -227,7 +260,9 @@
     CHECK(entry.exchange(postRequest).body == "ok");
     CHECK(upstream.connections() == 1);
     const auto idleSince = monotonicNow();
-    REQUIRE(eventually([idleSince] { return monotonicNow() - idleSince > std::chrono::milliseconds(1100); }));
+    REQUIRE(eventually([idleSince] {
+        return monotonicNow() - idleSince > std::chrono::milliseconds(1100);
+    }));
     CHECK(entry.exchange(postRequest).body == "ok");
     CHECK(upstream.connections() == 2);
 }
--- a/test/proxy/badinputtest.cpp
+++ b/test/proxy/badinputtest.cpp
@@ -128,13 +128,18 @@
     options.service.replayBytes = 100;
     const EntryFixture entry(options);
     TestSocket caller(entry.endpoint());
-    caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nc8\r\n" + std::string(200, 'x') + "\r\n");
-    REQUIRE(eventually([&upstream] { return upstream.connections() == 1; }));
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nc8\r\n" + std::string(200, 'x')
+                + "\r\n");
+    REQUIRE(eventually([&upstream] {
+        return upstream.connections() == 1;
+    }));
     caller.send("not a chunk\r\n");
     const auto answer = caller.readMessage();
     CHECK(answer.status() == 400);
     CHECK(answer.field("Verbenadock-Outcome") == "unknown");
-    CHECK(eventually([&sawEnd] { return sawEnd.load(); }));
+    CHECK(eventually([&sawEnd] {
+        return sawEnd.load();
+    }));
 }
 
 // Guards against overload by connections; the caller has to learn that its request was not run.
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -13,7 +13,8 @@
     configuration->revision = 1;
     Bundles::Bundle bundle{.name = "test", .version = 1, .services = {service}, .routes = {}, .callerLimits = {}};
     for (const std::string method : {"GET", "HEAD", "PUT", "POST"}) {
-        bundle.routes.push_back(Bundles::Route{.method = method, .service = service.name, .idempotent = method != "POST"});
+        bundle.routes.push_back(
+            Bundles::Route{.method = method, .service = service.name, .idempotent = method != "POST"});
     }
     configuration->bundles.push_back(std::move(bundle));
     return configuration;
@@ -30,10 +31,8 @@
                                 .total = std::chrono::seconds(8)};
     options.service.budgets = {.retryPercent = 100, .hedgePercent = 0};
     for (const auto &endpoint : upstreams) {
-        options.service.upstreams.push_back(Bundles::Upstream{.id = "u" + std::to_string(endpoint.port),
-                                                              .endpoint = endpoint,
-                                                              .dataCentre = "test",
-                                                              .slots = 16});
+        options.service.upstreams.push_back(Bundles::Upstream{
+            .id = "u" + std::to_string(endpoint.port), .endpoint = endpoint, .dataCentre = "test", .slots = 16});
     }
     return options;
 }
@@ -47,16 +46,22 @@
     entry.reducer.dataCentre = "test";
     entry.instance = "test-1";
     Proxy::EntryHandlers handlers;
-    handlers.terminated = [this](bool clean) { this->terminated = clean; };
+    handlers.terminated = [this](bool clean) {
+        this->terminated = clean;
+    };
     this->server = std::make_unique<Proxy::EntryServer>(this->context, entry, this->registry, handlers);
     this->server->apply(
         Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(options.service)});
-    this->thread = std::thread([this] { this->context.run(); });
+    this->thread = std::thread([this] {
+        this->context.run();
+    });
 }
 
 EntryFixture::~EntryFixture()
 {
-    this->onLoop([this] { this->server.reset(); });
+    this->onLoop([this] {
+        this->server.reset();
+    });
     this->work.reset();
     this->thread.join();
 }
@@ -76,8 +81,8 @@
 void EntryFixture::shutDown(Duration drainDelay)
 {
     this->onLoop([this, drainDelay] {
-        this->server->apply(Core::ShutdownRequested{
-            .at = monotonicNow(), .drainDelay = drainDelay, .limit = std::chrono::seconds(20)});
+        this->server->apply(
+            Core::ShutdownRequested{.at = monotonicNow(), .drainDelay = drainDelay, .limit = std::chrono::seconds(20)});
     });
 }
 
@@ -89,7 +94,9 @@
 double EntryFixture::metric(const std::string &series) const
 {
     std::string text;
-    this->onLoop([this, &text] { text = this->registry.prometheusText(); });
+    this->onLoop([this, &text] {
+        text = this->registry.prometheusText();
+    });
     const auto start = text.find("\n" + series + " ");
     return start == std::string::npos ? 0 : std::stod(text.substr(start + series.size() + 2));
 }
--- a/test/proxy/fakeupstream.cpp
+++ b/test/proxy/fakeupstream.cpp
@@ -23,7 +23,9 @@
         throw std::runtime_error("the fake upstream cannot listen on " + address);
     }
     this->bound = {.address = address, .port = ntohs(local.sin_port)};
-    this->acceptThread = std::thread([this] { this->acceptConnections(); });
+    this->acceptThread = std::thread([this] {
+        this->acceptConnections();
+    });
 }
 
 FakeUpstream::~FakeUpstream()
@@ -78,8 +80,8 @@
 
 std::string answerHead(const ReceivedMessage &request, unsigned status, const std::string &fields)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Attempt-Id: "
-           + request.field("X-Attempt-Id").value_or("none") + "\r\n" + fields + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status)
+           + " Status\r\nX-Attempt-Id: " + request.field("X-Attempt-Id").value_or("none") + "\r\n" + fields + "\r\n";
 }
 
 std::string answerTo(const ReceivedMessage &request, const std::string &body, unsigned status)
--- a/test/proxy/streamtest.cpp
+++ b/test/proxy/streamtest.cpp
@@ -54,9 +54,12 @@
     const auto body = pattern(LargeBytes);
     const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
-    for (const auto &request : {post + length + body, post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 70001)}) {
+    for (const auto &request :
+         {post + length + body, post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 70001)}) {
         TestSocket caller(entry.endpoint());
-        std::thread sender([&caller, &request] { caller.send(request); });
+        std::thread sender([&caller, &request] {
+            caller.send(request);
+        });
         const auto answer = caller.readMessage();
         sender.join();
         CHECK(answer.status() == 200);
@@ -165,7 +168,9 @@
         const FakeUpstream upstream("127.0.5.10", [&](TestSocket &connection, unsigned) {
             const auto request = connection.readMessage();
             arrived = true;
-            eventually([&] { return go || connection.peerClosed(); });
+            eventually([&] {
+                return go || connection.peerClosed();
+            });
             closed = connection.peerClosed();
             connection.send(answerTo(request, "late"));
             connection.waitForEnd();
@@ -176,15 +181,23 @@
         {
             TestSocket caller(entry.endpoint());
             caller.send(method + " / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
-            REQUIRE(eventually([&arrived] { return arrived.load(); }));
+            REQUIRE(eventually([&arrived] {
+                return arrived.load();
+            }));
         }
         const std::string gone = "verbenadock_requests_total{outcome=\"caller-disconnected\",refusal=\"\"}";
-        CHECK(eventually([&] { return entry.metric(gone) == 1; }));
+        CHECK(eventually([&] {
+            return entry.metric(gone) == 1;
+        }));
         if (method == "GET") {
-            CHECK(eventually([&closed] { return closed.load(); }));
+            CHECK(eventually([&closed] {
+                return closed.load();
+            }));
         } else {
             go = true;
-            CHECK(eventually([&] { return entry.metric("verbenadock_attempts_total{cause=\"success\"}") == 1; }));
+            CHECK(eventually([&] {
+                return entry.metric("verbenadock_attempts_total{cause=\"success\"}") == 1;
+            }));
             CHECK_FALSE(closed);
         }
     }
@@ -219,14 +232,20 @@
     TestSocket uploading(entry.endpoint());
     uploading.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
                    + body.substr(0, 200000));
-    REQUIRE(eventually([&upstream] { return upstream.connections() >= 1; }));
+    REQUIRE(eventually([&upstream] {
+        return upstream.connections() >= 1;
+    }));
     entry.shutDown(std::chrono::milliseconds(10));
     CHECK(idle.waitForEnd() == StreamEnd::Closed);
     CHECK_FALSE(entry.terminatedCleanly());
-    std::thread sender([&uploading, &body] { uploading.send(std::string_view(body).substr(200000)); });
+    std::thread sender([&uploading, &body] {
+        uploading.send(std::string_view(body).substr(200000));
+    });
     const auto answer = uploading.readMessage();
     sender.join();
     CHECK((answer.body == body));
-    CHECK(eventually([&entry] { return entry.terminatedCleanly(); }));
+    CHECK(eventually([&entry] {
+        return entry.terminatedCleanly();
+    }));
     CHECK_THROWS(TestSocket(entry.endpoint()));
 }
