Name the settings option alike in all programs and measure the path

The path scenario uses upstreams without service time, because 20 ms of work on 4 slots measured their queue instead of the entry.

--- a/include/verbenadock/telemetry/logging.h
+++ b/include/verbenadock/telemetry/logging.h
@@ -12,6 +12,9 @@
     Error,
 };
 
+/// Parses "debug", "info", "warning" or "error"; anything else is Info, since settings are checked before.
+LogLevel parseLogLevel(const std::string &name);
+
 /// Sets up easylogging++ for this process: lines go to standard error, or to the file when one is named.
 void setUpLogging(const std::string &program, LogLevel level, const std::string &file = {});
 
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -17,24 +17,20 @@
     R"(Distributes configuration and health on one VM.
 
 Usage:
-  verbenadock-agent --settings=FILE
+  verbenadock-agent --config FILE [--check]
   verbenadock-agent (-h | --help)
   verbenadock-agent --version
 
 Options:
-  --settings=FILE  Settings file in TOML.
+  --config FILE  Settings file.
+  --check        Check the settings, and exit.
+  -h --help      Show this text.
+  --version      Show the version.
+
+Exits with 2 when the settings are wrong, and with 1 for any other failure.
 )";
 
-Telemetry::LogLevel parseLevel(const std::string &name)
-{
-    if (name == "debug") {
-        return Telemetry::LogLevel::Debug;
-    }
-    if (name == "warning") {
-        return Telemetry::LogLevel::Warning;
-    }
-    return name == "error" ? Telemetry::LogLevel::Error : Telemetry::LogLevel::Info;
-}
+constexpr int ConfigurationExit = 2;
 
 void run(const Settings::AgentSettings &settings)
 {
@@ -56,14 +52,22 @@
 
 int main(int argc, char **argv)
 {
+    const auto arguments
+        = docopt::docopt(Usage, {argv + 1, argv + argc}, true, "verbenadock-agent " VERBENADOCK_VERSION);
     try {
-        const auto arguments
-            = docopt::docopt(Usage, {argv + 1, argv + argc}, true, "verbenadock-agent " VERBENADOCK_VERSION);
-        const auto settings = Settings::parseAgentSettings(Settings::readFile(arguments.at("--settings").asString()));
-        Telemetry::setUpLogging("agent", parseLevel(settings.process.logLevel), settings.process.logFile);
+        const auto settings = Settings::parseAgentSettings(Settings::readFile(arguments.at("--config").asString()));
+        if (arguments.at("--check").asBool()) {
+            std::cout << "The settings are valid.\n";
+            return 0;
+        }
+        Telemetry::setUpLogging(
+            "verbenadock-agent", Telemetry::parseLogLevel(settings.process.logLevel), settings.process.logFile);
         run(settings);
         return 0;
-    } catch (const Error &error) {
+    } catch (const Settings::InvalidSettings &error) {
+        std::cerr << "verbenadock-agent: " << error.what() << '\n';
+        return ConfigurationExit;
+    } catch (const std::exception &error) {
         std::cerr << "verbenadock-agent: " << error.what() << '\n';
         return 1;
     }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -30,16 +30,6 @@
 
 constexpr int ConfigurationExit = 2;
 
-Telemetry::LogLevel levelOf(const std::string &name)
-{
-    static const std::map<std::string, Telemetry::LogLevel> Levels{{"debug", Telemetry::LogLevel::Debug},
-                                                                   {"info", Telemetry::LogLevel::Info},
-                                                                   {"warning", Telemetry::LogLevel::Warning},
-                                                                   {"error", Telemetry::LogLevel::Error}};
-    const auto found = Levels.find(name);
-    return found == Levels.end() ? Telemetry::LogLevel::Info : found->second;
-}
-
 std::vector<std::string> readBundles(const std::vector<std::string> &files)
 {
     std::vector<std::string> texts;
@@ -70,7 +60,8 @@
         std::cout << "The settings are valid.\n";
         return 0;
     }
-    Telemetry::setUpLogging("verbenadock-entry", levelOf(settings.process.logLevel), settings.process.logFile);
+    Telemetry::setUpLogging(
+        "verbenadock-entry", Telemetry::parseLogLevel(settings.process.logLevel), settings.process.logFile);
     Entry::EntryProcess process(settings, bundles);
     return process.run();
 }
--- a/src/measure/path.cpp
+++ b/src/measure/path.cpp
@@ -21,7 +21,9 @@
 
 Test::FleetSpec oneVm()
 {
-    return {.services = {{.name = "katalog", .upstreams = 4, .slots = Slots}}, .vms = 1};
+    return {.services = {{.name = "katalog", .upstreams = 4, .slots = Slots}},
+            .vms = 1,
+            .behaviour = {{"slots", Slots}, {"serviceMs", 0}}};
 }
 
 /// Half of the requests go through the entry and half to the upstreams directly, in turns, so that both meet the same
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -42,6 +42,17 @@
 
 } // namespace
 
+LogLevel parseLogLevel(const std::string &name)
+{
+    if (name == "debug") {
+        return LogLevel::Debug;
+    }
+    if (name == "warning") {
+        return LogLevel::Warning;
+    }
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 void setUpLogging(const std::string &program, LogLevel level, const std::string &file)
 {
     el::Helpers::installCustomFormatSpecifier(el::CustomFormatSpecifier("%utc", utcTime));
