--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -159,7 +159,7 @@
     target.agent.reset();
     const auto settings = this->file("agent-" + target.id + ".toml");
     writeFile(settings, agentSettings(target, this->platformAddress, this->spec.faultProxy) + this->operatorTables);
-    target.agent = this->startProgram("verbenadock-agent", "agent-" + target.id, {"--settings", settings.string()});
+    target.agent = this->startProgram("verbenadock-agent", "agent-" + target.id, {"--config", settings.string()});
 }
 
 void Fleet::startEntry(std::size_t vm)
