--- a/test/bundle/historytest.cpp
+++ b/test/bundle/historytest.cpp
@@ -227,9 +227,9 @@
 
 std::string recordOf(const Step &step)
 {
-    static const std::vector<std::string> names = {"alice", "bob", "carol"};
+    static const std::vector<std::string> Names = {"alice", "bob", "carol"};
     const auto what = reference(step.versions.first, step.versions.second, step.variant);
-    const auto &name = names[step.person];
+    const auto &name = Names[step.person];
     return step.kind == 0   ? Team.proposal(content(step.versions.first, step.variant), what, name)
            : step.kind == 1 ? Team.signOff(what, name)
                             : Team.rollOut(what, name);
