--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -120,6 +120,21 @@
     this->routes = std::make_shared<const RoutingTable>(resolved);
 }
 
+void Engine::noteBundleTimes(const Configuration &configured)
+{
+    std::map<std::string, TimePoint> times;
+    for (const auto &bundle : configured.bundles) {
+        const auto isInForce = [&bundle](const Bundles::Bundle &known) {
+            return known.name == bundle.name && known.version == bundle.version;
+        };
+        const bool stays
+            = this->configuration
+              && std::any_of(this->configuration->bundles.begin(), this->configuration->bundles.end(), isInForce);
+        times[bundle.name] = stays ? this->bundlesSince[bundle.name] : this->now;
+    }
+    this->bundlesSince = std::move(times);
+}
+
 void Engine::on(const ConfigurationChanged &event)
 {
     const bool isOlder
@@ -148,6 +163,7 @@
         this->buildRoutes(*event.configuration);
     }
     this->callerLimits.configure(event.configuration->bundles);
+    this->noteBundleTimes(*event.configuration);
     this->configuration = event.configuration;
     this->configuredAt = this->now;
     const ConfigurationInForce change{
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -66,7 +66,9 @@
     Json serviceList = Json::array();
     if (this->configuration) {
         for (const auto &bundle : this->configuration->bundles) {
-            bundles.push_back(Json{{"name", bundle.name}, {"version", bundle.version}});
+            bundles.push_back(Json{{"name", bundle.name},
+                                   {"version", bundle.version},
+                                   {"in_force_ms", toMilliseconds(at - this->bundlesSince.at(bundle.name))}});
         }
     }
     for (const auto &service : this->services) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -124,6 +124,7 @@
     void configureService(std::uint32_t index, const std::string &bundle, const Bundles::Service &service);
     void removeService(ServiceState &service);
     void buildRoutes(const Configuration &configured);
+    void noteBundleTimes(const Configuration &configured);
 
     ReducerSettings settings;
     Random random;
@@ -132,6 +133,8 @@
 
     std::shared_ptr<const Configuration> configuration;
     TimePoint configuredAt{};
+    /// When the version of each bundle came into force here.
+    std::map<std::string, TimePoint> bundlesSince;
     std::optional<TimePoint> leavingAt;
     std::optional<TimePoint> verdictsAt;
     std::unordered_set<std::string> leaving;
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -249,3 +249,20 @@
     CHECK(only<RespondLocally>(reducer.apply(arrival(2, "GET", at(1)))).at(0).refusal == Refusal::NoRoute);
     started(reducer, 3, "POST", 2);
 }
+
+// Guards against `verbenadock-ctl status` that cannot say since when an entry has used a version.
+TEST_CASE("the dump tells since when each version is in force")
+{
+    Reducer reducer(ReducerSettings{});
+    auto configuration = makeConfiguration(makeService(1, 1), 1);
+    reducer.apply(configure(configuration, at(1000)));
+    CHECK_THAT(reducer.dump(at(3000)), Catch::Contains("\"version\":1,\"in_force_ms\":2000.0"));
+
+    auto other = configuration.bundles.front();
+    other.name = "moka";
+    configuration.bundles.push_back(other);
+    configuration.revision = 2;
+    reducer.apply(configure(configuration, at(4000)));
+    CHECK_THAT(reducer.dump(at(5000)), Catch::Contains("\"in_force_ms\":4000.0"));
+    CHECK_THAT(reducer.dump(at(5000)), Catch::Contains("\"in_force_ms\":1000.0"));
+}
