--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -38,6 +38,7 @@
 
 constexpr std::array Scenarios{
     Scenario{"path", "latency that one VM adds, and requests per second of one entry core", measurePath},
+    Scenario{"control", "control cost of agents and entries, and its slopes", measureControl},
 };
 
 void listScenarios()
