--- a/include/verbenadock/proxy/configurationstore.h
+++ b/include/verbenadock/proxy/configurationstore.h
@@ -36,6 +36,9 @@
 
     std::shared_ptr<const Core::Configuration> configuration() const;
 
+    /// Digests of the exact contents, by bundle name.
+    std::map<std::string, std::string> digests() const;
+
     /// The bundles refused since the last call.
     std::vector<RefusedBundle> takeRefused();
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -3,6 +3,8 @@
 #include "statelines.h"
 #include "verbenadock/telemetry/logging.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <random>
 #include <variant>
@@ -86,7 +88,7 @@
                                                                             },
                                                                         .dump =
                                                                             [this] {
-                                                                                return this->server->dump();
+                                                                                return this->dump();
                                                                             }});
     for (const auto &text : bundles) {
         this->store.takeText(text);
@@ -155,6 +157,17 @@
     this->server->apply(Core::ConfigurationChanged{.at = monotonicNow(), .configuration = this->store.configuration()});
 }
 
+std::string EntryProcess::dump() const
+{
+    auto json = nlohmann::json::parse(this->server->dump());
+    const auto digests = this->store.digests();
+    // The reducer knows parsed bundles only; operators tell two contents of one version apart by the digest.
+    for (auto &bundle : json["bundles"]) {
+        bundle["digest"] = digests.at(bundle["name"].get<std::string>());
+    }
+    return json.dump();
+}
+
 void EntryProcess::reportRefused()
 {
     for (const auto &refused : this->store.takeRefused()) {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -37,6 +37,7 @@
     void receive(const Other &message);
 
     void applyConfiguration();
+    std::string dump() const;
     void reportRefused();
     void scheduleReport();
     void sendEvidence();
--- a/src/proxy/configurationstore.cpp
+++ b/src/proxy/configurationstore.cpp
@@ -68,6 +68,15 @@
     return result;
 }
 
+std::map<std::string, std::string> ConfigurationStore::digests() const
+{
+    std::map<std::string, std::string> result;
+    for (const auto &[name, entry] : this->held) {
+        result.emplace(name, entry.digest);
+    }
+    return result;
+}
+
 std::vector<RefusedBundle> ConfigurationStore::takeRefused()
 {
     return std::exchange(this->refused, {});
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "harness/fleetsettings.h"
 
+#include <fstream>
 #include <unistd.h>
 
 namespace Verbenadock::Test {
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr auto StartLimit = std::chrono::seconds(20);
+constexpr auto CtlLimit = std::chrono::seconds(60);
 constexpr auto RollOutLimit = std::chrono::seconds(10);
 constexpr std::array Operators = {"jana", "petr"};
 
@@ -204,6 +206,29 @@
     return runToEnd(this->programs / "verbenadock-ctl", all);
 }
 
+CtlAnswer Fleet::tryCtl(const std::string &operatorName, const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> all = {"--config", this->file(operatorName + ".toml").string()};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    const auto output = this->file("ctl-" + std::to_string(this->ctlRuns++));
+    Process process(this->programs / "verbenadock-ctl", all, output);
+    CtlAnswer answer{.status = process.waitForExit(CtlLimit).value_or(-1), .text = {}};
+    std::ifstream stream(output);
+    answer.text.assign(std::istreambuf_iterator<char>(stream), {});
+    return answer;
+}
+
+std::string Fleet::writeText(const std::string &name, const std::string &text) const
+{
+    writeFile(this->file(name), text);
+    return this->file(name).string();
+}
+
+std::filesystem::path Fleet::operatorKey(const std::string &operatorName) const
+{
+    return this->file(operatorName + ".pem");
+}
+
 Net::HttpResponse Fleet::call(const Net::HttpRequest &request, Duration timeout) const
 {
     return Net::fetchBlocking({this->platformAddress, Ports::Balancer}, request, timeout);
@@ -246,6 +271,29 @@
     postJson({this->platformAddress, Ports::LogControl}, "/set", faults);
 }
 
+Json Fleet::logState() const
+{
+    return getJson({this->platformAddress, Ports::LogControl}, "/state");
+}
+
+void Fleet::appendRecord(const std::string &record) const
+{
+    Net::fetchBlocking({this->platformAddress, Ports::Log},
+                       {.method = "POST", .target = "/streams/configuration/records", .body = record},
+                       StartLimit);
+}
+
+std::vector<std::string> Fleet::records() const
+{
+    std::vector<std::string> result;
+    const auto page
+        = getJson({this->platformAddress, Ports::Log}, "/streams/configuration/records?from=0&limit=1000000");
+    for (const auto &record : page["records"]) {
+        result.push_back(record["data"]);
+    }
+    return result;
+}
+
 void Fleet::publishVms(const std::vector<std::string> &leaving)
 {
     postJson({this->platformAddress, Ports::VmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -4,6 +4,7 @@
 #include "harness/environment.h"
 #include "harness/process.h"
 
+#include <atomic>
 #include <map>
 #include <optional>
 
@@ -57,6 +58,13 @@
     std::string dataCentre;
 };
 
+struct CtlAnswer
+{
+    int status = -1;
+    /// Standard output and standard error.
+    std::string text;
+};
+
 /// A whole fleet with its platform on loopback: stand-ins, agents, entries and the balancer.
 ///
 /// Usage: `Fleet fleet(PROGRAM_DIR, {.services = {{.name = "katalog"}}}); fleet.start(); fleet.rollOut(1);
@@ -79,6 +87,12 @@
     void rollOut(unsigned version);
     /// Runs verbenadock-ctl as the operator and returns its output.
     std::string ctl(const std::string &operatorName, const std::vector<std::string> &arguments);
+    /// The same with its exit status.
+    CtlAnswer tryCtl(const std::string &operatorName, const std::vector<std::string> &arguments);
+    /// Writes a file into the fleet's directory and returns its path.
+    std::string writeText(const std::string &name, const std::string &text) const;
+    /// The operator's private key in PEM.
+    std::filesystem::path operatorKey(const std::string &operatorName) const;
 
     /// Sends a caller's request through the balancer.
     Net::HttpResponse call(const Net::HttpRequest &request, Duration timeout = std::chrono::seconds(20)) const;
@@ -94,6 +108,12 @@
     void setRoutes(const Json &faults, const std::vector<std::string> &names = {});
     void silenceRoutes(const std::vector<std::string> &names);
     void setLog(const Json &faults);
+    /// State of the log's stand-in.
+    Json logState() const;
+    /// Appends a record to the configuration stream as it is.
+    void appendRecord(const std::string &record) const;
+    /// The records that the configuration stream retains.
+    std::vector<std::string> records() const;
     /// Publishes the VM list; the named VMs and upstreams are leaving.
     void publishVms(const std::vector<std::string> &leaving = {});
 
@@ -118,6 +138,7 @@
     std::string platformAddress;
     std::string operatorTables;
     std::vector<std::unique_ptr<Process>> platform;
+    std::atomic<unsigned> ctlRuns = 0;
 };
 
 } // namespace Verbenadock::Test
