Append versions in force again before their records expire

A restatement carries the three records of a version in force; any agent appends it after a random delay, spread over 0.5 s per live member, when the log's proof of the version is in the oldest quarter of what is retained.

A property test showed faults in the fold over a log whose oldest records have expired: a reader accepted a refused version that replaces none, could not use a whole set of records whose base had expired, and would have taken the offset of a proposal for a proof although the version that it replaces was not in the log any more. Such a reader now keeps records that replace an unknown version until a restatement, a transfer or the end of the log.

--- a/include/verbenadock/bundle/history.h
+++ b/include/verbenadock/bundle/history.h
@@ -53,7 +53,7 @@
 {
     std::uint64_t offset = 0;
     RecordResult result = RecordResult::Malformed;
-    /// "proposal", "sign-off", "roll-out", or empty when the record is broken.
+    /// "proposal", "sign-off", "roll-out", "restatement", or empty when the record is broken.
     std::string kind;
     VersionReference reference;
     std::string operatorName;
@@ -76,9 +76,9 @@
 };
 
 /// Folds the records of the configuration stream into the versions in force. The same records give the same state on
-/// every VM.
+/// every VM. When the oldest records have expired, a restatement takes the place of those of a version in force.
 ///
-/// Usage: apply() each record in the order of offsets; read inForce().
+/// Usage: apply() each record in the order of offsets; settle() at the end of the log; read inForce().
 class History
 {
 public:
@@ -90,6 +90,10 @@
     /// Applies one record and says what it did.
     HistoryEntry apply(std::uint64_t offset, std::string_view data);
 
+    /// To be called at the end of the log. When its oldest records have expired, records wait until here for a
+    /// restatement of what they replace. Returns the bundles that changed.
+    std::vector<std::string> settle();
+
     /// Takes over a version that a peer has in force, after checking every signature in its records. Returns false
     /// when the proof does not hold or the version is not newer than the own one.
     bool adopt(const AcceptedVersion &version);
@@ -97,6 +101,10 @@
     /// By bundle name.
     const std::map<std::string, AcceptedVersion> &inForce() const;
 
+    /// The newest offset from which on the log alone proves what is in force for the bundle: that of the first proposal
+    /// or of a restatement. Nothing while it is not known.
+    std::optional<std::uint64_t> provenFrom(const std::string &bundleName) const;
+
     /// The newest entries, oldest first, of one bundle or of all.
     std::vector<HistoryEntry> entries(const std::string &bundleName = {}) const;
 
--- a/include/verbenadock/control/agentevent.h
+++ b/include/verbenadock/control/agentevent.h
@@ -160,6 +160,14 @@
     auto operator<=>(const ReadLog &) const = default;
 };
 
+/// Appends a record to the configuration stream. There is no answer; the record shows up when the log is read.
+struct AppendLog
+{
+    std::string data;
+
+    auto operator<=>(const AppendLog &) const = default;
+};
+
 struct BundleChanged
 {
     BundleDigest bundle;
@@ -201,7 +209,8 @@
     auto operator<=>(const ReportAgentChange &) const = default;
 };
 
-using AgentEffect = std::variant<SendToPeer, ConnectPeer, DisconnectPeer, SendToEntry, ReadLog, ReportAgentChange>;
+using AgentEffect
+    = std::variant<SendToPeer, ConnectPeer, DisconnectPeer, SendToEntry, ReadLog, AppendLog, ReportAgentChange>;
 using AgentEffects = std::vector<AgentEffect>;
 
 } // namespace Verbenadock::Control
--- a/include/verbenadock/control/agentreducer.h
+++ b/include/verbenadock/control/agentreducer.h
@@ -35,6 +35,8 @@
     std::uint64_t retentionGaps = 0;
     /// Versions from peers whose proof did not hold or that were not newer.
     std::uint64_t refusedTransfers = 0;
+    /// Versions in force that this agent appended to the log again.
+    std::uint64_t restatements = 0;
     std::uint64_t adoptedTransfers = 0;
     std::uint64_t evidenceReports = 0;
     /// Verdicts on pooled evidence that waited for a second observer.
--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -199,6 +199,11 @@
     asio::co_spawn(this->context, this->readLog(effect), asio::detached);
 }
 
+void Host::carryOut(const Control::AppendLog &effect)
+{
+    asio::co_spawn(this->context, this->appendLog(effect.data), asio::detached);
+}
+
 void Host::carryOut(const Control::ReportAgentChange &effect)
 {
     logStateChange(effect.change);
@@ -221,6 +226,16 @@
     this->process(event);
 }
 
+asio::awaitable<void> Host::appendLog(std::string data)
+{
+    try {
+        co_await this->logClient.append(std::move(data));
+    } catch (const Platform::PlatformError &) {
+        // The record may be in the log nevertheless. While it is missing, the reducer appends it again later.
+        ++this->appendFailures;
+    }
+}
+
 asio::awaitable<void> Host::followVmList()
 {
     while (!this->stopped) {
@@ -258,6 +273,9 @@
         "verbenadock_transfers_total", "Bundles from peers.", totals.adoptedTransfers, {{"result", "adopted"}});
     this->setTotal(
         "verbenadock_transfers_total", "Bundles from peers.", totals.refusedTransfers, {{"result", "refused"}});
+    this->setTotal(
+        "verbenadock_restatements_total", "Versions that were appended to the log again.", totals.restatements);
+    this->setTotal("verbenadock_append_failures_total", "Appends without an answer.", this->appendFailures);
     this->setTotal("verbenadock_evidence_reports_total", "Evidence reports collected here.", totals.evidenceReports);
     this->setTotal("verbenadock_unsupported_verdicts_total",
                    "Verdicts that waited for a second observer.",
--- a/src/agent/host.h
+++ b/src/agent/host.h
@@ -34,8 +34,10 @@
     void carryOut(const Control::DisconnectPeer &effect);
     void carryOut(const Control::SendToEntry &effect);
     void carryOut(const Control::ReadLog &effect);
+    void carryOut(const Control::AppendLog &effect);
     void carryOut(const Control::ReportAgentChange &effect);
     boost::asio::awaitable<void> readLog(Control::ReadLog request);
+    boost::asio::awaitable<void> appendLog(std::string data);
     boost::asio::awaitable<void> followVmList();
     std::string metricsText();
     void setTotal(const std::string &name,
@@ -58,6 +60,7 @@
     EntryLink entry;
     Net::AdminServer admin;
     std::uint64_t vmListFailures = 0;
+    std::uint64_t appendFailures = 0;
     bool stopped = false;
 };
 
--- a/src/control/agentdump.cpp
+++ b/src/control/agentdump.cpp
@@ -85,6 +85,7 @@
                          {"sick", verdictsJson(current.verdicts.sick(now))}}},
                        {"records", totals.records},
                        {"retention_gaps", totals.retentionGaps},
+                       {"restatements", totals.restatements},
                        {"adopted_transfers", totals.adoptedTransfers},
                        {"refused_transfers", totals.refusedTransfers}};
     // Names come from other processes, and broken UTF-8 in them must not make the dump fail.
--- a/src/control/agentreducer.cpp
+++ b/src/control/agentreducer.cpp
@@ -38,7 +38,7 @@
 
 void AgentReducer::State::handle(const LogRecordsRead &event)
 {
-    this->bundlesChanged(this->bundles.handle(event, this->effects));
+    this->bundlesChanged(this->bundles.handle(event, this->membership.live().size(), this->effects));
 }
 
 void AgentReducer::State::handle(const LogUnavailable &event)
--- a/src/control/bundlesync.cpp
+++ b/src/control/bundlesync.cpp
@@ -47,6 +47,7 @@
 BundleSync::BundleSync(const AgentReducerSettings &settings, AgentCounters &agentCounters, TimePoint now)
     : history(settings.operators)
     , counters(agentCounters)
+    , restater(settings.vmId)
     , pollInterval(settings.logPollInterval)
     , pollDelay(settings.logPollInterval)
     , nextRead(now)
@@ -54,7 +55,7 @@
 {
 }
 
-std::vector<std::string> BundleSync::handle(const LogRecordsRead &event, AgentEffects &effects)
+std::vector<std::string> BundleSync::handle(const LogRecordsRead &event, std::size_t liveMembers, AgentEffects &effects)
 {
     this->reading = false;
     this->pollDelay = this->pollInterval;
@@ -82,12 +83,20 @@
     const bool more = this->logState.nextOffset < event.next && !event.records.empty();
     this->logState.readToEnd = this->logState.readToEnd || !more;
     this->nextRead = more ? event.at : event.at + this->pollInterval;
+    if (!more) {
+        for (const auto &name : this->history.settle()) {
+            this->noteChange(event.at, name, {}, effects);
+            changed.push_back(name);
+        }
+        this->restater.plan(this->history, event, liveMembers);
+    }
     return changed;
 }
 
 void BundleSync::handle(const LogUnavailable &event, AgentEffects &effects)
 {
     this->reading = false;
+    this->restater.cancel();
     this->setAvailable(false, effects);
     this->nextRead = event.at + this->pollDelay;
     this->pollDelay = std::min(this->pollDelay * 2, LongestPollDelay);
@@ -192,6 +201,10 @@
         this->reading = true;
         effects.emplace_back(ReadLog{.from = this->logState.nextOffset, .limit = ReadLimit});
     }
+    for (auto &record : this->restater.take(this->history, now)) {
+        ++this->counters.restatements;
+        effects.emplace_back(AppendLog{std::move(record)});
+    }
     if (this->nextDigest <= now) {
         this->nextDigest = now + DigestInterval;
         std::erase_if(this->answered, [&](const auto &item) {
@@ -205,7 +218,8 @@
 
 TimePoint BundleSync::nextDeadline() const
 {
-    return this->reading ? this->nextDigest : std::min(this->nextDigest, this->nextRead);
+    const auto earliest = std::min(this->nextDigest, this->restater.nextDeadline().value_or(this->nextDigest));
+    return this->reading ? earliest : std::min(earliest, this->nextRead);
 }
 
 std::vector<BundleInForce> BundleSync::bundles(const std::vector<std::string> &names) const
--- a/src/control/bundlesync.h
+++ b/src/control/bundlesync.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_CONTROL_BUNDLESYNC_H
 #define VERBENADOCK_CONTROL_BUNDLESYNC_H
 
+#include "restater.h"
 #include "verbenadock/bundle/history.h"
 #include "verbenadock/control/agentreducer.h"
 
@@ -15,7 +16,7 @@
     BundleSync(const AgentReducerSettings &settings, AgentCounters &agentCounters, TimePoint now);
 
     /// Each returns the names of the bundles that changed.
-    std::vector<std::string> handle(const LogRecordsRead &event, AgentEffects &effects);
+    std::vector<std::string> handle(const LogRecordsRead &event, std::size_t liveMembers, AgentEffects &effects);
     void handle(const LogUnavailable &event, AgentEffects &effects);
     void handle(TimePoint now, const std::string &from, const ConfigurationDigest &digest, AgentEffects &effects);
     void handle(const std::string &from, const BundleRequest &request, AgentEffects &effects) const;
@@ -50,6 +51,7 @@
 
     Bundles::History history;
     AgentCounters &counters;
+    Restater restater;
     Duration pollInterval;
     Duration pollDelay;
     LogState logState;
--- a/src/ctl/configurationlog.cpp
+++ b/src/ctl/configurationlog.cpp
@@ -2,6 +2,7 @@
 
 #include "blocking.h"
 #include "output.h"
+#include "verbenadock/bundle/restatement.h"
 
 #include <algorithm>
 
@@ -45,6 +46,9 @@
     if (entry.result == Bundles::RecordResult::Proposed) {
         const auto proposal = std::get<Bundles::Proposal>(Bundles::decodeRecord(record.data));
         this->contents.push_back({.reference = proposal.reference, .text = proposal.content, .wasInForce = false});
+    } else if (const auto restated = Bundles::decodeRestatement(record.data);
+               restated && entry.result == Bundles::RecordResult::InForce) {
+        this->contents.push_back({.reference = restated->reference, .text = restated->content, .wasInForce = true});
     } else if (entry.result == Bundles::RecordResult::InForce) {
         for (auto &item : this->contents) {
             item.wasInForce = item.wasInForce || item.reference == entry.reference;
@@ -63,6 +67,7 @@
             }
         }
         if (page.records.empty() || this->next >= page.next) {
+            this->fold.settle();
             return;
         }
     }
@@ -133,7 +138,16 @@
             best = &item;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->text);
+    if (best != nullptr) {
+        return best->text;
+    }
+    // A version whose records had to wait for a restatement is only in the fold.
+    if (const auto current = this->fold.inForce().find(name);
+        current != this->fold.inForce().end() && current->second.reference.version == version) {
+        return current->second.content;
+    }
+    const auto waiting = this->fold.proposal(name, version);
+    return waiting ? std::optional(waiting->content) : std::nullopt;
 }
 
 std::uint64_t ConfigurationLog::versionInForce(const std::string &name) const
--- a/test/integration/bundletest.cpp
+++ b/test/integration/bundletest.cpp
@@ -220,6 +220,37 @@
     waitForDigest(fleet, reference.digest);
 }
 
+// Guards against a version that is lost when its records expire from the log.
+TEST_CASE("a VM that has only the log gets the version in force after its records have expired")
+{
+    Fleet fleet(PROGRAM_DIR, smallFleet(3));
+    fleet.start();
+    fleet.rollOut(1);
+    fleet.setLog({{"retain", 8}});
+    for (int count = 0; count < 10; ++count) {
+        fleet.appendRecord("{}");
+    }
+    waitFor("a restatement in the log", RecoveryLimit, [&fleet] {
+        return std::ranges::any_of(fleet.records(), [](const std::string &record) {
+            return record.find("restatement") != std::string::npos;
+        });
+    });
+    for (const auto &vm : fleet.vms) {
+        vm.agent->signal(SIGKILL);
+        REQUIRE(vm.agent->waitForExit(RecoveryLimit));
+    }
+    restart(fleet, 0);
+    waitFor("an answer of the only VM", RecoveryLimit, [&] {
+        return Net::fetchBlocking(fleet.vms[0].entryListen(), {.target = "/katalog/1"}, RecoveryLimit).status == 200;
+    });
+    const auto dump = fleet.agentDump(0);
+    CHECK(dump["adopted_transfers"] == 0);
+    CHECK(dump["bundles"][0]["version"] == 1);
+    fleet.startAgent(1);
+    fleet.startAgent(2);
+    fleet.rollOut(2);
+}
+
 // Guards against an operator who is told that a version is in force everywhere while some VM serves another one.
 TEST_CASE("status and --wait tell VMs that differ or cannot be reached")
 {
