Retry once over a fresh connection when only a stale one failed

Cause: an attempt that fails with SilentConnection excluded its upstream like any other failure, so an idempotent request whose only candidate is that upstream got 504, although the failure says nothing about the upstream.

The upstream is now admitted once more when no other one could serve, and every attempt after a stale connection uses a new connection. Non-idempotent requests profit only when nothing was written. Ruled out: preferring the same upstream while others are available, as a network fault there would cost the request.

--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -164,6 +164,7 @@
     auto &request = this->requests.at(slot);
     const bool proven = provesNotRun(event);
     attempt.provenNotRun = proven;
+    attempt.staleConnection = event.cause == Cause::SilentConnection;
     request.bodySpent = request.bodySpent || (!request.replayable && !proven);
     if (event.cause == Cause::Refused || event.cause == Cause::ConnectTimeout) {
         this->serviceOf(request).pool.noteUnreachable(attempt.upstream, this->now, this->random);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -88,6 +88,7 @@
     void enqueue(std::uint32_t slot);
     void leaveQueue(std::uint32_t slot);
     void dispatch(ServiceState &service);
+    static ConnectionPolicy connectionPolicy(const Request &request);
     void startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge);
     void hedge(std::uint32_t slot);
     void updateTimer(std::uint32_t slot);
--- a/src/core/requesttable.cpp
+++ b/src/core/requesttable.cpp
@@ -24,7 +24,7 @@
 {
     const auto from = this->attempts.begin() + static_cast<std::ptrdiff_t>(this->triedFrom);
     return std::any_of(from, this->attempts.end(), [upstream](const Attempt &attempt) {
-        return attempt.upstream == upstream;
+        return attempt.upstream == upstream && attempt.excludes;
     });
 }
 
@@ -35,6 +35,25 @@
     });
 }
 
+bool Request::metStaleConnection() const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
+        return attempt.staleConnection;
+    });
+}
+
+void Request::readmitStaleConnections()
+{
+    for (auto &attempt : this->attempts) {
+        const auto sameUpstream = [&attempt](const Attempt &other) {
+            return other.upstream == attempt.upstream;
+        };
+        if (attempt.staleConnection && std::count_if(this->attempts.begin(), this->attempts.end(), sameUpstream) == 1) {
+            attempt.excludes = false;
+        }
+    }
+}
+
 bool Request::mayHaveRun() const
 {
     return std::any_of(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -31,6 +31,10 @@
     bool shed = false;
     /// Counted as overdue by the detector.
     bool overdue = false;
+    /// Failed because a pooled connection had gone silent or was closed, which says nothing about the upstream.
+    bool staleConnection = false;
+    /// Further attempts avoid the upstream.
+    bool excludes = true;
 };
 
 /// State of one caller's request.
@@ -61,6 +65,9 @@
     std::size_t activeAttempts() const;
     bool tried(std::uint32_t upstream) const;
     bool everyAttemptShed() const;
+    bool metStaleConnection() const;
+    /// Admits each upstream again whose only attempt failed for a stale connection.
+    void readmitStaleConnections();
     /// Whether any attempt, active ones included, may have run the request.
     bool mayHaveRun() const;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -19,6 +19,8 @@
     if (!service.pool.couldServe(request, this->now) && !request.attempts.empty() && request.everyAttemptShed()) {
         // Each upstream has shed the request once; it may go to them again after their back-off.
         request.triedFrom = request.attempts.size();
+    } else if (request.metStaleConnection() && !service.pool.couldServe(request, this->now)) {
+        request.readmitStaleConnections();
     }
     if (service.queue.empty()) {
         if (const auto upstream = service.pool.pick(request, this->now, this->random)) {
@@ -88,6 +90,15 @@
     }
 }
 
+ConnectionPolicy Engine::connectionPolicy(const Request &request)
+{
+    if (request.metStaleConnection()) {
+        // What silenced one pooled connection often silenced others too, and a new one costs about 1 ms.
+        return ConnectionPolicy::Fresh;
+    }
+    return request.idempotent ? ConnectionPolicy::Reuse : ConnectionPolicy::ProvenAlive;
+}
+
 void Engine::startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge)
 {
     auto &request = this->requests.at(slot);
@@ -102,7 +113,7 @@
         .attempt = this->lastAttempt,
         .upstream = target.key,
         .endpoint = target.endpoint,
-        .policy = request.idempotent ? ConnectionPolicy::Reuse : ConnectionPolicy::ProvenAlive,
+        .policy = connectionPolicy(request),
         .connectTimeout = timeouts.connect,
         .firstByteTimeout = timeouts.firstByte,
         .deadline = request.deadline,
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -51,6 +51,33 @@
     CHECK(only<ForwardAnswer>(effects) == std::vector{ForwardAnswer{.request = 1, .attempt = 2}});
 }
 
+// Guards against an idempotent request that fails although its only upstream answers on new connections, and against
+// trying that upstream without end.
+TEST_CASE("a stale connection is replaced once by a fresh one to the same upstream when there is no other")
+{
+    auto reducer = configuredReducer(makeService(1, 1));
+    const auto first = started(reducer, 1, "GET", 1);
+    CHECK(first.policy == ConnectionPolicy::Reuse);
+    const auto second = only<StartAttempt>(reducer.apply(failure(first, Health::Cause::SilentConnection, 2)));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().upstream == first.upstream);
+    CHECK(second.front().policy == ConnectionPolicy::Fresh);
+    const auto effects = reducer.apply(failure(second.front(), Health::Cause::SilentConnection, 3));
+    CHECK(only<StartAttempt>(effects).empty());
+    CHECK(only<RespondLocally>(effects).size() == 1);
+}
+
+// Guards against a second attempt over a pooled connection that was silenced together with the first.
+TEST_CASE("a stale connection leads to a fresh one at another upstream when there is one")
+{
+    auto reducer = configuredReducer(makeService(2, 1));
+    const auto first = started(reducer, 1, "GET", 1);
+    const auto second = only<StartAttempt>(reducer.apply(failure(first, Health::Cause::SilentConnection, 2)));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().upstream != first.upstream);
+    CHECK(second.front().policy == ConnectionPolicy::Fresh);
+}
+
 // Guards against running a claim twice: a reset proves nothing.
 TEST_CASE("a non-idempotent request that may have run is answered as unknown")
 {
