--- a/src/measure/callerconnection.cpp
+++ b/src/measure/callerconnection.cpp
@@ -1,11 +1,17 @@
 #include "callerconnection.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cerrno>
+#include <sstream>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Verbenadock::Measure {
@@ -48,6 +54,33 @@
     return outcome == "unknown" ? LoadOutcome::Unknown : LoadOutcome::Answered;
 }
 
+/// An idle connection that was closed by the other side must not carry a request.
+bool isOpen(CallerConnection &connection)
+{
+    char byte = 0;
+    const auto result = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// An answer may come before the whole request is written, so that a failure here is no result.
+asio::awaitable<void> writeRequest(CallerConnection &connection, const LoadRequest &request)
+{
+    std::ostringstream stream;
+    stream << toHttp(request);
+    const std::string text = stream.str();
+    const std::size_t half = request.bodyPause > Duration(0) ? text.size() - request.body.size() / 2 : text.size();
+    boost::system::error_code error;
+    co_await asio::async_write(
+        connection.stream, asio::buffer(text.data(), half), asio::redirect_error(asio::use_awaitable, error));
+    if (!error && half < text.size()) {
+        asio::steady_timer timer(connection.stream.get_executor(), request.bodyPause);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await asio::async_write(connection.stream,
+                                   asio::buffer(text.data() + half, text.size() - half),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 } // namespace
 
 ConnectionPool::ConnectionPool(asio::any_io_executor poolExecutor)
@@ -58,10 +91,12 @@
 asio::awaitable<ConnectionPool::Connection> ConnectionPool::acquire(const Endpoint &target, Duration timeout)
 {
     auto &connections = this->idle[target];
-    if (!connections.empty()) {
+    while (!connections.empty()) {
         Connection connection = std::move(connections.back());
         connections.pop_back();
-        co_return connection;
+        if (isOpen(*connection)) {
+            co_return connection;
+        }
     }
     auto connection = std::make_unique<CallerConnection>(this->executor);
     connection->stream.expires_after(timeout);
@@ -77,8 +112,8 @@
     try {
         Connection connection = co_await this->acquire(request.target, timeout);
         connection->stream.expires_after(timeout);
-        auto message = toHttp(request);
-        co_await http::async_write(connection->stream, message, asio::use_awaitable);
+        result.connected = true;
+        co_await writeRequest(*connection, request);
         http::response_parser<http::string_body> parser;
         parser.body_limit(MaxAnswerBytes);
         co_await http::async_read(connection->stream, connection->buffer, parser, asio::use_awaitable);
--- a/src/measure/load.h
+++ b/src/measure/load.h
@@ -25,6 +25,8 @@
     /// Value of X-Work-Id, by which upstreams record what they ran; empty for none.
     std::string workId;
     std::string body;
+    /// Wait in the middle of the body.
+    Duration bodyPause{0};
 
     auto operator<=>(const LoadRequest &) const = default;
 };
@@ -44,6 +46,8 @@
 struct LoadResult
 {
     std::uint64_t number = 0;
+    /// Whether a connection was open, so that the request may have been received.
+    bool connected = false;
     LoadOutcome outcome = LoadOutcome::Broken;
     unsigned status = 0;
     /// When the request was due, and from then to the end of the answer.
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -38,6 +38,8 @@
 
 constexpr std::array Scenarios{
     Scenario{"path", "latency that one VM adds, and requests per second of one entry core", measurePath},
+    Scenario{"promises", "what callers are told against what upstreams ran, under all faults", measurePromises},
+    Scenario{"overload", "goodput at 0.5 to 3 times the capacity of a service", measureOverload},
 };
 
 void listScenarios()
--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -25,6 +25,8 @@
 
 /// Each runs a scenario with real processes and returns its figures.
 Report measurePath(const ScenarioOptions &options);
+Report measurePromises(const ScenarioOptions &options);
+Report measureOverload(const ScenarioOptions &options);
 
 } // namespace Verbenadock::Measure
 
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -204,9 +204,14 @@
     return runToEnd(this->programs / "verbenadock-ctl", all);
 }
 
+Endpoint Fleet::balancerListen() const
+{
+    return {this->platformAddress, Ports::Balancer};
+}
+
 Net::HttpResponse Fleet::call(const Net::HttpRequest &request, Duration timeout) const
 {
-    return Net::fetchBlocking({this->platformAddress, Ports::Balancer}, request, timeout);
+    return Net::fetchBlocking(this->balancerListen(), request, timeout);
 }
 
 void Fleet::setUpstreams(const Json &behaviour, const std::vector<std::string> &ids)
@@ -246,6 +251,16 @@
     postJson({this->platformAddress, Ports::LogControl}, "/set", faults);
 }
 
+void Fleet::setVmList(const Json &faults)
+{
+    postJson({this->platformAddress, Ports::VmListControl}, "/set", faults);
+}
+
+void Fleet::restartUpstreams(const std::vector<std::string> &ids)
+{
+    postJson({this->platformAddress, Ports::UpstreamControl}, "/restart", {{"upstreams", ids}});
+}
+
 void Fleet::publishVms(const std::vector<std::string> &leaving)
 {
     postJson({this->platformAddress, Ports::VmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -80,6 +80,7 @@
     /// Runs verbenadock-ctl as the operator and returns its output.
     std::string ctl(const std::string &operatorName, const std::vector<std::string> &arguments);
 
+    Endpoint balancerListen() const;
     /// Sends a caller's request through the balancer.
     Net::HttpResponse call(const Net::HttpRequest &request, Duration timeout = std::chrono::seconds(20)) const;
 
@@ -94,6 +95,10 @@
     void setRoutes(const Json &faults, const std::vector<std::string> &names = {});
     void silenceRoutes(const std::vector<std::string> &names);
     void setLog(const Json &faults);
+    /// Lag and outage of the VM list.
+    void setVmList(const Json &faults);
+    /// Closes the upstreams' connections and starts them cold.
+    void restartUpstreams(const std::vector<std::string> &ids);
     /// Publishes the VM list; the named VMs and upstreams are leaving.
     void publishVms(const std::vector<std::string> &leaving = {});
 
