Spread announcements of drains to every entry

Cause: an upstream's X-Draining was known only to the entries that it had answered since.

An entry now tells its agent, agents flood what is new to them, and every entry gets the endpoint with the leaving addresses, for as long as the announcement holds (60 s). Ruled out: the VM list, which lags and does not name the upstream in these runs.

--- a/include/verbenadock/control/agentevent.h
+++ b/include/verbenadock/control/agentevent.h
@@ -100,6 +100,15 @@
     auto operator<=>(const EvidenceReceived &) const = default;
 };
 
+/// The entry of this VM reported which upstreams announced their drain.
+struct DrainsReceived
+{
+    TimePoint at;
+    DrainNotice notice;
+
+    auto operator<=>(const DrainsReceived &) const = default;
+};
+
 /// The time that AgentReducer::nextDeadline() returned has come.
 struct AgentTimerExpired
 {
@@ -117,6 +126,7 @@
                                 EntryConnected,
                                 EntryDisconnected,
                                 EvidenceReceived,
+                                DrainsReceived,
                                 AgentTimerExpired>;
 
 /// Sends a message on any stream to the peer. ConnectPeer comes before it unless the peer has connected by itself.
--- a/include/verbenadock/control/message.h
+++ b/include/verbenadock/control/message.h
@@ -151,7 +151,26 @@
     auto operator<=>(const HealthVerdicts &) const = default;
 };
 
-/// All upstream addresses that the VM list reports as leaving.
+/// An upstream that announced its drain.
+struct DrainingUpstream
+{
+    /// ADDRESS:PORT.
+    std::string endpoint;
+    /// Time since the announcement.
+    Duration age{0};
+
+    auto operator<=>(const DrainingUpstream &) const = default;
+};
+
+/// Announcements of drains; an agent forwards those that are new to it.
+struct DrainNotice
+{
+    std::vector<DrainingUpstream> upstreams;
+
+    auto operator<=>(const DrainNotice &) const = default;
+};
+
+/// All upstreams that leave: addresses from the VM list, and endpoints (ADDRESS:PORT) that announced their drain.
 struct LeavingUpdate
 {
     std::vector<std::string> addresses;
@@ -224,7 +243,8 @@
                              Heartbeat,
                              HeartbeatAck,
                              IndirectProbe,
-                             IndirectProbeAck>;
+                             IndirectProbeAck,
+                             DrainNotice>;
 
 /// CBOR object with a "type" member.
 std::string encode(const Message &message);
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -125,7 +125,8 @@
     auto operator<=>(const HealthChanged &) const = default;
 };
 
-/// The upstreams that the VM list reports as leaving, all of them, by endpoint address.
+/// All upstreams that leave: by address when the VM list reports them, by endpoint (ADDRESS:PORT) when they announced
+/// their drain to any entry.
 struct LeavingChanged
 {
     TimePoint at;
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -75,6 +75,9 @@
     /// The outcomes since the last call, for the agent.
     std::vector<Control::UpstreamEvidence> takeEvidence();
 
+    /// The upstreams that announced their drain to this entry within the last minute.
+    std::vector<Control::DrainingUpstream> drains() const;
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/src/agent/entrylink.cpp
+++ b/src/agent/entrylink.cpp
@@ -51,6 +51,8 @@
             this->handlers.onConnected();
         } else if (this->current == stream && std::holds_alternative<Control::EvidenceReport>(message)) {
             this->handlers.onEvidence(std::get<Control::EvidenceReport>(std::move(message)));
+        } else if (this->current == stream && std::holds_alternative<Control::DrainNotice>(message)) {
+            this->handlers.onDrains(std::get<Control::DrainNotice>(std::move(message)));
         } else {
             ++this->skipped;
         }
--- a/src/agent/entrylink.h
+++ b/src/agent/entrylink.h
@@ -18,6 +18,7 @@
         std::function<void()> onConnected;
         std::function<void()> onDisconnected;
         std::function<void(Control::EvidenceReport)> onEvidence;
+        std::function<void(Control::DrainNotice)> onDrains;
     };
 
     EntryLink(boost::asio::io_context &context,
--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -97,6 +97,10 @@
              .onEvidence =
                  [this](Control::EvidenceReport report) {
                      this->process(Control::EvidenceReceived{monotonicNow(), std::move(report)});
+                 },
+             .onDrains =
+                 [this](Control::DrainNotice notice) {
+                     this->process(Control::DrainsReceived{monotonicNow(), std::move(notice)});
                  }})
     , admin(ioContext,
             agentSettings.process.admin,
--- a/src/control/agentreducer.cpp
+++ b/src/control/agentreducer.cpp
@@ -53,7 +53,29 @@
     std::sort(addresses.begin(), addresses.end());
     if (addresses != this->leaving) {
         this->leaving = std::move(addresses);
-        this->sendToEntry(LeavingUpdate{this->leaving});
+        this->sendLeaving();
+    }
+}
+
+void AgentReducer::State::sendLeaving()
+{
+    LeavingUpdate update{.addresses = this->leaving};
+    const auto endpoints = this->drains.endpoints();
+    update.addresses.insert(update.addresses.end(), endpoints.begin(), endpoints.end());
+    this->sendToEntry(std::move(update));
+}
+
+void AgentReducer::State::learnDrains(TimePoint now, const DrainNotice &notice, const std::string &from)
+{
+    const auto news = this->drains.take(now, notice);
+    if (news.upstreams.empty()) {
+        return;
+    }
+    this->sendLeaving();
+    for (const auto &peer : this->membership.linked()) {
+        if (peer != from) {
+            this->effects.emplace_back(SendToPeer{peer, news});
+        }
     }
 }
 
@@ -65,6 +87,9 @@
     this->carryOut(this->membership.introduce(event.at, identity, event.hello.incarnation));
     // A restarted VM has to get what is in force even when the log is unavailable, and at once.
     this->effects.emplace_back(SendToPeer{event.hello.vmId, this->bundles.digest({}, true)});
+    if (auto notice = this->drains.notice(event.at); !notice.upstreams.empty()) {
+        this->effects.emplace_back(SendToPeer{event.hello.vmId, std::move(notice)});
+    }
 }
 
 void AgentReducer::State::handle(const PeerMessageReceived &event)
@@ -82,6 +107,8 @@
         this->judgeEvidence(event.at);
     } else if (const auto *news = std::get_if<HealthVerdicts>(&event.message)) {
         this->receive(event.at, event.peer, *news);
+    } else if (const auto *notice = std::get_if<DrainNotice>(&event.message)) {
+        this->learnDrains(event.at, *notice, event.peer);
     }
 }
 
@@ -94,7 +121,7 @@
 {
     this->entryConnected = true;
     this->sendConfiguration({});
-    this->sendToEntry(LeavingUpdate{this->leaving});
+    this->sendLeaving();
     this->sendToEntry(HealthVerdicts{.origin = {}, .complete = true, .verdicts = this->verdicts.sick(event.at)});
 }
 
@@ -129,6 +156,11 @@
     this->judgeEvidence(event.at);
 }
 
+void AgentReducer::State::handle(const DrainsReceived &event)
+{
+    this->learnDrains(event.at, event.notice, {});
+}
+
 void AgentReducer::State::handle(const AgentTimerExpired &event)
 {
     this->carryOut(this->membership.expire(event.at));
@@ -139,6 +171,9 @@
     }
     if (this->nextCleanup <= event.at) {
         this->dropIdlePeers(event.at);
+        if (this->drains.expire(event.at)) {
+            this->sendLeaving();
+        }
     }
 }
 
--- a/src/control/agentstate.h
+++ b/src/control/agentstate.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_CONTROL_AGENTSTATE_H
 
 #include "bundlesync.h"
+#include "draintable.h"
 #include "evidencepool.h"
 #include "verdicttable.h"
 
@@ -20,9 +21,12 @@
     void handle(const EntryConnected &event);
     void handle(const EntryDisconnected &event);
     void handle(const EvidenceReceived &event);
+    void handle(const DrainsReceived &event);
     void handle(const AgentTimerExpired &event);
 
     void receive(TimePoint now, const std::string &peer, const HealthVerdicts &message);
+    void learnDrains(TimePoint now, const DrainNotice &notice, const std::string &from);
+    void sendLeaving();
     void bundlesChanged(const std::vector<std::string> &names);
     void sendToEntry(Message message);
     void sendConfiguration(const std::vector<std::string> &names);
@@ -43,7 +47,9 @@
     internal::VerdictTable verdicts;
     /// Peers with a stream, and when it was last used for sending.
     std::map<std::string, TimePoint> streams;
+    /// Addresses that the VM list reports as leaving.
     std::vector<std::string> leaving;
+    internal::DrainTable drains;
     std::uint64_t lastSequence;
     TimePoint nextRefresh;
     TimePoint nextCleanup;
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -17,7 +17,7 @@
 
 // In the order of the alternatives of Message.
 constexpr std::array<const char *, std::variant_size_v<Message>> TypeNames
-    = {"hi", "cd", "br", "bt", "cu", "er", "hv", "lu", "hb", "ha", "ip", "ia"};
+    = {"hi", "cd", "br", "bt", "cu", "er", "hv", "lu", "hb", "ha", "ip", "ia", "dn"};
 
 template<typename Enum>
 constexpr Enum LastOf = Enum{};
--- a/src/control/messagefields.h
+++ b/src/control/messagefields.h
@@ -104,6 +104,17 @@
     archive("a", value.addresses);
 }
 
+void describe(auto &archive, Like<DrainingUpstream> auto &value)
+{
+    archive("e", value.endpoint);
+    archive("a", value.age);
+}
+
+void describe(auto &archive, Like<DrainNotice> auto &value)
+{
+    archive("u", value.upstreams);
+}
+
 void describe(auto &archive, Like<MemberUpdate> auto &value)
 {
     archive("m", value.vmId);
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -1,5 +1,7 @@
 #include "upstreampool.h"
 
+#include "verbenadock/base/drain.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -8,8 +10,6 @@
 
 namespace {
 
-/// An upstream that announced its drain is asked again after this time, in case the announcement was withdrawn.
-constexpr Duration LongestDrain = std::chrono::seconds(60);
 /// First and longest wait after shed work. The first is about the time in which a slot becomes free.
 constexpr Duration FirstShedBackOff = std::chrono::milliseconds(5);
 constexpr Duration LongestShedBackOff = std::chrono::milliseconds(250);
@@ -218,7 +218,7 @@
 {
     auto &state = this->upstreams[upstream];
     const bool isNew = state.drainingUntil <= now;
-    state.drainingUntil = now + LongestDrain;
+    state.drainingUntil = now + DrainMemory;
     this->lastDrainEnd = state.drainingUntil;
     return isNew;
 }
@@ -227,7 +227,7 @@
 {
     for (const auto index : this->active) {
         auto &state = this->upstreams[index];
-        const bool leaves = addresses.contains(state.endpoint.address);
+        const bool leaves = addresses.contains(state.endpoint.address) || addresses.contains(toString(state.endpoint));
         if (state.leaving && !leaves) {
             state.drainingUntil = TimePoint{};
         }
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -63,7 +63,8 @@
     /// Returns true when the upstream was not known to drain.
     bool noteDraining(std::uint32_t upstream, TimePoint now);
 
-    /// Takes over the leaving addresses. An address that is no longer leaving ends the drain as well.
+    /// Takes over the leaving addresses and endpoints (ADDRESS:PORT). One that is no longer leaving ends the drain as
+    /// well.
     void setLeaving(const std::unordered_set<std::string> &addresses);
 
     /// Ids of the upstreams that leave or drain.
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -15,6 +15,7 @@
 using Telemetry::LogLevel;
 
 constexpr auto ReportInterval = std::chrono::milliseconds(200);
+constexpr auto DrainRepeatInterval = std::chrono::seconds(1);
 constexpr int UncleanExit = 1;
 
 std::uint64_t startMilliseconds()
@@ -171,6 +172,7 @@
     this->reportTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             this->sendEvidence();
+            this->sendDrains();
             this->scheduleReport();
         }
     });
@@ -186,6 +188,23 @@
     }
 }
 
+void EntryProcess::sendDrains()
+{
+    // The agent keeps what it knows, so that the notice is repeated only in case the agent was restarted or away.
+    auto drains = this->server->drains();
+    const auto now = monotonicNow();
+    const bool isNew = drains.size() > this->drainsSent;
+    if (drains.empty() || (!isNew && now < this->repeatDrainsAt)) {
+        this->drainsSent = drains.size();
+        return;
+    }
+    const auto count = drains.size();
+    if (this->link->send(Control::DrainNotice{.upstreams = std::move(drains)})) {
+        this->drainsSent = count;
+        this->repeatDrainsAt = now + DrainRepeatInterval;
+    }
+}
+
 void EntryProcess::waitForSignal()
 {
     this->signals.async_wait([this](boost::system::error_code error, int number) {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -40,6 +40,7 @@
     void reportRefused();
     void scheduleReport();
     void sendEvidence();
+    void sendDrains();
     void waitForSignal();
     void signalReceived(int number);
     void finish(int status);
@@ -55,6 +56,8 @@
     std::unique_ptr<Control::AgentLink> link;
     boost::asio::signal_set signals;
     boost::asio::steady_timer reportTimer;
+    std::size_t drainsSent = 0;
+    TimePoint repeatDrainsAt{};
     bool shutdownRequested = false;
     int exitStatus = 0;
 };
--- a/src/proxy/entryserver.cpp
+++ b/src/proxy/entryserver.cpp
@@ -52,4 +52,9 @@
     return this->implementation->host->evidence().take();
 }
 
+std::vector<Control::DrainingUpstream> EntryServer::drains() const
+{
+    return this->implementation->host->drains().current(monotonicNow());
+}
+
 } // namespace Verbenadock::Proxy
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -232,6 +232,9 @@
 void Host::answerBegins(const Attempt &attempt, unsigned status, bool draining)
 {
     const auto &order = attempt.startOrder();
+    if (draining) {
+        this->drainLog.note(order.endpoint, monotonicNow());
+    }
     this->apply(Core::ResponseHeadReceived{.at = monotonicNow(),
                                            .request = order.request,
                                            .attempt = order.attempt,
@@ -243,6 +246,9 @@
 {
     const auto request = attempt.startOrder().request;
     const auto id = attempt.id();
+    if (draining) {
+        this->drainLog.note(attempt.startOrder().endpoint, monotonicNow());
+    }
     const auto cause
         = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
     this->proxyMetrics.countAttempt(cause);
@@ -324,6 +330,11 @@
     return this->upstreams;
 }
 
+DrainLog &Host::drains()
+{
+    return this->drainLog;
+}
+
 EvidencePool &Host::evidence()
 {
     return this->evidencePool;
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_PROXY_HOST_H
 
 #include "callerconnection.h"
+#include "drainlog.h"
 #include "evidencepool.h"
 #include "exchange.h"
 #include "io.h"
@@ -57,6 +58,7 @@
     TimerWheel &timers();
     UpstreamPool &pool();
     EvidencePool &evidence();
+    DrainLog &drains();
     Executor executor() const;
     const Core::Reducer &core() const;
     Endpoint localEndpoint() const;
@@ -102,6 +104,7 @@
     TimerWheel wheel;
     UpstreamPool upstreams;
     EvidencePool evidencePool;
+    DrainLog drainLog;
     Acceptor acceptor;
     Timer sweepTimer;
     Timer acceptPause;
--- a/test/control/agentreducertest.cpp
+++ b/test/control/agentreducertest.cpp
@@ -244,6 +244,32 @@
     CHECK(std::get<HealthVerdicts>(messages[2]).complete);
 }
 
+// Guards against entries that go on sending work to a draining upstream because they rarely hear from it, and against a
+// notice that circulates or holds for ever.
+TEST_CASE("a drain that one entry heard of reaches every entry once and ends")
+{
+    const std::vector<std::string> ids{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7", "vm-8"};
+    Fleet fleet(ids);
+    fleet.run(2s);
+    for (const auto &id : ids) {
+        fleet.apply(id, EntryConnected{fleet.now});
+        fleet.entries[id].clear();
+    }
+    const DrainNotice notice{{{.endpoint = "127.0.1.1:8000", .age = 1s}}};
+    fleet.apply("vm-3", DrainsReceived{fleet.now, notice});
+    fleet.apply("vm-3", DrainsReceived{fleet.now, notice});
+    const Message leaving = LeavingUpdate{{"127.0.0.8", "127.0.1.1:8000"}};
+    for (const auto &id : ids) {
+        INFO(id);
+        CHECK(fleet.entries[id] == std::vector{leaving});
+    }
+    fleet.run(61s);
+    for (const auto &id : ids) {
+        INFO(id);
+        CHECK(fleet.entries[id] == std::vector{leaving, Message(LeavingUpdate{{"127.0.0.8"}})});
+    }
+}
+
 // Guards against verdicts that do not leave the collectors, and against one VM that decides alone.
 TEST_CASE("evidence of two VMs reaches every entry as a verdict")
 {
--- a/test/control/messagetest.cpp
+++ b/test/control/messagetest.cpp
@@ -84,6 +84,7 @@
         HeartbeatAck{number, several(anyUpdate)},
         IndirectProbe{text, number},
         IndirectProbeAck{text, number, flag},
+        DrainNotice{{{text, age}}},
     };
 }
 
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -210,6 +210,18 @@
     }
 }
 
+// Guards against a drain that another entry heard of being ignored, or ending the work of its whole VM.
+TEST_CASE("an endpoint that leaves gets no work while others at its address do")
+{
+    auto service = makeService(2, 2);
+    service.upstreams[1].endpoint = {.address = service.upstreams[0].endpoint.address, .port = 8001};
+    auto reducer = configuredReducer(service);
+    reducer.apply(LeavingChanged{.at = at(1), .addresses = {toString(service.upstreams[0].endpoint)}});
+    CHECK(started(reducer, 1, "GET", 2).upstream.upstream == "u1");
+    CHECK(started(reducer, 2, "GET", 2).upstream.upstream == "u1");
+    CHECK(only<StartAttempt>(reducer.apply(arrival(3, "GET", at(2)))).empty());
+}
+
 // Guards against an upstream that is asked again at once while it sheds load.
 TEST_CASE("an upstream that sheds is left alone for a moment")
 {
