--- a/src/measure/overload.cpp
+++ b/src/measure/overload.cpp
@@ -34,7 +34,7 @@
                           .upstreams = Upstreams,
                           .slots = Slots,
                           .extra = "timeouts = { connect = \"250 ms\", first_byte = \"1 s\", total = \"1 s\" }"}},
-            .vms = 3,
+            .vms = 6,
             .behaviour = {{"slots", Slots}, {"serviceMs", ServiceMs}}};
 }
 
@@ -60,7 +60,10 @@
             .seed = seed,
             .request =
                 [balancer = fleet.balancerListen()](std::uint64_t number) {
-                    return LoadRequest{.target = balancer, .path = "/katalog/item?q=" + std::to_string(number)};
+                    // Every other request is not idempotent.
+                    return LoadRequest{.target = balancer,
+                                       .method = number % 2 == 0 ? "GET" : "POST",
+                                       .path = "/katalog/item?q=" + std::to_string(number)};
                 },
             .onResult = nullptr};
 }
--- a/src/measure/promisesjudge.cpp
+++ b/src/measure/promisesjudge.cpp
@@ -19,6 +19,7 @@
     std::uint64_t lost = 0;
     std::uint64_t falseNotRun = 0;
     std::uint64_t claimsUnknown = 0;
+    std::uint64_t unknownNeverRun = 0;
     std::uint64_t claimsBroken = 0;
     std::uint64_t incomplete = 0;
     std::uint64_t crossed = 0;
@@ -74,10 +75,10 @@
     });
 }
 
-/// Adds one and shows the call when the promise is broken.
-void count(bool broken, std::uint64_t &counter, const char *fault, const Call &call, const Runs &runs)
+/// Adds one and shows the call when the condition holds.
+void count(bool holds, std::uint64_t &counter, const char *fault, const Call &call, const Runs &runs)
 {
-    if (broken) {
+    if (holds) {
         ++counter;
         show(fault, call, runs);
     }
@@ -93,11 +94,12 @@
     counts.uploadsUnknown += !told && !refused ? 1 : 0;
 }
 
-void judgeClaim(const Call &call, Counts &counts)
+void judgeClaim(const Call &call, const Runs &runs, Counts &counts)
 {
     const CallTry &last = call.tries.back();
     ++counts.claims;
-    counts.claimsUnknown += last.outcome == LoadOutcome::Unknown ? 1 : 0;
+    count(last.outcome == LoadOutcome::Unknown, counts.claimsUnknown, "claim with unknown outcome", call, runs);
+    counts.unknownNeverRun += last.outcome == LoadOutcome::Unknown && runs.empty() ? 1 : 0;
     counts.claimsBroken += last.outcome == LoadOutcome::Broken ? 1 : 0;
 }
 
@@ -135,7 +137,7 @@
     if (call.kind == CallKind::Upload) {
         judgeUpload(call, runs, counts);
     } else if (call.kind == CallKind::Claim) {
-        judgeClaim(call, counts);
+        judgeClaim(call, runs, counts);
     }
 }
 
@@ -176,6 +178,7 @@
     report.add("outcome_unknown", counts.claimsUnknown);
     const double claims = static_cast<double>(std::max<std::uint64_t>(counts.claims, 1));
     report.add("outcome_unknown_percent", 100 * static_cast<double>(counts.claimsUnknown) / claims);
+    report.add("unknown_never_run", counts.unknownNeverRun);
     report.add("claims_broken", counts.claimsBroken);
     report.add("incomplete", counts.incomplete);
     report.add("crossed", counts.crossed);
--- a/src/measure/promisesjudge.h
+++ b/src/measure/promisesjudge.h
@@ -17,7 +17,7 @@
 };
 
 /// Compares what callers were told with what upstreams recorded. Writes one line to standard error for each broken
-/// promise.
+/// promise and for each claim with an unknown outcome.
 void judge(const Evidence &evidence, Report &report);
 
 } // namespace Verbenadock::Measure
