--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -229,9 +229,14 @@
     return this->file(operatorName + ".pem");
 }
 
+Endpoint Fleet::balancerListen() const
+{
+    return {this->platformAddress, Ports::Balancer};
+}
+
 Net::HttpResponse Fleet::call(const Net::HttpRequest &request, Duration timeout) const
 {
-    return Net::fetchBlocking({this->platformAddress, Ports::Balancer}, request, timeout);
+    return Net::fetchBlocking(this->balancerListen(), request, timeout);
 }
 
 void Fleet::setUpstreams(const Json &behaviour, const std::vector<std::string> &ids)
@@ -294,6 +299,16 @@
     return result;
 }
 
+void Fleet::setVmList(const Json &faults)
+{
+    postJson({this->platformAddress, Ports::VmListControl}, "/set", faults);
+}
+
+void Fleet::restartUpstreams(const std::vector<std::string> &ids)
+{
+    postJson({this->platformAddress, Ports::UpstreamControl}, "/restart", {{"upstreams", ids}});
+}
+
 void Fleet::publishVms(const std::vector<std::string> &leaving)
 {
     postJson({this->platformAddress, Ports::VmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -94,6 +94,7 @@
     /// The operator's private key in PEM.
     std::filesystem::path operatorKey(const std::string &operatorName) const;
 
+    Endpoint balancerListen() const;
     /// Sends a caller's request through the balancer.
     Net::HttpResponse call(const Net::HttpRequest &request, Duration timeout = std::chrono::seconds(20)) const;
 
@@ -114,6 +115,10 @@
     void appendRecord(const std::string &record) const;
     /// The records that the configuration stream retains.
     std::vector<std::string> records() const;
+    /// Lag and outage of the VM list.
+    void setVmList(const Json &faults);
+    /// Closes the upstreams' connections and starts them cold.
+    void restartUpstreams(const std::vector<std::string> &ids);
     /// Publishes the VM list; the named VMs and upstreams are leaving.
     void publishVms(const std::vector<std::string> &leaving = {});
 
