Cache the siblings' latency that slowness is judged by

Each record allocated a vector, took one exponential per sibling and selected the median of all. The median is now kept in logarithms, without allocation, and computed once per quarter as many samples as there are upstreams, or when a stage, the members or the leaving set change. A threshold on the change of a member's latency was ruled out, since the estimate moves by up to a tenth with each sample. The rate hypotheses move to a file of their own.

--- a/src/health/member.cpp
+++ b/src/health/member.cpp
@@ -25,12 +25,12 @@
     ++this->samples;
 }
 
-std::optional<Duration> TypicalLatency::value() const
+std::optional<double> TypicalLatency::logValue() const
 {
     if (this->samples < MinSamples) {
         return std::nullopt;
     }
-    return Duration(static_cast<Duration::rep>(std::exp(this->logMicroseconds)));
+    return this->logMicroseconds;
 }
 
 } // namespace Verbenadock::Health::Internal
--- a/src/health/member.h
+++ b/src/health/member.h
@@ -16,8 +16,8 @@
 {
 public:
     void add(Duration latency);
-    /// Absent until a few samples were added.
-    std::optional<Duration> value() const;
+    /// Natural logarithm of the microseconds; absent until a few samples were added.
+    std::optional<double> logValue() const;
 
 private:
     double logMicroseconds = 0;
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -1,8 +1,10 @@
 #include "verbenadock/health/servicedetector.h"
 
 #include "floor.h"
+#include "hypotheses.h"
 #include "member.h"
 #include "recentsamples.h"
+#include "siblinglatency.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,6 +14,8 @@
 namespace Verbenadock::Health {
 
 using Internal::Cusum;
+using Internal::HealthyFailureRate;
+using Internal::HealthySlowRate;
 using Internal::Member;
 using Internal::RateHypotheses;
 using Internal::SampleKind;
@@ -19,16 +23,6 @@
 
 namespace {
 
-// A healthy upstream may fail this often without being suspected; it also keeps the ratios finite.
-constexpr double HealthyFailureRate = 0.01;
-// Latencies vary more than results, so more slow answers are tolerated.
-constexpr double HealthySlowRate = 0.05;
-constexpr double SickSlowRate = 0.5;
-// Weight of the healthy rate against the siblings' samples, in samples.
-constexpr double PriorSamples = 4;
-// The sick rate is at least this multiple of the siblings' rate.
-constexpr double SickRatio = 4;
-constexpr double MaxSickRate = 0.95;
 // Ceiling of the evidence as a multiple of the threshold. A recovered upstream that the floor held is cleared by about
 // 40 successes.
 constexpr double EvidenceCeiling = 1.5;
@@ -44,48 +38,15 @@
 // An upstream that stays healthy this long counts as recovered; a new ejection starts with the first wait again.
 constexpr Duration RelapseMemory = std::chrono::minutes(2);
 
-RateHypotheses failureRates(double healthy, double wanted)
-{
-    const double bounded = std::clamp(healthy, HealthyFailureRate, MaxSickRate - 0.01);
-    return {.healthy = bounded, .sick = std::clamp(std::max(wanted, SickRatio * bounded), bounded + 0.01, MaxSickRate)};
-}
-
-RateHypotheses slowRates(double healthy)
-{
-    const double bounded = std::clamp(healthy, HealthySlowRate, MaxSickRate - 0.01);
-    return {.healthy = bounded, .sick = std::clamp(std::max(SickSlowRate, 2 * bounded), bounded + 0.01, MaxSickRate)};
-}
-
-double smoothedRate(const Tally &tally, double prior)
-{
-    return (tally.bad + prior * PriorSamples) / (tally.all + PriorSamples);
-}
-
 } // namespace
 
-std::string_view toString(HealthState state)
-{
-    switch (state) {
-    case HealthState::Healthy:
-        return "healthy";
-    case HealthState::Ejected:
-        return "ejected";
-    case HealthState::Trial:
-        return "trial";
-    case HealthState::Ramp:
-        return "ramp";
-    case HealthState::HeldByFloor:
-        return "held-by-floor";
-    }
-    return "invalid";
-}
-
 struct ServiceDetector::State
 {
     DetectorSettings settings;
     std::vector<Member> members;
     std::unordered_map<std::string, std::size_t> positions;
     Internal::RecentSamples recent;
+    Internal::SiblingLatency siblingLatency;
     std::uint32_t nextNumber = 0;
 
     Member *find(const std::string &id);
@@ -93,8 +54,7 @@
     void setMembers(std::vector<UpstreamCapacity> upstreams);
     double threshold(const Member &member) const;
     Duration wait(const Member &member) const;
-    std::optional<Duration> siblingLatency(const Member &member) const;
-    bool isSlow(const Member &member, const Sample &sample) const;
+    bool isSlow(const Member &member, const Sample &sample);
     void judge(Member &member, const Sample &sample, bool slow);
     void judgeTrial(Member &member, bool bad, TimePoint at);
     bool alarmed(const Member &member) const;
@@ -130,6 +90,7 @@
     }
     this->members = std::move(next);
     this->positions = std::move(nextPositions);
+    this->siblingLatency.invalidate();
 }
 
 double ServiceDetector::State::threshold(const Member &member) const
@@ -147,31 +108,13 @@
     return std::min(wait, this->settings.longestEjection);
 }
 
-std::optional<Duration> ServiceDetector::State::siblingLatency(const Member &member) const
-{
-    std::vector<Duration> latencies;
-    latencies.reserve(this->members.size());
-    for (const Member &sibling : this->members) {
-        const auto latency = sibling.typicalLatency.value();
-        if (sibling.number != member.number && sibling.inUse() && latency) {
-            latencies.push_back(*latency);
-        }
-    }
-    if (latencies.empty()) {
-        return std::nullopt;
-    }
-    // The lower median: with two siblings, one of them slow, the faster one is the reference.
-    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
-    std::nth_element(latencies.begin(), middle, latencies.end());
-    return *middle;
-}
-
-bool ServiceDetector::State::isSlow(const Member &member, const Sample &sample) const
+bool ServiceDetector::State::isSlow(const Member &member, const Sample &sample)
 {
     if (sample.cause != Cause::Success) {
         return false;
     }
-    const auto reference = this->siblingLatency(member);
+    const auto position = static_cast<std::size_t>(&member - this->members.data());
+    const auto reference = this->siblingLatency.reference(this->members, position);
     return reference
            && static_cast<double>(sample.latency.count())
                   > this->settings.slowFactor * static_cast<double>(reference->count());
@@ -181,9 +124,10 @@
 {
     const bool failed = isFailure(sample.cause);
     const double ceiling = std::log(std::max(this->settings.samplesBetweenFalseAlarms, 2.0)) * EvidenceCeiling;
-    member.failures.add(failed, failureRates(HealthyFailureRate, this->settings.failureRate), ceiling, sample.at);
+    member.failures.add(
+        failed, Internal::failureRates(HealthyFailureRate, this->settings.failureRate), ceiling, sample.at);
     if (!failed) {
-        member.slowness.add(slow, slowRates(HealthySlowRate), ceiling, sample.at);
+        member.slowness.add(slow, Internal::slowRates(HealthySlowRate), ceiling, sample.at);
     }
     if (sample.cause == Cause::Success) {
         member.typicalLatency.add(sample.latency);
@@ -216,9 +160,10 @@
     // The sum was built with the rate of a healthy upstream. The run is judged again with the siblings' rate over the
     // same time, so that a failure that all share ejects nobody.
     const Tally siblings = this->recent.siblings(member.number, sum.runStart(), kind);
-    const RateHypotheses rates = kind == SampleKind::Failed ? failureRates(smoothedRate(siblings, HealthyFailureRate),
-                                                                           this->settings.failureRate)
-                                                            : slowRates(smoothedRate(siblings, HealthySlowRate));
+    const RateHypotheses rates
+        = kind == SampleKind::Failed
+              ? Internal::failureRates(Internal::smoothedRate(siblings, HealthyFailureRate), this->settings.failureRate)
+              : Internal::slowRates(Internal::smoothedRate(siblings, HealthySlowRate));
     return Internal::logLikelihoodRatio(rates, sum.badInRun(), sum.goodInRun()) >= this->threshold(member);
 }
 
@@ -350,6 +295,7 @@
     for (Member &member : this->state->members) {
         member.leaving = std::find(upstreams.begin(), upstreams.end(), member.id) != upstreams.end();
     }
+    this->state->siblingLatency.invalidate();
 }
 
 void ServiceDetector::applyPooled(const std::vector<PooledVerdict> &verdicts, TimePoint now)
@@ -368,24 +314,26 @@
 
 std::vector<HealthTransition> ServiceDetector::evaluate(TimePoint now)
 {
-    std::vector<HealthState> before;
-    before.reserve(this->state->members.size());
+    std::vector<HealthState> stages;
     for (Member &member : this->state->members) {
-        before.push_back(member.state);
+        stages.push_back(member.state);
         this->state->advance(member, now);
     }
     Internal::applyFloor(this->state->members, this->state->settings.floorPercent);
 
     std::vector<HealthTransition> changes;
-    for (std::size_t i = 0; i < before.size(); ++i) {
-        Member &member = this->state->members[i];
-        if (member.state == before[i]) {
+    for (Member &member : this->state->members) {
+        const HealthState before = stages[&member - this->state->members.data()];
+        if (member.state == before) {
             continue;
         }
-        if (member.state == HealthState::Ejected && before[i] == HealthState::HeldByFloor) {
+        if (member.state == HealthState::Ejected && before == HealthState::HeldByFloor) {
             this->state->markSick(member, now);
         }
-        changes.push_back({.upstream = member.id, .from = before[i], .to = member.state, .cause = member.lastFailure});
+        changes.push_back({.upstream = member.id, .from = before, .to = member.state, .cause = member.lastFailure});
+    }
+    if (!changes.empty()) {
+        this->state->siblingLatency.invalidate();
     }
     return changes;
 }
