Report every change of an upstream's stage

A trial's outcome, an overdue request or a withdrawn pooled verdict moves an upstream at once, and evaluate() compared with the stage at its own start, so these changes were never reported. evaluate() now compares with the stage that it reported last. Acting on the outcome only in evaluate() was ruled out: the second of two outcomes would be judged in the old stage.

Both new tests fail without the change.

--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -124,7 +124,7 @@
     /// Takes over verdicts that were reached on pooled evidence.
     void applyPooled(const std::vector<PooledVerdict> &verdicts, TimePoint now);
 
-    /// Moves upstreams between stages; returns the changes in a fixed order.
+    /// Moves upstreams between stages; returns the changes since the last call in a fixed order.
     std::vector<HealthTransition> evaluate(TimePoint now);
 
     /// The next time at which evaluate() may change a stage without new samples.
--- a/src/health/member.h
+++ b/src/health/member.h
@@ -34,6 +34,8 @@
     /// The verdict on pooled evidence.
     bool pooledSick = false;
     HealthState state = HealthState::Healthy;
+    /// The stage that evaluate() knew last, from which it reports a change.
+    HealthState reported = HealthState::Healthy;
     Cusum failures{};
     Cusum slowness{};
     TypicalLatency typicalLatency{};
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -314,16 +314,15 @@
 
 std::vector<HealthTransition> ServiceDetector::evaluate(TimePoint now)
 {
-    std::vector<HealthState> stages;
     for (Member &member : this->state->members) {
-        stages.push_back(member.state);
         this->state->advance(member, now);
     }
     Internal::applyFloor(this->state->members, this->state->settings.floorPercent);
 
+    // A stage may also have changed in record(), recordOverdue() or applyPooled() since the last call.
     std::vector<HealthTransition> changes;
     for (Member &member : this->state->members) {
-        const HealthState before = stages[&member - this->state->members.data()];
+        const HealthState before = std::exchange(member.reported, member.state);
         if (member.state == before) {
             continue;
         }
--- a/test/health/servicedetectortest.cpp
+++ b/test/health/servicedetectortest.cpp
@@ -245,6 +245,43 @@
     CHECK(bench.state(4) == HealthState::Trial);
 }
 
+// Guards against stages that change while an outcome is recorded and are then missing from the reported changes.
+TEST_CASE("the reported changes of a relapse and of a recovery form an unbroken chain")
+{
+    ServiceDetector detector({}, Bench::capacities(10, 4));
+    std::vector<HealthTransition> changes;
+    TimePoint now{1s};
+    for (unsigned round = 0; round < 200; ++round, now += 100ms) {
+        for (unsigned i = 0; i < 10; ++i) {
+            if (detector.admission(Bench::id(i), now).allowed) {
+                const bool fails = i == 3 && round > 10 && round < 40;
+                detector.record(Bench::id(i), fails ? failure(now) : success(now));
+            }
+        }
+        const auto found = detector.evaluate(now);
+        changes.insert(changes.end(), found.begin(), found.end());
+    }
+    std::vector<HealthState> stages;
+    for (const HealthTransition &change : changes) {
+        CHECK(change.from == (stages.empty() ? HealthState::Healthy : stages.back()));
+        stages.push_back(change.to);
+    }
+    using enum HealthState;
+    CHECK(stages == std::vector<HealthState>{Ejected, Trial, Ejected, Trial, Ramp, Healthy});
+}
+
+TEST_CASE("a withdrawn verdict on pooled evidence is reported as the start of a trial")
+{
+    Bench bench;
+    bench.detector.applyPooled({{.upstream = "u4", .sick = true}}, bench.now);
+    bench.detector.evaluate(bench.now);
+    bench.detector.applyPooled({{.upstream = "u4", .sick = false}}, bench.now);
+    const auto changes = bench.detector.evaluate(bench.now);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().from == HealthState::Ejected);
+    CHECK(changes.front().to == HealthState::Trial);
+}
+
 TEST_CASE("no order of outcomes takes the slots in use below the floor")
 {
     rc::prop("slots in use stay at or above the floor", [] {
