Measure detection and the behaviour of a sound fleet

'detection' gives upstreams of a deployment's services total, partial, slow, flapping, one-sided and one-kind faults by turns, and judges the upstreams' execution records against the entries' logged changes of stage. One-sided faults and faults of one kind of request are made by the upstream stand-in, which gains 'onlyTargets'; a proxy cannot tell VMs apart, since they all connect from one loopback address. A trial that fails on a sound upstream is counted apart as a false relapse. 'healthy' disturbs the fleet without a sick upstream: spikes, cold starts, shedding, lying endpoints, silent connections, paused VMs and one-way cuts between agents and to the entry.

--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -38,6 +38,8 @@
 
 constexpr std::array Scenarios{
     Scenario{"path", "latency that one VM adds, and requests per second of one entry core", measurePath},
+    Scenario{"detection", "time until the fleet avoids sick upstreams, and what it costs", measureDetection},
+    Scenario{"healthy", "ejections of sound upstreams under load spikes and disturbances", measureHealthy},
 };
 
 void listScenarios()
--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -25,6 +25,8 @@
 
 /// Each runs a scenario with real processes and returns its figures.
 Report measurePath(const ScenarioOptions &options);
+Report measureDetection(const ScenarioOptions &options);
+Report measureHealthy(const ScenarioOptions &options);
 
 } // namespace Verbenadock::Measure
 
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -216,6 +216,11 @@
              withNames({{"behaviour", behaviour}}, "upstreams", ids));
 }
 
+void Fleet::restartUpstreams(const std::vector<std::string> &ids)
+{
+    postJson({this->platformAddress, Ports::UpstreamControl}, "/restart", withNames(Json::object(), "upstreams", ids));
+}
+
 Json Fleet::upstreamState() const
 {
     return getJson({this->platformAddress, Ports::UpstreamControl}, "/state");
@@ -261,6 +266,11 @@
     return getJson(this->vms[vm].agentAdmin(), "/dump");
 }
 
+std::filesystem::path Fleet::entryLog(std::size_t vm) const
+{
+    return this->file("entry-" + this->vms[vm].id + ".log");
+}
+
 std::unique_ptr<Process> Fleet::startProgram(const std::string &program,
                                              const std::string &logName,
                                              const std::vector<std::string> &arguments)
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -85,6 +85,8 @@
 
     /// Changes the behaviour of upstreams; of all when no ids are given.
     void setUpstreams(const Json &behaviour, const std::vector<std::string> &ids = {});
+    /// Closes the connections of upstreams and lets them start cold; of all when no ids are given.
+    void restartUpstreams(const std::vector<std::string> &ids = {});
     Json upstreamState() const;
     Json executions() const;
     /// Runs per X-Work-Id that ran more than once.
@@ -99,6 +101,8 @@
 
     Json entryDump(std::size_t vm) const;
     Json agentDump(std::size_t vm) const;
+    /// What the VM's entry has logged so far.
+    std::filesystem::path entryLog(std::size_t vm) const;
 
     std::vector<FleetVm> vms;
     std::vector<FleetUpstream> upstreams;
--- a/test/standins/common/behaviour.h
+++ b/test/standins/common/behaviour.h
@@ -33,6 +33,8 @@
 
     /// Gray modes. With flapMs they are on and off by turns of this length.
     std::int64_t flapMs = 0;
+    /// When not empty, the gray modes concern only requests whose target contains this text.
+    std::string onlyTargets;
     /// Work runs and is answered with 500; probes pass.
     double failRate = 0;
     double slowFactor = 1;
@@ -66,6 +68,7 @@
                                    ignoreDeadline,
                                    echoAttemptId,
                                    flapMs,
+                                   onlyTargets,
                                    failRate,
                                    slowFactor,
                                    truncateRate,
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -160,14 +160,14 @@
 asio::awaitable<void> UpstreamServer::runInSlot(ConnectionPointer connection, const Request &request)
 {
     auto &execution = this->record(request);
-    const bool gray = this->grayNow();
+    const bool gray = this->grayNow(execution.target);
     if (gray && this->happens(this->behaviour.hangRate)) {
         execution.outcome = "hung";
         co_await connection->pause(LongTime);
         this->releaseSlot();
         co_return;
     }
-    const bool stillOpen = co_await connection->pause(this->workTime());
+    const bool stillOpen = co_await connection->pause(this->workTime(execution.target));
     this->releaseSlot();
     if (!stillOpen) {
         ++this->cancelled;
@@ -188,7 +188,7 @@
 
 asio::awaitable<void> UpstreamServer::answer(ConnectionPointer connection, Response response, Execution &execution)
 {
-    const bool gray = this->grayNow();
+    const bool gray = this->grayNow(execution.target);
     if (gray && this->happens(this->behaviour.truncateRate)) {
         execution.outcome = "truncated";
         co_await connection->writeTruncated(std::move(response));
@@ -309,7 +309,7 @@
                                             .hash = hashOf(request.body())});
 }
 
-Duration UpstreamServer::workTime()
+Duration UpstreamServer::workTime(const std::string &target)
 {
     double milliseconds = double(this->behaviour.serviceMs);
     const double age = toMilliseconds(std::chrono::duration_cast<Duration>(monotonicNow() - this->started));
@@ -317,14 +317,17 @@
     if (age < coldTime) {
         milliseconds *= 1 + (this->behaviour.coldFactor - 1) * (1 - age / coldTime);
     }
-    if (this->grayNow()) {
+    if (this->grayNow(target)) {
         milliseconds *= this->behaviour.slowFactor;
     }
     return Duration(std::int64_t(milliseconds * 1000));
 }
 
-bool UpstreamServer::grayNow() const
+bool UpstreamServer::grayNow(const std::string &target) const
 {
+    if (target.find(this->behaviour.onlyTargets) == std::string::npos) {
+        return false;
+    }
     if (this->behaviour.flapMs <= 0) {
         return true;
     }
--- a/test/standins/common/upstreamserver.h
+++ b/test/standins/common/upstreamserver.h
@@ -58,8 +58,8 @@
     Response head(http::status status) const;
     Response success(const Request &request, const Execution &execution) const;
     Execution &record(const Request &request);
-    Duration workTime();
-    bool grayNow() const;
+    Duration workTime(const std::string &target);
+    bool grayNow(const std::string &target) const;
     bool happens(double rate);
 
     std::string id;
