Let shed answers of the upstream stand-in carry the attempt's id

Accepting a refusal without an id was ruled out: a crossed one would tell a caller that its request was not run.

--- a/src/measure/detection.cpp
+++ b/src/measure/detection.cpp
@@ -48,6 +48,7 @@
     const auto executions = fleet.executions();
     const auto changes = readStageChanges(fleet);
     std::vector<EpisodeResult> results;
+    results.reserve(episodes.size());
     for (const auto &episode : episodes) {
         results.push_back(judgeEpisode(episode, executions, changes, fleet));
     }
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -143,17 +143,17 @@
     const auto deadline = deadlineOf(request, this->behaviour.ignoreDeadline);
     const bool full = this->busy >= this->behaviour.slots && this->queue.size() >= this->behaviour.queueLimit;
     if (this->behaviour.refuseWork) {
-        co_await connection->write(this->notRun("draining"));
+        co_await connection->write(this->notRun(request, "draining"));
     } else if (full || this->happens(this->behaviour.shedRate)) {
         ++this->shed;
-        co_await connection->write(this->notRun("overloaded"));
+        co_await connection->write(this->notRun(request, "overloaded"));
     } else if (co_await this->acquireSlot(connection, deadline)) {
         co_await this->runInSlot(connection, request);
     } else if (connection->isClosed()) {
         ++this->cancelled;
     } else {
         ++this->late;
-        co_await connection->write(this->notRun("deadline"));
+        co_await connection->write(this->notRun(request, "deadline"));
     }
 }
 
@@ -266,9 +266,12 @@
     return response;
 }
 
-Response UpstreamServer::notRun(const std::string &reason)
+Response UpstreamServer::notRun(const Request &request, const std::string &reason)
 {
     auto response = this->head(http::status::service_unavailable);
+    if (this->behaviour.echoAttemptId) {
+        response.set("X-Attempt-Id", header(request, "X-Attempt-Id"));
+    }
     response.set("X-Not-Run", "true");
     response.body() = reason + "\n";
     return response;
--- a/test/standins/common/upstreamserver.h
+++ b/test/standins/common/upstreamserver.h
@@ -54,7 +54,7 @@
     asio::awaitable<bool> acquireSlot(ConnectionPointer connection, TimePoint deadline);
     void releaseSlot();
 
-    Response notRun(const std::string &reason);
+    Response notRun(const Request &request, const std::string &reason);
     Response head(http::status status) const;
     Response success(const Request &request, const Execution &execution) const;
     Execution &record(const Request &request);
