Let a recovery trial fail only at the third slow answer

Recovery trials failed at sound upstreams, and one answer in twenty of a sound upstream counts as slow, so single slow answers were suspected.

--- a/src/health/member.h
+++ b/src/health/member.h
@@ -47,6 +47,7 @@
     TimePoint deadline{};
     unsigned relapses = 0;
     unsigned trialSuccesses = 0;
+    unsigned trialSlowAnswers = 0;
 
     bool sick() const
     {
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -28,6 +28,8 @@
 constexpr double EvidenceCeiling = 1.5;
 constexpr double BadnessWeight = 0.2;
 constexpr unsigned TrialSuccessesNeeded = 3;
+// One answer in twenty of a sound upstream is slow, more while it is cold, so that a single one proves no relapse.
+constexpr unsigned TrialSlowAnswersNeeded = 3;
 constexpr double FirstRampShare = 0.25;
 constexpr Duration RampTime = std::chrono::seconds(4);
 // During the ramp less evidence is enough, since a relapse is likely.
@@ -56,7 +58,7 @@
     Duration wait(const Member &member) const;
     bool isSlow(const Member &member, const Sample &sample);
     void judge(Member &member, const Sample &sample, bool slow);
-    void judgeTrial(Member &member, bool bad, TimePoint at);
+    void judgeTrial(Member &member, bool failed, bool slow, TimePoint at);
     bool alarmed(const Member &member) const;
     bool confirmed(const Member &member, const Cusum &sum, SampleKind kind) const;
     bool cleared(const Member &member) const;
@@ -139,14 +141,15 @@
     }
 }
 
-void ServiceDetector::State::judgeTrial(Member &member, bool bad, TimePoint at)
+void ServiceDetector::State::judgeTrial(Member &member, bool failed, bool slow, TimePoint at)
 {
-    if (bad) {
+    member.trialSlowAnswers += slow ? 1 : 0;
+    if (failed || member.trialSlowAnswers >= TrialSlowAnswersNeeded) {
         ++member.relapses;
         this->markSick(member, at);
         return;
     }
-    ++member.trialSuccesses;
+    member.trialSuccesses += slow ? 0 : 1;
     if (member.trialSuccesses >= TrialSuccessesNeeded) {
         this->startRamp(member, at);
     }
@@ -191,6 +194,7 @@
     member.since = now;
     member.deadline = now + TrialPatience * this->wait(member);
     member.trialSuccesses = 0;
+    member.trialSlowAnswers = 0;
 }
 
 void ServiceDetector::State::startRamp(Member &member, TimePoint now) const
@@ -269,7 +273,7 @@
     const bool slow = this->state->isSlow(*member, sample);
     const bool failed = isFailure(sample.cause);
     if (member->state == HealthState::Trial) {
-        this->state->judgeTrial(*member, failed || slow, sample.at);
+        this->state->judgeTrial(*member, failed, slow, sample.at);
         return;
     }
     this->state->recent.add({.at = sample.at, .member = member->number, .failed = failed, .slow = slow});
@@ -283,7 +287,7 @@
         return;
     }
     if (member->state == HealthState::Trial) {
-        this->state->judgeTrial(*member, true, now);
+        this->state->judgeTrial(*member, false, true, now);
         return;
     }
     this->state->recent.add({.at = now, .member = member->number, .failed = false, .slow = true});
