--- a/src/health/member.h
+++ b/src/health/member.h
@@ -47,7 +47,6 @@
     TimePoint deadline{};
     unsigned relapses = 0;
     unsigned trialSuccesses = 0;
-    unsigned trialSlowAnswers = 0;
 
     bool sick() const
     {
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -28,8 +28,6 @@
 constexpr double EvidenceCeiling = 1.5;
 constexpr double BadnessWeight = 0.2;
 constexpr unsigned TrialSuccessesNeeded = 3;
-// One answer in twenty of a sound upstream is slow, more while it is cold, so that a single one proves no relapse.
-constexpr unsigned TrialSlowAnswersNeeded = 3;
 constexpr double FirstRampShare = 0.25;
 constexpr Duration RampTime = std::chrono::seconds(4);
 // During the ramp less evidence is enough, since a relapse is likely.
@@ -58,7 +56,7 @@
     Duration wait(const Member &member) const;
     bool isSlow(const Member &member, const Sample &sample);
     void judge(Member &member, const Sample &sample, bool slow);
-    void judgeTrial(Member &member, bool failed, bool slow, TimePoint at);
+    void judgeTrial(Member &member, bool bad, TimePoint at);
     bool alarmed(const Member &member) const;
     bool confirmed(const Member &member, const Cusum &sum, SampleKind kind) const;
     bool cleared(const Member &member) const;
@@ -141,15 +139,14 @@
     }
 }
 
-void ServiceDetector::State::judgeTrial(Member &member, bool failed, bool slow, TimePoint at)
+void ServiceDetector::State::judgeTrial(Member &member, bool bad, TimePoint at)
 {
-    member.trialSlowAnswers += slow ? 1 : 0;
-    if (failed || member.trialSlowAnswers >= TrialSlowAnswersNeeded) {
+    if (bad) {
         ++member.relapses;
         this->markSick(member, at);
         return;
     }
-    member.trialSuccesses += slow ? 0 : 1;
+    ++member.trialSuccesses;
     if (member.trialSuccesses >= TrialSuccessesNeeded) {
         this->startRamp(member, at);
     }
@@ -194,7 +191,6 @@
     member.since = now;
     member.deadline = now + TrialPatience * this->wait(member);
     member.trialSuccesses = 0;
-    member.trialSlowAnswers = 0;
 }
 
 void ServiceDetector::State::startRamp(Member &member, TimePoint now) const
@@ -273,7 +269,7 @@
     const bool slow = this->state->isSlow(*member, sample);
     const bool failed = isFailure(sample.cause);
     if (member->state == HealthState::Trial) {
-        this->state->judgeTrial(*member, failed, slow, sample.at);
+        this->state->judgeTrial(*member, failed || slow, sample.at);
         return;
     }
     this->state->recent.add({.at = sample.at, .member = member->number, .failed = failed, .slow = slow});
@@ -287,7 +283,7 @@
         return;
     }
     if (member->state == HealthState::Trial) {
-        this->state->judgeTrial(*member, false, true, now);
+        this->state->judgeTrial(*member, true, now);
         return;
     }
     this->state->recent.add({.at = now, .member = member->number, .failed = false, .slow = true});
--- a/test/health/servicedetectortest.cpp
+++ b/test/health/servicedetectortest.cpp
@@ -245,23 +245,6 @@
     CHECK(bench.state(4) == HealthState::Trial);
 }
 
-// Guards against a sound upstream that stays ejected because one of its few trials met a busy moment.
-TEST_CASE("one slow answer fails no trial, but three do")
-{
-    Bench bench;
-    bench.run(10, healthyOutcome);
-    bench.run(5, failing(3));
-    bench.run(100, healthyOutcome, [&] {
-        return bench.state(3) == HealthState::Trial;
-    });
-    const unsigned slowAnswers = GENERATE(1U, 3U);
-    unsigned answers = 0;
-    bench.run(6, [&](unsigned upstream, TimePoint at) {
-        return success(at, upstream == 3 && answers++ < slowAnswers ? 100ms : 20ms);
-    });
-    CHECK(bench.state(3) == (slowAnswers == 1 ? HealthState::Ramp : HealthState::Ejected));
-}
-
 // Guards against stages that change while an outcome is recorded and are then missing from the reported changes.
 TEST_CASE("the reported changes of a relapse and of a recovery form an unbroken chain")
 {
