--- a/src/health/member.h
+++ b/src/health/member.h
@@ -16,8 +16,8 @@
 {
 public:
     void add(Duration latency);
-    /// Absent until a few samples were added.
-    std::optional<Duration> value() const;
+    /// Natural logarithm of the microseconds; absent until a few samples were added.
+    std::optional<double> logValue() const;
 
 private:
     double logMicroseconds = 0;
@@ -34,6 +34,8 @@
     /// The verdict on pooled evidence.
     bool pooledSick = false;
     HealthState state = HealthState::Healthy;
+    /// The stage that evaluate() knew last, from which it reports a change.
+    HealthState reported = HealthState::Healthy;
     Cusum failures{};
     Cusum slowness{};
     TypicalLatency typicalLatency{};
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -41,6 +41,8 @@
     Scenario{"control", "control cost of agents and entries, and its slopes", measureControl},
     Scenario{"promises", "what callers are told against what upstreams ran, under all faults", measurePromises},
     Scenario{"overload", "goodput at 0.5 to 3 times the capacity of a service", measureOverload},
+    Scenario{"detection", "time until the fleet avoids sick upstreams, and what it costs", measureDetection},
+    Scenario{"healthy", "ejections of sound upstreams under load spikes and disturbances", measureHealthy},
 };
 
 void listScenarios()
--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -28,6 +28,8 @@
 Report measureControl(const ScenarioOptions &options);
 Report measurePromises(const ScenarioOptions &options);
 Report measureOverload(const ScenarioOptions &options);
+Report measureDetection(const ScenarioOptions &options);
+Report measureHealthy(const ScenarioOptions &options);
 
 } // namespace Verbenadock::Measure
 
