--- a/include/verbenadock/control/agentevent.h
+++ b/include/verbenadock/control/agentevent.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_CONTROL_AGENTEVENT_H
 
 #include "verbenadock/control/message.h"
+#include "verbenadock/keys/epoch.h"
 #include "verbenadock/membership/member.h"
 
 #include <string>
@@ -80,6 +81,8 @@
 struct EntryConnected
 {
     TimePoint at;
+    /// What the entry said of itself.
+    Hello hello = {};
 
     auto operator<=>(const EntryConnected &) const = default;
 };
@@ -100,6 +103,43 @@
     auto operator<=>(const EvidenceReceived &) const = default;
 };
 
+/// The entry of this VM heard of a newer epoch of the idempotency keys.
+struct EpochWanted
+{
+    TimePoint at;
+    std::uint64_t epoch = 0;
+
+    auto operator<=>(const EpochWanted &) const = default;
+};
+
+/// The answer to ReadEpochs.
+struct EpochRecordsRead
+{
+    TimePoint at;
+    Keys::WallTime wall;
+    std::uint64_t first = 0;
+    std::uint64_t next = 0;
+    std::vector<ReadRecord> records;
+
+    auto operator<=>(const EpochRecordsRead &) const = default;
+};
+
+/// ReadEpochs failed.
+struct EpochsUnavailable
+{
+    TimePoint at;
+
+    auto operator<=>(const EpochsUnavailable &) const = default;
+};
+
+/// AppendEpoch ended; whether it took effect is read from the stream.
+struct EpochAppendEnded
+{
+    TimePoint at;
+
+    auto operator<=>(const EpochAppendEnded &) const = default;
+};
+
 /// The time that AgentReducer::nextDeadline() returned has come.
 struct AgentTimerExpired
 {
@@ -117,6 +157,10 @@
                                 EntryConnected,
                                 EntryDisconnected,
                                 EvidenceReceived,
+                                EpochWanted,
+                                EpochRecordsRead,
+                                EpochsUnavailable,
+                                EpochAppendEnded,
                                 AgentTimerExpired>;
 
 /// Sends a message on any stream to the peer. ConnectPeer comes before it unless the peer has connected by itself.
@@ -160,6 +204,23 @@
     auto operator<=>(const ReadLog &) const = default;
 };
 
+/// Reads the stream key-epochs; EpochRecordsRead or EpochsUnavailable answers.
+struct ReadEpochs
+{
+    std::uint64_t from = 0;
+    std::size_t limit = 0;
+
+    auto operator<=>(const ReadEpochs &) const = default;
+};
+
+/// Appends a record to the stream key-epochs; EpochAppendEnded follows.
+struct AppendEpoch
+{
+    std::string record;
+
+    auto operator<=>(const AppendEpoch &) const = default;
+};
+
 struct BundleChanged
 {
     BundleDigest bundle;
@@ -183,6 +244,17 @@
     auto operator<=>(const MemberStateChanged &) const = default;
 };
 
+/// A new epoch of the idempotency keys is known.
+struct EpochChanged
+{
+    std::uint64_t epoch = 0;
+    std::size_t members = 0;
+    /// The peer that it came from; empty for the log.
+    std::string source;
+
+    auto operator<=>(const EpochChanged &) const = default;
+};
+
 struct VerdictChanged
 {
     UpstreamKey upstream;
@@ -191,7 +263,8 @@
     auto operator<=>(const VerdictChanged &) const = default;
 };
 
-using AgentStateChange = std::variant<BundleChanged, LogAvailabilityChanged, MemberStateChanged, VerdictChanged>;
+using AgentStateChange
+    = std::variant<BundleChanged, LogAvailabilityChanged, MemberStateChanged, VerdictChanged, EpochChanged>;
 
 /// The host writes one log line.
 struct ReportAgentChange
@@ -201,7 +274,8 @@
     auto operator<=>(const ReportAgentChange &) const = default;
 };
 
-using AgentEffect = std::variant<SendToPeer, ConnectPeer, DisconnectPeer, SendToEntry, ReadLog, ReportAgentChange>;
+using AgentEffect = std::
+    variant<SendToPeer, ConnectPeer, DisconnectPeer, SendToEntry, ReadLog, ReadEpochs, AppendEpoch, ReportAgentChange>;
 using AgentEffects = std::vector<AgentEffect>;
 
 } // namespace Verbenadock::Control
--- a/include/verbenadock/control/message.h
+++ b/include/verbenadock/control/message.h
@@ -5,6 +5,7 @@
 #include "verbenadock/base/identifiers.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/health/sample.h"
+#include "verbenadock/keys/message.h"
 
 #include <compare>
 #include <cstdint>
@@ -40,7 +41,7 @@
     std::string dataCentre;
     /// Rises with each start of the process (milliseconds since 1970 at the start).
     std::uint64_t incarnation = 0;
-    /// Where other agents reach the sender; empty for an entry.
+    /// Where other agents reach the sender; for an entry, where other entries reach it, as ADDRESS:PORT.
     std::string address;
 
     auto operator<=>(const Hello &) const = default;
@@ -213,6 +214,109 @@
     auto operator<=>(const IndirectProbeAck &) const = default;
 };
 
+/// A record of the stream key-epochs.
+struct KeyEpochRecord
+{
+    std::string record;
+    /// Wall-clock time in milliseconds since 1970 at which an agent had read it from the log.
+    std::uint64_t knownBy = 0;
+
+    auto operator<=>(const KeyEpochRecord &) const = default;
+};
+
+/// Known epochs, oldest first; from agent to agent and from an agent to its entry.
+struct KeyEpochs
+{
+    std::vector<KeyEpochRecord> epochs;
+
+    auto operator<=>(const KeyEpochs &) const = default;
+};
+
+/// Asks an agent for this epoch or a newer one; it answers with KeyEpochs when it knows one.
+struct KeyEpochRequest
+{
+    std::uint64_t epoch = 0;
+
+    auto operator<=>(const KeyEpochRequest &) const = default;
+};
+
+/// Entry processes that are not in the newest epoch yet; agents forward each of them once.
+struct KeyMembers
+{
+    std::vector<Keys::EpochMember> members;
+
+    auto operator<=>(const KeyMembers &) const = default;
+};
+
+/// A caller's request on its way to the owner of its key.
+struct KeyForward
+{
+    /// Chosen by the sender; the answer repeats it.
+    std::uint64_t id = 0;
+    Keys::MemberId to;
+    std::uint64_t epoch = 0;
+    Keys::Key key;
+    Keys::Fingerprint fingerprint;
+    /// Who the request counts for when it names no caller.
+    std::string callerAddress;
+    std::string requestId;
+    /// The head as it came from the caller.
+    std::string head;
+    std::string body;
+
+    auto operator<=>(const KeyForward &) const = default;
+};
+
+enum class KeyAnswerKind {
+    /// An upstream's answer.
+    Answered,
+    /// An upstream's answer to an earlier request with the key.
+    Replayed,
+    /// The owner's own answer: the request was not run.
+    NotRun,
+    /// The owner's own answer: the outcome is unknown.
+    Unknown,
+    /// The receiver does not own the key; `epoch` is its newest one.
+    NotOwner,
+};
+
+/// The answer to KeyForward, on the same stream.
+struct KeyForwardAnswer
+{
+    std::uint64_t id = 0;
+    KeyAnswerKind kind = KeyAnswerKind::Unknown;
+    std::uint64_t epoch = 0;
+    std::uint32_t status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    /// Why the owner answered by itself.
+    std::string reason;
+    /// Whole seconds; 0 for none.
+    std::uint32_t retryAfterSeconds = 0;
+
+    auto operator<=>(const KeyForwardAnswer &) const = default;
+};
+
+/// The answer to a hand-over part, on the same stream.
+struct KeyHandOverAnswer
+{
+    std::uint32_t part = 0;
+    bool accepted = false;
+
+    auto operator<=>(const KeyHandOverAnswer &) const = default;
+};
+
+/// Sent every second on a stream between entries and answered with the receiver's own, so that a silent stream is
+/// noticed.
+struct KeyConfirmation
+{
+    Keys::MemberId member;
+    /// KeyReducer::confirmedEpoch() of the sender.
+    std::uint64_t epoch = 0;
+
+    auto operator<=>(const KeyConfirmation &) const = default;
+};
+
 using Message = std::variant<Hello,
                              ConfigurationDigest,
                              BundleRequest,
@@ -224,7 +328,17 @@
                              Heartbeat,
                              HeartbeatAck,
                              IndirectProbe,
-                             IndirectProbeAck>;
+                             IndirectProbeAck,
+                             KeyEpochs,
+                             KeyEpochRequest,
+                             KeyMembers,
+                             KeyForward,
+                             KeyForwardAnswer,
+                             KeyHandOverAnswer,
+                             KeyConfirmation,
+                             Keys::FenceRequest,
+                             Keys::FenceReply,
+                             Keys::HandOverPart>;
 
 /// CBOR object with a "type" member.
 std::string encode(const Message &message);
--- a/include/verbenadock/core/reducer.h
+++ b/include/verbenadock/core/reducer.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Verbenadock::Core {
 
@@ -24,6 +25,17 @@
     auto operator<=>(const ReducerSettings &) const = default;
 };
 
+/// How a request with an idempotency key is handled, when its route is not idempotent.
+struct KeyScope
+{
+    /// Keys of different bundles are different.
+    std::string bundle;
+    /// Larger bodies are not kept, so that the work of two requests could not be compared.
+    std::size_t replayBytes = 0;
+
+    auto operator<=>(const KeyScope &) const = default;
+};
+
 /// Decides for one entry what happens to each request. It does no I/O and reads no clock.
 ///
 /// Usage: feed each event to apply() and carry out the effects in order; send TimerExpired at nextDeadline().
@@ -39,6 +51,9 @@
 
     std::optional<TimePoint> nextDeadline() const;
 
+    /// Nothing without a route to a non-idempotent service in the configuration in force.
+    std::optional<KeyScope> keyScope(std::string_view host, std::string_view method, std::string_view target) const;
+
     /// Whether the balancer may send callers: a configuration is in force and no shutdown was requested.
     bool ready() const;
 
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -7,6 +7,7 @@
 #include "verbenadock/core/effect.h"
 #include "verbenadock/core/event.h"
 #include "verbenadock/core/reducer.h"
+#include "verbenadock/keys/epoch.h"
 #include "verbenadock/settings/settings.h"
 #include "verbenadock/telemetry/metrics.h"
 
@@ -14,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,15 @@
     using Error::Error;
 };
 
+/// Where an entry takes part in the handling of idempotency keys.
+struct KeyOptions
+{
+    /// This process.
+    Keys::MemberId self;
+    /// Where other entries connect.
+    Endpoint listen;
+};
+
 /// What an EntryServer needs besides its event loop.
 struct EntryOptions
 {
@@ -35,6 +46,8 @@
     Core::ReducerSettings reducer;
     /// Part of each attempt's id; it has to differ between VMs and between starts of one VM.
     std::string instance;
+    /// Without it requests are handled as if they had no idempotency key.
+    std::optional<KeyOptions> keys;
 };
 
 /// What an EntryServer tells its process.
@@ -43,6 +56,8 @@
     std::function<void(const Core::StateChange &)> stateChanged;
     /// Called once when the shutdown is over; true when nothing was given up.
     std::function<void(bool clean)> terminated;
+    /// A peer named an epoch of the idempotency keys that is newer than the known ones.
+    std::function<void(Keys::EpochNumber)> epochWanted;
 };
 
 /// Serves callers over HTTP/1.1 and carries out the effects of the core's reducer, on the one thread that runs the
@@ -67,9 +82,12 @@
     /// Feeds an event that does not come from a caller or an upstream.
     void apply(const Core::Event &event);
 
+    /// The epochs of the idempotency keys that the agent knows.
+    void learnEpochs(const Control::KeyEpochs &known);
+
     bool ready() const;
 
-    /// The reducer's state as JSON text.
+    /// The states of the reducers as JSON text.
     std::string dump() const;
 
     /// The outcomes since the last call, for the agent.
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -58,6 +58,8 @@
     ProcessSettings process;
     /// Where callers connect, through the balancer.
     Endpoint listen;
+    /// Where other entries connect.
+    Endpoint peerListen;
     /// The agent of this VM.
     Endpoint agent;
     EntryLimits limits;
--- a/src/agent/entrylink.cpp
+++ b/src/agent/entrylink.cpp
@@ -48,9 +48,11 @@
             if (previous && previous != stream) {
                 previous->close();
             }
-            this->handlers.onConnected();
+            this->handlers.onConnected(*hello);
         } else if (this->current == stream && std::holds_alternative<Control::EvidenceReport>(message)) {
             this->handlers.onEvidence(std::get<Control::EvidenceReport>(std::move(message)));
+        } else if (this->current == stream && std::holds_alternative<Control::KeyEpochRequest>(message)) {
+            this->handlers.onEpochWanted(std::get<Control::KeyEpochRequest>(message));
         } else {
             ++this->skipped;
         }
--- a/src/agent/entrylink.h
+++ b/src/agent/entrylink.h
@@ -15,9 +15,10 @@
 public:
     struct Handlers
     {
-        std::function<void()> onConnected;
+        std::function<void(const Control::Hello &)> onConnected;
         std::function<void()> onDisconnected;
         std::function<void(Control::EvidenceReport)> onEvidence;
+        std::function<void(const Control::KeyEpochRequest &)> onEpochWanted;
     };
 
     EntryLink(boost::asio::io_context &context,
--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -62,6 +62,7 @@
     , incarnation(startTime())
     , reducer(reducerSettings(agentSettings, this->incarnation), monotonicNow())
     , logClient(agentSettings.logService, "configuration", PlatformTimeout)
+    , epochClient(agentSettings.logService, "key-epochs", PlatformTimeout)
     , vmListClient(agentSettings.vmList, PlatformTimeout)
     , timer(ioContext)
     , vmListTimer(ioContext)
@@ -87,8 +88,8 @@
             this->makeHello(),
             this->entryTraffic,
             {.onConnected =
-                 [this] {
-                     this->process(Control::EntryConnected{monotonicNow()});
+                 [this](const Control::Hello &hello) {
+                     this->process(Control::EntryConnected{monotonicNow(), hello});
                  },
              .onDisconnected =
                  [this] {
@@ -97,6 +98,10 @@
              .onEvidence =
                  [this](Control::EvidenceReport report) {
                      this->process(Control::EvidenceReceived{monotonicNow(), std::move(report)});
+                 },
+             .onEpochWanted =
+                 [this](const Control::KeyEpochRequest &request) {
+                     this->process(Control::EpochWanted{monotonicNow(), request.epoch});
                  }})
     , admin(ioContext,
             agentSettings.process.admin,
@@ -199,6 +204,16 @@
     asio::co_spawn(this->context, this->readLog(effect), asio::detached);
 }
 
+void Host::carryOut(const Control::ReadEpochs &effect)
+{
+    asio::co_spawn(this->context, this->readEpochs(effect), asio::detached);
+}
+
+void Host::carryOut(const Control::AppendEpoch &effect)
+{
+    asio::co_spawn(this->context, this->appendEpoch(effect.record), asio::detached);
+}
+
 void Host::carryOut(const Control::ReportAgentChange &effect)
 {
     logStateChange(effect.change);
@@ -221,6 +236,34 @@
     this->process(event);
 }
 
+asio::awaitable<void> Host::readEpochs(Control::ReadEpochs request)
+{
+    Control::AgentEvent event = Control::EpochsUnavailable{};
+    try {
+        const auto page = co_await this->epochClient.read(request.from, request.limit);
+        Control::EpochRecordsRead read{.at = {}, .wall = {}, .first = page.first, .next = page.next, .records = {}};
+        for (const auto &record : page.records) {
+            read.records.push_back({.offset = record.offset, .data = record.data});
+        }
+        read.at = monotonicNow();
+        read.wall = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+        event = std::move(read);
+    } catch (const Platform::PlatformError &) {
+        event = Control::EpochsUnavailable{monotonicNow()};
+    }
+    this->process(event);
+}
+
+asio::awaitable<void> Host::appendEpoch(std::string record)
+{
+    try {
+        co_await this->epochClient.append(std::move(record));
+    } catch (const Platform::PlatformError &) {
+        ++this->epochAppendFailures;
+    }
+    this->process(Control::EpochAppendEnded{monotonicNow()});
+}
+
 asio::awaitable<void> Host::followVmList()
 {
     while (!this->stopped) {
@@ -264,6 +307,8 @@
                    totals.unsupportedVerdicts);
     this->setTotal("verbenadock_verdict_messages_total", "Verdict messages from peers.", totals.verdictMessages);
     this->setTotal("verbenadock_vm_list_failures_total", "Failed reads of the VM list.", this->vmListFailures);
+    this->setTotal(
+        "verbenadock_epoch_append_failures_total", "Appends of key epochs without answer.", this->epochAppendFailures);
     this->setTotal("verbenadock_skipped_messages_total",
                    "Messages that were not understood.",
                    this->peers.counters().skippedMessages + this->entry.skippedMessages());
--- a/src/agent/host.h
+++ b/src/agent/host.h
@@ -34,8 +34,12 @@
     void carryOut(const Control::DisconnectPeer &effect);
     void carryOut(const Control::SendToEntry &effect);
     void carryOut(const Control::ReadLog &effect);
+    void carryOut(const Control::ReadEpochs &effect);
+    void carryOut(const Control::AppendEpoch &effect);
     void carryOut(const Control::ReportAgentChange &effect);
     boost::asio::awaitable<void> readLog(Control::ReadLog request);
+    boost::asio::awaitable<void> readEpochs(Control::ReadEpochs request);
+    boost::asio::awaitable<void> appendEpoch(std::string record);
     boost::asio::awaitable<void> followVmList();
     std::string metricsText();
     void setTotal(const std::string &name,
@@ -51,6 +55,7 @@
     std::shared_ptr<Net::StreamCounters> peerTraffic = std::make_shared<Net::StreamCounters>();
     std::shared_ptr<Net::StreamCounters> entryTraffic = std::make_shared<Net::StreamCounters>();
     Platform::LogClient logClient;
+    Platform::LogClient epochClient;
     Platform::VmListClient vmListClient;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer vmListTimer;
@@ -58,6 +63,7 @@
     EntryLink entry;
     Net::AdminServer admin;
     std::uint64_t vmListFailures = 0;
+    std::uint64_t epochAppendFailures = 0;
     bool stopped = false;
 };
 
--- a/src/agent/statelog.cpp
+++ b/src/agent/statelog.cpp
@@ -34,6 +34,13 @@
     logChange(update.state == Membership::State::Alive ? LogLevel::Info : LogLevel::Warning, line);
 }
 
+void write(const Control::EpochChanged &change)
+{
+    logChange(LogLevel::Info,
+              "key_epoch number=" + std::to_string(change.epoch) + " members=" + std::to_string(change.members)
+                  + " source=" + (change.source.empty() ? "log" : change.source));
+}
+
 void write(const Control::VerdictChanged &change)
 {
     const auto &key = change.upstream;
--- a/src/control/agentdump.cpp
+++ b/src/control/agentdump.cpp
@@ -50,6 +50,27 @@
     return list;
 }
 
+Json epochsJson(const internal::EpochKeeper &keeper)
+{
+    const auto newest = keeper.epochs().newest();
+    Json members = Json::array();
+    if (newest) {
+        for (const auto &member : newest->members) {
+            members.push_back({{"vm", member.vm}, {"incarnation", member.incarnation}, {"address", member.address}});
+        }
+    }
+    return {{"newest", newest ? newest->number : 0},
+            {"known", keeper.epochs().epochs().size()},
+            {"members", std::move(members)},
+            {"pending_members", keeper.pendingMembers()},
+            {"next_offset", keeper.nextOffset()},
+            {"log_available", keeper.logAvailable()},
+            {"appended", keeper.counts().appended},
+            {"from_peers", keeper.counts().fromPeers},
+            {"late_records", keeper.epochs().lateRecords()},
+            {"broken_records", keeper.epochs().brokenRecords()}};
+}
+
 Json verdictsJson(const std::vector<UpstreamVerdict> &verdicts)
 {
     Json list = Json::array();
@@ -74,6 +95,7 @@
                        {"ready", this->ready()},
                        {"bundles", bundlesJson(current.bundles, now)},
                        {"log", logJson(current.bundles, now)},
+                       {"key_epochs", epochsJson(current.epochs)},
                        {"members", membersJson(current.membership, now)},
                        {"suspects_itself", current.membership.suspectsItself()},
                        {"entry_connected", current.entryConnected},
--- a/src/control/agentreducer.cpp
+++ b/src/control/agentreducer.cpp
@@ -29,6 +29,7 @@
                  settings.incarnation,
                  now)
     , bundles(settings, counters, now)
+    , epochs(settings, now)
     , pool(counters)
     , lastSequence(settings.incarnation)
     , nextRefresh(now + VerdictRefreshInterval)
@@ -49,6 +50,10 @@
 void AgentReducer::State::handle(const VmListRead &event)
 {
     this->carryOut(this->membership.list(event.at, event.members));
+    // An empty list is taken for a fault of the platform: it must not take the keys away from every member.
+    if (!event.members.empty()) {
+        this->epochs.list(event.members);
+    }
     auto addresses = event.leavingUpstreams;
     std::sort(addresses.begin(), addresses.end());
     if (addresses != this->leaving) {
@@ -65,6 +70,7 @@
     this->carryOut(this->membership.introduce(event.at, identity, event.hello.incarnation));
     // A restarted VM has to get what is in force even when the log is unavailable, and at once.
     this->effects.emplace_back(SendToPeer{event.hello.vmId, this->bundles.digest({}, true)});
+    this->epochs.peerConnected(event.hello.vmId, this->effects);
 }
 
 void AgentReducer::State::handle(const PeerMessageReceived &event)
@@ -82,9 +88,43 @@
         this->judgeEvidence(event.at);
     } else if (const auto *news = std::get_if<HealthVerdicts>(&event.message)) {
         this->receive(event.at, event.peer, *news);
+    } else {
+        this->receiveAboutKeys(event);
     }
 }
 
+void AgentReducer::State::receiveAboutKeys(const PeerMessageReceived &event)
+{
+    const auto linked = this->membership.linked();
+    if (const auto *known = std::get_if<KeyEpochs>(&event.message)) {
+        this->epochs.handle(event.at, event.peer, *known, linked, this->effects);
+    } else if (const auto *wanted = std::get_if<KeyEpochRequest>(&event.message)) {
+        this->epochs.handle(event.peer, *wanted, this->effects);
+    } else if (const auto *announced = std::get_if<KeyMembers>(&event.message)) {
+        this->epochs.handle(event.peer, *announced, linked, this->effects);
+    }
+}
+
+void AgentReducer::State::handle(const EpochWanted &event)
+{
+    this->epochs.handle(event, this->membership.linked(), this->effects);
+}
+
+void AgentReducer::State::handle(const EpochRecordsRead &event)
+{
+    this->epochs.handle(event, this->membership.linked(), this->effects);
+}
+
+void AgentReducer::State::handle(const EpochsUnavailable &event)
+{
+    this->epochs.handle(event);
+}
+
+void AgentReducer::State::handle(const EpochAppendEnded &event)
+{
+    this->epochs.handle(event);
+}
+
 void AgentReducer::State::handle(const PeerDisconnected &event)
 {
     this->streams.erase(event.peer);
@@ -96,6 +136,8 @@
     this->sendConfiguration({});
     this->sendToEntry(LeavingUpdate{this->leaving});
     this->sendToEntry(HealthVerdicts{.origin = {}, .complete = true, .verdicts = this->verdicts.sick(event.at)});
+    this->sendToEntry(this->epochs.known());
+    this->epochs.introduceEntry(event.hello, this->membership.linked(), this->effects);
 }
 
 void AgentReducer::State::handle(const EntryDisconnected & /*event*/)
@@ -133,6 +175,7 @@
 {
     this->carryOut(this->membership.expire(event.at));
     this->bundles.expire(event.at, this->membership.linked(), this->effects);
+    this->epochs.expire(event.at, this->membership.linked(), this->membership.live(), this->effects);
     this->judgeEvidence(event.at);
     if (this->nextRefresh <= event.at) {
         this->refreshVerdicts(event.at);
@@ -257,8 +300,11 @@
 TimePoint AgentReducer::nextDeadline() const
 {
     const auto &current = *this->state;
-    TimePoint earliest = std::min(
-        {current.membership.nextDeadline(), current.bundles.nextDeadline(), current.nextRefresh, current.nextCleanup});
+    TimePoint earliest = std::min({current.membership.nextDeadline(),
+                                   current.bundles.nextDeadline(),
+                                   current.epochs.nextDeadline(),
+                                   current.nextRefresh,
+                                   current.nextCleanup});
     const auto pool = current.pool.nextDeadline();
     return pool ? std::min(earliest, *pool) : earliest;
 }
--- a/src/control/agentstate.h
+++ b/src/control/agentstate.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_CONTROL_AGENTSTATE_H
 
 #include "bundlesync.h"
+#include "epochkeeper.h"
 #include "evidencepool.h"
 #include "verdicttable.h"
 
@@ -20,9 +21,14 @@
     void handle(const EntryConnected &event);
     void handle(const EntryDisconnected &event);
     void handle(const EvidenceReceived &event);
+    void handle(const EpochWanted &event);
+    void handle(const EpochRecordsRead &event);
+    void handle(const EpochsUnavailable &event);
+    void handle(const EpochAppendEnded &event);
     void handle(const AgentTimerExpired &event);
 
     void receive(TimePoint now, const std::string &peer, const HealthVerdicts &message);
+    void receiveAboutKeys(const PeerMessageReceived &event);
     void bundlesChanged(const std::vector<std::string> &names);
     void sendToEntry(Message message);
     void sendConfiguration(const std::vector<std::string> &names);
@@ -39,6 +45,7 @@
     AgentCounters counters;
     Membership::Detector membership;
     internal::BundleSync bundles;
+    internal::EpochKeeper epochs;
     internal::EvidencePool pool;
     internal::VerdictTable verdicts;
     /// Peers with a stream, and when it was last used for sending.
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -17,7 +17,8 @@
 
 // In the order of the alternatives of Message.
 constexpr std::array<const char *, std::variant_size_v<Message>> TypeNames
-    = {"hi", "cd", "br", "bt", "cu", "er", "hv", "lu", "hb", "ha", "ip", "ia"};
+    = {"hi", "cd", "br", "bt", "cu", "er", "hv", "lu", "hb", "ha", "ip",
+       "ia", "ke", "kr", "km", "kf", "ka", "kh", "kc", "fq", "fr", "ho"};
 
 template<typename Enum>
 constexpr Enum LastOf = Enum{};
@@ -27,6 +28,10 @@
 constexpr MemberState LastOf<MemberState> = MemberState::Dead;
 template<>
 constexpr Health::Cause LastOf<Health::Cause> = Health::Cause::Cancelled;
+template<>
+constexpr KeyAnswerKind LastOf<KeyAnswerKind> = KeyAnswerKind::NotOwner;
+template<>
+constexpr Keys::FenceVerdict LastOf<Keys::FenceVerdict> = Keys::FenceVerdict::Refused;
 
 class Encoder
 {
@@ -60,6 +65,18 @@
         return array;
     }
 
+    // An absent value is an empty array.
+    template<typename Value>
+    static Json toJson(const std::optional<Value> &value)
+    {
+        return value ? Json::array({toJson(*value)}) : Json::array();
+    }
+
+    static Json toJson(const std::pair<std::string, std::string> &value)
+    {
+        return Json::array({value.first, value.second});
+    }
+
     // Pairs in one flat array: cause, count, cause, count.
     static Json toJson(const std::map<Health::Cause, std::uint32_t> &counts)
     {
@@ -158,6 +175,26 @@
         }
     }
 
+    template<typename Value>
+    static void fromJson(const Json &source, std::optional<Value> &value)
+    {
+        if (!source.is_array() || source.size() > 1) {
+            refuse(source, "an array of at most one value");
+        }
+        if (!source.empty()) {
+            fromJson(source[0], value.emplace());
+        }
+    }
+
+    static void fromJson(const Json &source, std::pair<std::string, std::string> &value)
+    {
+        if (!source.is_array() || source.size() != 2) {
+            refuse(source, "an array of two strings");
+        }
+        fromJson(source[0], value.first);
+        fromJson(source[1], value.second);
+    }
+
     static void fromJson(const Json &source, std::map<Health::Cause, std::uint32_t> &counts)
     {
         if (!source.is_array() || source.size() % 2 != 0) {
--- a/src/control/messagefields.h
+++ b/src/control/messagefields.h
@@ -139,6 +139,148 @@
     archive("s", value.alive);
 }
 
+void describe(auto &archive, Like<KeyEpochRecord> auto &value)
+{
+    archive("r", value.record);
+    archive("k", value.knownBy);
+}
+
+void describe(auto &archive, Like<KeyEpochs> auto &value)
+{
+    archive("e", value.epochs);
+}
+
+void describe(auto &archive, Like<KeyEpochRequest> auto &value)
+{
+    archive("e", value.epoch);
+}
+
+void describe(auto &archive, Like<Keys::EpochMember> auto &value)
+{
+    archive("m", value.vm);
+    archive("i", value.incarnation);
+    archive("a", value.address);
+    archive("d", value.dataCentre);
+}
+
+void describe(auto &archive, Like<KeyMembers> auto &value)
+{
+    archive("m", value.members);
+}
+
+void describe(auto &archive, Like<Keys::MemberId> auto &value)
+{
+    archive("m", value.vm);
+    archive("i", value.incarnation);
+}
+
+void describe(auto &archive, Like<Keys::Key> auto &value)
+{
+    archive("b", value.bundle);
+    archive("v", value.value);
+}
+
+void describe(auto &archive, Like<KeyForward> auto &value)
+{
+    archive("n", value.id);
+    archive("t", value.to);
+    archive("e", value.epoch);
+    archive("k", value.key);
+    archive("f", value.fingerprint);
+    archive("c", value.callerAddress);
+    archive("r", value.requestId);
+    archive("h", value.head);
+    archive("b", value.body);
+}
+
+void describe(auto &archive, Like<KeyForwardAnswer> auto &value)
+{
+    archive("n", value.id);
+    archive("k", value.kind);
+    archive("e", value.epoch);
+    archive("s", value.status);
+    archive("h", value.headers);
+    archive("b", value.body);
+    archive("r", value.reason);
+    archive("a", value.retryAfterSeconds);
+}
+
+void describe(auto &archive, Like<KeyHandOverAnswer> auto &value)
+{
+    archive("p", value.part);
+    archive("s", value.accepted);
+}
+
+void describe(auto &archive, Like<KeyConfirmation> auto &value)
+{
+    archive("m", value.member);
+    archive("e", value.epoch);
+}
+
+void describe(auto &archive, Like<Keys::Fingerprint> auto &value)
+{
+    archive("m", value.method);
+    archive("t", value.target);
+    archive("d", value.bodyDigest);
+}
+
+void describe(auto &archive, Like<Keys::StoredAnswer> auto &value)
+{
+    archive("s", value.status);
+    archive("h", value.headers);
+    archive("b", value.body);
+}
+
+void describe(auto &archive, Like<Keys::KeyRecord> auto &value)
+{
+    archive("k", value.key);
+    archive("f", value.fingerprint);
+    archive("s", value.answered);
+    archive("r", value.answer);
+    archive("a", value.age);
+}
+
+void describe(auto &archive, Like<Keys::FenceRequest> auto &value)
+{
+    archive("n", value.id);
+    archive("f", value.from);
+    archive("t", value.to);
+    archive("e", value.epoch);
+    archive("k", value.key);
+    archive("g", value.gone);
+}
+
+void describe(auto &archive, Like<Keys::FenceReply> auto &value)
+{
+    archive("n", value.id);
+    archive("f", value.from);
+    archive("m", value.about);
+    archive("t", value.to);
+    archive("s", value.verdict);
+    archive("e", value.epoch);
+    archive("c", value.confirmed);
+    archive("r", value.record);
+    archive("g", value.covered);
+}
+
+void describe(auto &archive, Like<Keys::Transfer> auto &value)
+{
+    archive("g", value.giver);
+    archive("e", value.epoch);
+    archive("t", value.receiver);
+}
+
+void describe(auto &archive, Like<Keys::HandOverPart> auto &value)
+{
+    archive("f", value.from);
+    archive("t", value.to);
+    archive("e", value.epoch);
+    archive("p", value.part);
+    archive("n", value.parts);
+    archive("r", value.records);
+    archive("g", value.transfers);
+}
+
 } // namespace Verbenadock::Control::internal
 
 #endif
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -49,6 +49,16 @@
     return target;
 }
 
+std::optional<KeyScope> Engine::keyScope(std::string_view host, std::string_view method, std::string_view target) const
+{
+    const auto found = this->configuration ? this->routes->find(host, method, target) : std::nullopt;
+    if (!found || found->idempotent) {
+        return std::nullopt;
+    }
+    const auto &service = *this->services[found->service];
+    return KeyScope{.bundle = service.bundle, .replayBytes = service.service.replayBytes};
+}
+
 void Engine::on(const RequestArrived &event)
 {
     if (this->requests.find(event.request)) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -61,6 +61,7 @@
 
     Effects apply(const Event &event);
     std::optional<TimePoint> nextDeadline() const;
+    std::optional<KeyScope> keyScope(std::string_view host, std::string_view method, std::string_view target) const;
     bool ready() const;
     std::string dump(TimePoint at) const;
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -30,6 +30,11 @@
     return this->state->engine.nextDeadline();
 }
 
+std::optional<KeyScope> Reducer::keyScope(std::string_view host, std::string_view method, std::string_view target) const
+{
+    return this->state->engine.keyScope(host, method, target);
+}
+
 bool Reducer::ready() const
 {
     return this->state->engine.ready();
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -37,6 +37,8 @@
     options.reducer = {
         .dataCentre = settings.process.dataCentre, .seed = randomSeed(), .requestLimit = settings.limits.maxRequests};
     options.instance = settings.process.vmId + "-" + std::to_string(start);
+    options.keys
+        = Proxy::KeyOptions{.self = {.vm = settings.process.vmId, .incarnation = start}, .listen = settings.peerListen};
     return options;
 }
 
@@ -47,6 +49,7 @@
     hello.vmId = settings.process.vmId;
     hello.dataCentre = settings.process.dataCentre;
     hello.incarnation = start;
+    hello.address = toString(settings.peerListen);
     return hello;
 }
 
@@ -72,6 +75,10 @@
                              .terminated =
                                  [this](bool clean) {
                                      this->finish(clean ? 0 : UncleanExit);
+                                 },
+                             .epochWanted =
+                                 [this](Keys::EpochNumber epoch) {
+                                     this->link->send(Control::KeyEpochRequest{epoch});
                                  }});
     this->admin
         = std::make_unique<Net::AdminServer>(this->context,
@@ -144,6 +151,15 @@
     this->server->apply(Core::LeavingChanged{.at = monotonicNow(), .addresses = update.addresses});
 }
 
+void EntryProcess::receive(const Control::KeyEpochs &known)
+{
+    this->server->learnEpochs(known);
+}
+
+void EntryProcess::receive(const Control::Hello & /*hello*/)
+{
+}
+
 template<typename Other>
 void EntryProcess::receive(const Other & /*message*/)
 {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -33,6 +33,8 @@
     void receive(const Control::ConfigurationUpdate &update);
     void receive(const Control::HealthVerdicts &message);
     void receive(const Control::LeavingUpdate &update);
+    void receive(const Control::KeyEpochs &known);
+    void receive(const Control::Hello &hello);
     template<typename Other>
     void receive(const Other &message);
 
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -40,6 +40,9 @@
     /// Appends the complete answer in the form that the caller gets.
     void appendHeldAnswer(std::string &out, bool close) const;
 
+    /// The complete answer of captured work.
+    Keys::StoredAnswer heldAnswer() const;
+
     AttemptId id() const
     {
         return this->order.attempt;
@@ -82,6 +85,7 @@
     bool checkHead();
     Task<bool> readBody();
     Task<bool> forwardPiece(bool last);
+    void capturePiece(Capture &capture);
     void complete();
 
     void fail(Health::Cause cause);
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -156,6 +156,10 @@
         this->body.clear();
         co_return true;
     }
+    if (this->exchange->capture) {
+        this->capturePiece(*this->exchange->capture);
+        co_return true;
+    }
     // The caller's pace must not count against the upstream, so only the deadline holds while writing.
     this->timer.set(this->order.deadline);
     const auto framing = this->answerFraming();
@@ -184,6 +188,30 @@
     co_return !this->stopped();
 }
 
+void Attempt::capturePiece(Capture &capture)
+{
+    if (!this->headForwarded) {
+        this->headForwarded = true;
+        this->exchange->headForwarded = true;
+        capture.streamed.status = this->response->parser.statusCode;
+        capture.streamed.headers = endToEndFields(this->response->parser);
+    }
+    if (capture.streamed.body.size() + this->body.size() > MaxKeyedBytes) {
+        capture.tooLong = true;
+        capture.streamed.body.clear();
+    }
+    if (!capture.tooLong) {
+        capture.streamed.body.append(this->body);
+    }
+    this->body.clear();
+}
+
+Keys::StoredAnswer Attempt::heldAnswer() const
+{
+    const auto &parser = this->response->parser;
+    return {.status = parser.statusCode, .headers = endToEndFields(parser), .body = this->body};
+}
+
 void Attempt::complete()
 {
     this->timer.clear();
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -28,6 +28,9 @@
     if (const auto *refusal = std::get_if<RefuseBody>(&*current.decision)) {
         co_return co_await this->writeRefusal(current, *refusal);
     }
+    if (const auto *answer = std::get_if<KeyAnswer>(&*current.decision)) {
+        co_return co_await this->writeKeyAnswer(current, *answer);
+    }
     if (std::holds_alternative<Streamed>(*current.decision)) {
         this->host->metrics().countAnswered();
         co_return this->afterAnswer(true);
@@ -71,6 +74,15 @@
     co_return close ? (written ? Next::Linger : Next::Close) : this->afterAnswer(written);
 }
 
+Task<CallerConnection::Next> CallerConnection::writeKeyAnswer(Exchange &current, const KeyAnswer &answer)
+{
+    this->host->metrics().countKeyAnswer(answer);
+    const bool close = this->closesAfterAnswer();
+    const auto text = keyAnswerText(answer, close, current.request.headMethod);
+    const bool written = co_await this->write(text);
+    co_return close ? (written ? Next::Linger : Next::Close) : this->afterAnswer(written);
+}
+
 Task<CallerConnection::Next> CallerConnection::writeRefusal(Exchange &current, const RefuseBody &refusal)
 {
     this->host->metrics().countBadRequest(refusal.reason);
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -138,6 +138,7 @@
     auto current = std::make_shared<Exchange>();
     current->caller = this->shared_from_this();
     current->parser = &this->message->parser;
+    current->headText = &this->message->headText;
     current->request = std::move(this->request);
     this->exchange = current;
     this->host->begin(current);
@@ -145,7 +146,7 @@
         this->watch();
     }
     while (!current->decision) {
-        if (!current->bodyReady && !current->pending.empty()) {
+        if (!current->bodyReady && (current->keyed || !current->pending.empty())) {
             co_await this->bufferBody(*current);
         } else {
             co_await this->decided.wait();
@@ -160,7 +161,7 @@
 
 Task<void> CallerConnection::bufferBody(Exchange &current)
 {
-    std::size_t limit = 0;
+    std::size_t limit = current.keyed ? current.keyed->bodyLimit : 0;
     for (const auto &attempt : current.pending) {
         limit = std::max(limit, attempt.replayBytes);
     }
--- a/src/proxy/entryserver.cpp
+++ b/src/proxy/entryserver.cpp
@@ -44,7 +44,20 @@
 
 std::string EntryServer::dump() const
 {
-    return this->implementation->host->core().dump(monotonicNow());
+    auto text = this->implementation->host->core().dump(monotonicNow());
+    if (auto *keys = this->implementation->host->keys()) {
+        // Both are objects; the one of the keys becomes a member of the other.
+        text.erase(text.find_last_of('}'));
+        text += ",\"keys\":" + keys->dump() + "}";
+    }
+    return text;
+}
+
+void EntryServer::learnEpochs(const Control::KeyEpochs &known)
+{
+    if (auto *keys = this->implementation->host->keys()) {
+        keys->learn(known);
+    }
 }
 
 std::vector<Control::UpstreamEvidence> EntryServer::takeEvidence()
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,11 +1,13 @@
 #ifndef VERBENADOCK_PROXY_EXCHANGE_H
 #define VERBENADOCK_PROXY_EXCHANGE_H
 
+#include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/base/identifiers.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/core/effect.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,14 +48,38 @@
 {
 };
 
-using Decision = std::variant<ForwardHeld, Streamed, Core::RespondLocally, Abort, RefuseBody, CallerGone>;
+using Decision = std::variant<ForwardHeld, Streamed, Core::RespondLocally, Abort, RefuseBody, CallerGone, KeyAnswer>;
+
+/// What is needed of a caller's request with an idempotency key besides the request itself.
+struct KeyedRequest
+{
+    Keys::Key key;
+    /// Larger bodies are refused.
+    std::size_t bodyLimit = 0;
+};
+
+/// Work whose answer is collected instead of written to a caller.
+struct Capture
+{
+    RequestMessage message;
+    std::string callerAddress;
+    /// An answer that streams.
+    Keys::StoredAnswer streamed;
+    bool tooLong = false;
+    std::function<void(CapturedAnswer)> done;
+};
 
 /// A caller's request from its head to the end of its answer.
 struct Exchange
 {
     RequestId id = 0;
+    /// Null for captured work.
     std::shared_ptr<CallerConnection> caller;
+    std::optional<KeyedRequest> keyed;
+    std::unique_ptr<Capture> capture;
     const RequestParser *parser = nullptr;
+    /// The head as it came from the caller.
+    const std::string *headText = nullptr;
     CheckedRequest request;
     std::string requestIdText;
     TimePoint arrivedAt{};
--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -68,8 +68,8 @@
         return request && field.name == http::field::expect;
     }
     static constexpr std::array<std::string_view, 3> RequestFields{"X-Request-Id", "X-Attempt-Id", "X-Deadline-Ms"};
-    static constexpr std::array<std::string_view, 4> AnswerFields{
-        "Verbenadock-Outcome", "X-Attempt-Id", "X-Not-Run", "X-Draining"};
+    static constexpr std::array<std::string_view, 5> AnswerFields{
+        "Verbenadock-Outcome", "Verbenadock-Replayed", "X-Attempt-Id", "X-Not-Run", "X-Draining"};
     const auto same = [&field](std::string_view name) {
         return equalsIgnoringCase(field.nameText, name);
     };
@@ -84,7 +84,8 @@
     });
 }
 
-void appendEndToEnd(std::string &out, const std::vector<Field> &fields, bool request)
+template<typename Take>
+void takeEndToEnd(const std::vector<Field> &fields, bool request, Take take)
 {
     const bool namesFields = std::any_of(fields.begin(), fields.end(), [](const Field &field) {
         return field.name == http::field::connection && !equalsIgnoringCase(field.value, "keep-alive")
@@ -94,11 +95,18 @@
         // Host is kept whatever Connection names, because the request would be invalid without it.
         const bool named = namesFields && field.name != http::field::host && isNamedByConnection(fields, field);
         if (!isHopByHop(field) && !isOwnField(field, request) && !named) {
-            appendField(out, field.nameText, field.value);
+            take(field);
         }
     }
 }
 
+void appendEndToEnd(std::string &out, const std::vector<Field> &fields, bool request)
+{
+    takeEndToEnd(fields, request, [&out](const Field &field) {
+        appendField(out, field.nameText, field.value);
+    });
+}
+
 std::string_view reasonPhrase(unsigned status)
 {
     const auto text = http::obsolete_reason(http::int_to_status(status));
@@ -138,6 +146,54 @@
     out.append(LineEnd);
 }
 
+std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser)
+{
+    std::vector<std::pair<std::string, std::string>> taken;
+    takeEndToEnd(parser.fields, false, [&taken](const Field &field) {
+        taken.emplace_back(field.nameText, field.value);
+    });
+    return taken;
+}
+
+std::string keyAnswerText(const KeyAnswer &answer, bool close, bool headMethod)
+{
+    using Kind = Control::KeyAnswerKind;
+    if (answer.kind != Kind::Answered && answer.kind != Kind::Replayed) {
+        const auto outcome = answer.kind == Kind::NotRun ? Core::Outcome::NotRun : Core::Outcome::Unknown;
+        return localAnswerText(LocalAnswer{.status = answer.answer.status,
+                                           .outcome = outcome,
+                                           .reason = answer.reason,
+                                           .retryAfterSeconds = answer.retryAfterSeconds,
+                                           .close = close,
+                                           .headMethod = headMethod});
+    }
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned NotModified = 304;
+    const auto status = answer.answer.status;
+    std::string out = "HTTP/1.1 ";
+    appendNumber(out, status);
+    out.append(" ").append(reasonPhrase(status)).append(LineEnd);
+    for (const auto &[name, value] : answer.answer.headers) {
+        appendField(out, name, value);
+    }
+    out.append("Verbenadock-Outcome: answered\r\n");
+    if (answer.kind == Kind::Replayed) {
+        out.append("Verbenadock-Replayed: true\r\n");
+    }
+    const bool withoutBody = headMethod || status == NoContent || status == NotModified;
+    if (!withoutBody) {
+        appendFraming(out, BodyFraming{.kind = BodyFraming::Kind::Length, .length = answer.answer.body.size()});
+    }
+    if (close) {
+        appendField(out, "Connection", "close");
+    }
+    out.append(LineEnd);
+    if (!withoutBody) {
+        out.append(answer.answer.body);
+    }
+    return out;
+}
+
 std::string localAnswerText(const LocalAnswer &answer)
 {
     const std::string outcome(Core::toString(answer.outcome));
--- a/src/proxy/headwriter.h
+++ b/src/proxy/headwriter.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_PROXY_HEADWRITER_H
 
 #include "httpparser.h"
+#include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/core/effect.h"
 
@@ -43,6 +44,11 @@
 /// Appends the head that a caller gets for an upstream's answer.
 void appendResponseHead(std::string &out, const ResponseParser &parser, BodyFraming framing, bool close);
 
+/// The fields of an upstream's answer that a caller gets.
+std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser);
+
+std::string keyAnswerText(const KeyAnswer &answer, bool close, bool headMethod);
+
 /// An answer of the entry itself.
 struct LocalAnswer
 {
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -22,23 +22,6 @@
     return instance + "-r" + std::to_string(exchange.id);
 }
 
-Core::RequestArrived arrival(const Exchange &exchange, const std::string &peerAddress)
-{
-    const auto &request = exchange.request;
-    Core::RequestArrived event{.at = exchange.arrivedAt,
-                               .request = exchange.id,
-                               .host = request.host,
-                               .method = std::string(exchange.parser->methodText),
-                               .target = std::string(request.target),
-                               .caller = request.caller.empty() ? peerAddress : std::string(request.caller),
-                               .idempotencyKey = std::nullopt,
-                               .bodyBytes = request.bodyBytes};
-    if (request.idempotencyKey) {
-        event.idempotencyKey = std::string(*request.idempotencyKey);
-    }
-    return event;
-}
-
 BadRequest reasonOf(BodyState state)
 {
     switch (state) {
@@ -56,6 +39,23 @@
 
 } // namespace
 
+Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress)
+{
+    const auto &request = exchange.request;
+    Core::RequestArrived event{.at = exchange.arrivedAt,
+                               .request = exchange.id,
+                               .host = request.host,
+                               .method = std::string(exchange.parser->methodText),
+                               .target = std::string(request.target),
+                               .caller = request.caller.empty() ? peerAddress : std::string(request.caller),
+                               .idempotencyKey = std::nullopt,
+                               .bodyBytes = request.bodyBytes};
+    if (request.idempotencyKey) {
+        event.idempotencyKey = std::string(*request.idempotencyKey);
+    }
+    return event;
+}
+
 Host::Host(asio::io_context &loop, EntryOptions given, Telemetry::MetricsRegistry &registry, EntryHandlers toProcess)
     : context(loop)
     , options(std::move(given))
@@ -136,7 +136,9 @@
     exchange->bodyReady = exchange->caller->bodyDone();
     exchange->requestIdText = requestIdText(*exchange, this->options.instance);
     this->exchanges.emplace(exchange->id, exchange);
-    this->apply(arrival(*exchange, exchange->caller->peerAddress()));
+    if (!this->beginKeyed(*exchange)) {
+        this->apply(arrivalOf(*exchange, exchange->caller->peerAddress()));
+    }
 }
 
 void Host::end(Exchange &exchange)
@@ -162,6 +164,9 @@
 
 void Host::startPending(Exchange &exchange)
 {
+    if (exchange.keyed) {
+        this->submitKeyed(exchange);
+    }
     const auto pending = std::exchange(exchange.pending, {});
     for (const auto &order : pending) {
         this->spawn(this->exchanges.at(exchange.id), order);
@@ -179,6 +184,9 @@
 void Host::giveUp(Exchange &exchange)
 {
     const auto id = exchange.id;
+    if (exchange.keyed) {
+        this->keyHost->abandon(id);
+    }
     this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = id});
     // Attempts that were not cancelled can only go on when they have the whole body.
     const auto pending = std::exchange(exchange.pending, {});
@@ -298,8 +306,15 @@
 
 void Host::decide(Exchange &exchange, Decision decision)
 {
-    if (!exchange.decision) {
-        exchange.decision = std::move(decision);
+    if (exchange.decision) {
+        return;
+    }
+    exchange.decision = std::move(decision);
+    if (exchange.capture) {
+        asio::post(this->executor(), [self = this->shared_from_this(), id = exchange.id] {
+            self->finishCapture(id);
+        });
+    } else {
         exchange.caller->wake();
     }
 }
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -5,6 +5,7 @@
 #include "evidencepool.h"
 #include "exchange.h"
 #include "io.h"
+#include "keyhost.h"
 #include "proxymetrics.h"
 #include "timerwheel.h"
 #include "upstreampool.h"
@@ -21,6 +22,8 @@
 
 class Attempt;
 
+Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress);
+
 /// Connects the reducer with the sockets: events go in, effects are carried out in order.
 class Host : public std::enable_shared_from_this<Host>
 {
@@ -52,6 +55,15 @@
     void attemptFailed(const Attempt &attempt, Health::Cause cause, bool nothingWritten);
     std::string attemptIdText(AttemptId id) const;
 
+    // Called by the host of the idempotency keys.
+    void runCaptured(const KeyedWork &work, std::function<void(CapturedAnswer)> done);
+    void answerKeyed(RequestId id, KeyAnswer answer);
+    RequestId takeRequestId();
+    void keysStopped();
+
+    /// Null when idempotency keys are not handled.
+    KeyHost *keys();
+
     const Settings::EntryLimits &limits() const;
     ProxyMetrics &metrics();
     TimerWheel &timers();
@@ -84,6 +96,11 @@
     void carryOut(const Core::StopAccepting &effect);
     void carryOut(const Core::Terminate &effect);
 
+    // hostkeys.cpp
+    bool beginKeyed(Exchange &exchange);
+    void submitKeyed(Exchange &exchange);
+    void finishCapture(RequestId id);
+
     Exchange *find(RequestId id) const;
     void spawn(const std::shared_ptr<Exchange> &exchange, const Core::StartAttempt &order);
     void giveUp(Exchange &exchange);
@@ -112,6 +129,7 @@
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
     std::unordered_set<CallerConnection *> connections;
     std::deque<Core::Event> events;
+    std::shared_ptr<KeyHost> keyHost;
     std::optional<bool> termination;
     RequestId lastRequest = 0;
     bool applying = false;
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -38,6 +38,11 @@
     if (error) {
         throw ProxyError("cannot listen on " + toString(this->options.listen) + ": " + error.message());
     }
+    if (this->options.keys) {
+        this->keyHost = std::make_shared<KeyHost>(
+            *this, this->context, *this->options.keys, this->handlers.epochWanted, this->proxyMetrics);
+        this->keyHost->start();
+    }
     asio::co_spawn(this->executor(), this->acceptConnections(), asio::detached);
 }
 
@@ -49,6 +54,9 @@
     ErrorCode ignored;
     this->acceptor.close(ignored);
     this->acceptResumed.notify();
+    if (this->keyHost) {
+        this->keyHost->close();
+    }
     const auto open = std::exchange(this->exchanges, {});
     for (const auto &[id, exchange] : open) {
         this->release(*exchange);
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -108,6 +108,9 @@
 void Host::carryOut(const Core::StopAccepting & /*effect*/)
 {
     this->acceptStopped = true;
+    if (this->keyHost) {
+        this->keyHost->requestStop();
+    }
     // Requests that were read already are taken up first; their handlers are queued before this one.
     asio::post(this->executor(), [self = this->shared_from_this()] {
         self->closeIdleCallers();
@@ -133,7 +136,8 @@
 void Host::terminateWhenDone()
 {
     // The reducer is done when the answers are decided; they still have to be written.
-    const bool due = this->termination && (!*this->termination || this->exchanges.empty());
+    const bool handedOver = !this->keyHost || this->keyHost->stopCompleted();
+    const bool due = this->termination && (!*this->termination || (this->exchanges.empty() && handedOver));
     if (due && this->handlers.terminated && !this->stopped) {
         const auto handler = std::exchange(this->handlers.terminated, nullptr);
         handler(*this->termination);
--- /dev/null
+++ b/src/proxy/hostkeys.cpp
@@ -0,0 +1,165 @@
+// The part of Host that handles requests with an idempotency key.
+#include "attempt.h"
+#include "host.h"
+#include "verbenadock/bundle/record.h"
+#include "verbenadock/bundle/signature.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr unsigned GatewayTimeout = 504;
+
+CapturedAnswer answered(Keys::StoredAnswer answer)
+{
+    return {.result = Keys::ExecutionResult::Answered,
+            .answer = {.kind = Control::KeyAnswerKind::Answered, .answer = std::move(answer), .reason = {}}};
+}
+
+CapturedAnswer unknown(Keys::ExecutionResult result, std::string reason)
+{
+    CapturedAnswer captured{.result = result, .answer = {}};
+    captured.answer.answer.status = GatewayTimeout;
+    captured.answer.reason = std::move(reason);
+    return captured;
+}
+
+CapturedAnswer local(const Core::RespondLocally &decision)
+{
+    const bool notRun = decision.outcome == Core::Outcome::NotRun;
+    auto captured = unknown(notRun ? Keys::ExecutionResult::NotRun : Keys::ExecutionResult::Unknown,
+                            std::string(Core::toString(decision.refusal)));
+    captured.answer.kind = notRun ? Control::KeyAnswerKind::NotRun : Control::KeyAnswerKind::Unknown;
+    captured.answer.answer.status = decision.status;
+    captured.answer.retryAfterSeconds
+        = static_cast<unsigned>(std::chrono::ceil<std::chrono::seconds>(decision.retryAfter).count());
+    return captured;
+}
+
+CapturedAnswer captureOf(Exchange &exchange)
+{
+    if (const auto *held = std::get_if<ForwardHeld>(&*exchange.decision)) {
+        return answered(held->attempt->heldAnswer());
+    }
+    if (const auto *decision = std::get_if<Core::RespondLocally>(&*exchange.decision)) {
+        return local(*decision);
+    }
+    if (std::holds_alternative<Streamed>(*exchange.decision)) {
+        return exchange.capture->tooLong ? unknown(Keys::ExecutionResult::Answered, "answer-not-kept")
+                                         : answered(std::move(exchange.capture->streamed));
+    }
+    return unknown(Keys::ExecutionResult::Unknown, std::string(Core::toString(Core::Refusal::OutcomeUnknown)));
+}
+
+} // namespace
+
+bool Host::beginKeyed(Exchange &exchange)
+{
+    const auto &request = exchange.request;
+    if (!this->keyHost || !request.idempotencyKey) {
+        return false;
+    }
+    const auto scope = this->reducer.keyScope(request.host, exchange.parser->methodText, request.target);
+    if (!scope) {
+        return false;
+    }
+    exchange.keyed = KeyedRequest{.key = {.bundle = scope->bundle, .value = std::string(*request.idempotencyKey)},
+                                  .bodyLimit = std::min(scope->replayBytes, MaxKeyedBytes)};
+    if (exchange.bodyReady) {
+        this->submitKeyed(exchange);
+    }
+    return true;
+}
+
+void Host::submitKeyed(Exchange &exchange)
+{
+    if (exchange.decision) {
+        return;
+    }
+    if (exchange.bodyStreams) {
+        // Only a whole body can be compared with that of another request with the key, and sent to its owner.
+        this->decide(exchange, RefuseBody{.reason = BadRequest::BodyTooLarge, .mayHaveRun = false});
+        return;
+    }
+    KeyedWork work{.key = exchange.keyed->key,
+                   .fingerprint = {.method = std::string(exchange.parser->methodText),
+                                   .target = std::string(exchange.request.target),
+                                   .bodyDigest = Bundles::contentDigest(exchange.body)},
+                   .callerAddress = exchange.caller->peerAddress(),
+                   .requestId = exchange.requestIdText,
+                   .head = *exchange.headText,
+                   .body = std::move(exchange.body)};
+    this->keyHost->submit(exchange.id, std::move(work));
+}
+
+void Host::runCaptured(const KeyedWork &work, std::function<void(CapturedAnswer)> done)
+{
+    auto exchange = std::make_shared<Exchange>();
+    exchange->capture = std::make_unique<Capture>();
+    auto &capture = *exchange->capture;
+    Buffer buffer;
+    const auto room = buffer.prepare(work.head.size());
+    buffer.commit(asio::buffer_copy(room, asio::buffer(work.head)));
+    capture.message.parser.body_limit(boost::none);
+    const auto state = capture.message.takeHead(buffer, work.head.size());
+    auto checked = state == HeadState::Complete ? checkRequest(capture.message.parser) : CheckResult();
+    auto *request = std::get_if<CheckedRequest>(&checked);
+    if (state != HeadState::Complete || request == nullptr) {
+        auto refused = local(Core::RespondLocally{.request = 0, .status = 400, .refusal = Core::Refusal::NoRoute});
+        refused.answer.reason = "malformed-head";
+        done(std::move(refused));
+        return;
+    }
+    exchange->request = std::move(*request);
+    exchange->parser = &capture.message.parser;
+    exchange->headText = &capture.message.headText;
+    exchange->requestIdText = work.requestId;
+    exchange->body = work.body;
+    exchange->bodyReady = true;
+    exchange->id = this->takeRequestId();
+    exchange->arrivedAt = monotonicNow();
+    exchange->bodyReadyAt = exchange->arrivedAt;
+    capture.callerAddress = work.callerAddress;
+    capture.done = std::move(done);
+    this->exchanges.emplace(exchange->id, exchange);
+    this->apply(arrivalOf(*exchange, capture.callerAddress));
+}
+
+void Host::finishCapture(RequestId id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end() || this->stopped) {
+        return;
+    }
+    const auto exchange = found->second;
+    auto captured = captureOf(*exchange);
+    const auto done = std::move(exchange->capture->done);
+    done(std::move(captured));
+    this->release(*exchange);
+}
+
+void Host::answerKeyed(RequestId id, KeyAnswer answer)
+{
+    if (auto *exchange = this->find(id)) {
+        this->decide(*exchange, std::move(answer));
+    }
+}
+
+RequestId Host::takeRequestId()
+{
+    return ++this->lastRequest;
+}
+
+void Host::keysStopped()
+{
+    this->terminateWhenDone();
+}
+
+KeyHost *Host::keys()
+{
+    return this->keyHost.get();
+}
+
+} // namespace Verbenadock::Proxy::internal
--- /dev/null
+++ b/src/proxy/keyhost.cpp
@@ -0,0 +1,418 @@
+#include "keyhost.h"
+
+#include "host.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Verbenadock::Proxy::internal {
+
+namespace {
+
+constexpr unsigned Unprocessable = 422;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+Keys::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+KeyAnswer refusal(const Keys::Refuse &effect)
+{
+    const bool notRun = effect.outcome == Keys::Outcome::NotRun;
+    KeyAnswer answer{.kind = notRun ? Control::KeyAnswerKind::NotRun : Control::KeyAnswerKind::Unknown,
+                     .answer = {},
+                     .reason = std::string(Keys::toString(effect.reason))};
+    const bool reused = effect.reason == Keys::Reason::KeyReused;
+    answer.answer.status = reused ? Unprocessable : (notRun ? ServiceUnavailable : GatewayTimeout);
+    answer.retryAfterSeconds = notRun && !reused ? 1 : 0;
+    return answer;
+}
+
+} // namespace
+
+KeyHost::KeyHost(Host &owner,
+                 asio::io_context &loop,
+                 const KeyOptions &given,
+                 std::function<void(Keys::EpochNumber)> wanted,
+                 ProxyMetrics &proxyMetrics)
+    : host(owner)
+    , context(loop)
+    , self(given.self)
+    , listen(given.listen)
+    , epochWanted(std::move(wanted))
+    , metrics(proxyMetrics)
+    , reducer(Keys::KeySettings{.self = given.self})
+    , timer(loop)
+{
+}
+
+void KeyHost::start()
+{
+    this->links = std::make_shared<PeerLinks>(this->context, this->listen, this->makeHandlers());
+    try {
+        this->links->start();
+    } catch (const Net::NetError &error) {
+        throw ProxyError(error.what());
+    }
+}
+
+void KeyHost::close()
+{
+    this->closed = true;
+    this->timer.cancel();
+    this->links->stop();
+    this->open.clear();
+}
+
+PeerLinks::Handlers KeyHost::makeHandlers()
+{
+    // The links end before this object: close() stops them, and they call nobody afterwards.
+    PeerLinks::Handlers handlers;
+    handlers.onQuestion = [this](const IncomingPointer &link, Control::Message message) {
+        this->receive(link, std::move(message));
+    };
+    handlers.onIncomingClosed = [this](const IncomingPointer &link) {
+        this->incomingClosed(link);
+    };
+    handlers.onForwardAnswer = [this](RequestId request, Control::KeyForwardAnswer answer) {
+        this->relay(request, std::move(answer));
+    };
+    handlers.onForwardFailed = [this](RequestId request, bool sent) {
+        const auto result = sent ? Keys::ForwardResult::Broken : Keys::ForwardResult::NotSent;
+        this->apply(Keys::ForwardEnded{.at = monotonicNow(), .request = request, .result = result});
+    };
+    handlers.onFenceReply = [this](const Keys::FenceReply &reply) {
+        this->apply(Keys::FenceReplied{.at = monotonicNow(), .reply = reply});
+    };
+    handlers.onFenceFailed = [this](std::uint64_t id, const Keys::MemberId &member) {
+        this->apply(Keys::FenceFailed{.at = monotonicNow(), .id = id, .member = member});
+    };
+    handlers.onHandOverEnded = [this](const Keys::MemberId &member, std::uint32_t part) {
+        this->apply(Keys::HandOverEnded{.at = monotonicNow(), .to = member, .part = part});
+    };
+    handlers.onConfirmation = [this](const Control::KeyConfirmation &confirmation) {
+        this->apply(
+            Keys::PeerConfirmed{.at = monotonicNow(), .member = confirmation.member, .epoch = confirmation.epoch});
+    };
+    handlers.confirmation = [this] {
+        return Control::KeyConfirmation{.member = this->self, .epoch = this->reducer.confirmedEpoch()};
+    };
+    return handlers;
+}
+
+void KeyHost::submit(RequestId request, KeyedWork work)
+{
+    this->arrive(request, Open{.work = std::move(work), .from = nullptr, .sentAs = 0}, std::nullopt);
+}
+
+void KeyHost::arrive(RequestId request, Open opened, std::optional<Keys::Forwarding> forwarding)
+{
+    Keys::KeyedRequestArrived event{.at = monotonicNow(),
+                                    .wall = wallNow(),
+                                    .request = request,
+                                    .key = opened.work.key,
+                                    .fingerprint = opened.work.fingerprint,
+                                    .forwarding = std::move(forwarding)};
+    this->open.emplace(request, std::move(opened));
+    this->apply(std::move(event));
+}
+
+void KeyHost::abandon(RequestId request)
+{
+    if (this->open.erase(request) > 0) {
+        this->apply(Keys::RequestAbandoned{.at = monotonicNow(), .request = request});
+    }
+}
+
+void KeyHost::learn(const Control::KeyEpochs &known)
+{
+    Keys::EpochsChanged event{.at = monotonicNow(), .epochs = {}};
+    try {
+        for (const auto &epoch : known.epochs) {
+            const Keys::WallTime knownBy{std::chrono::milliseconds(epoch.knownBy)};
+            event.epochs.push_back({.epoch = Keys::decodeEpoch(epoch.record), .knownBy = knownBy});
+        }
+    } catch (const Keys::EpochError &) {
+        // The agent accepts only records that decode; a newer program may have written what this one cannot read.
+        return;
+    }
+    if (!event.epochs.empty()) {
+        this->apply(std::move(event));
+    }
+}
+
+void KeyHost::requestStop()
+{
+    this->apply(Keys::StopRequested{.at = monotonicNow()});
+}
+
+bool KeyHost::stopCompleted() const
+{
+    return this->completed;
+}
+
+void KeyHost::receive(const IncomingPointer &link, Control::Message message)
+{
+    const auto now = monotonicNow();
+    if (auto *forward = std::get_if<Control::KeyForward>(&message)) {
+        const auto request = this->host.takeRequestId();
+        link->requests.insert(request);
+        KeyedWork work{.key = std::move(forward->key),
+                       .fingerprint = std::move(forward->fingerprint),
+                       .callerAddress = std::move(forward->callerAddress),
+                       .requestId = std::move(forward->requestId),
+                       .head = std::move(forward->head),
+                       .body = std::move(forward->body)};
+        this->arrive(request,
+                     Open{.work = std::move(work), .from = link, .sentAs = forward->id},
+                     Keys::Forwarding{.epoch = forward->epoch, .to = forward->to});
+    } else if (const auto *fence = std::get_if<Keys::FenceRequest>(&message)) {
+        std::erase_if(this->fenceLinks, [](const auto &item) {
+            return item.second.expired();
+        });
+        this->fenceLinks[{fence->from, fence->id}] = link;
+        this->apply(Keys::FenceRequested{.at = now, .request = *fence});
+    } else if (const auto *part = std::get_if<Keys::HandOverPart>(&message)) {
+        this->handOverLinks[{part->from, part->part}] = link;
+        this->apply(Keys::HandOverReceived{.at = now, .part = *part});
+    }
+}
+
+void KeyHost::incomingClosed(const IncomingPointer &link)
+{
+    for (const auto request : std::exchange(link->requests, {})) {
+        this->abandon(request);
+    }
+}
+
+void KeyHost::relay(RequestId request, Control::KeyForwardAnswer answer)
+{
+    auto result = Keys::ForwardResult::Relayed;
+    if (answer.kind == Control::KeyAnswerKind::NotOwner) {
+        result = Keys::ForwardResult::NotOwner;
+    } else {
+        KeyAnswer given{
+            .kind = answer.kind,
+            .answer = {.status = answer.status, .headers = std::move(answer.headers), .body = std::move(answer.body)},
+            .reason = std::move(answer.reason),
+            .retryAfterSeconds = answer.retryAfterSeconds};
+        this->deliver(request, std::move(given));
+    }
+    this->apply(
+        Keys::ForwardEnded{.at = monotonicNow(), .request = request, .result = result, .peerEpoch = answer.epoch});
+}
+
+void KeyHost::deliver(RequestId request, KeyAnswer answer)
+{
+    const auto found = this->open.find(request);
+    if (found == this->open.end()) {
+        return;
+    }
+    const auto opened = std::move(found->second);
+    this->open.erase(found);
+    if (!opened.from) {
+        this->host.answerKeyed(request, std::move(answer));
+        return;
+    }
+    opened.from->requests.erase(request);
+    this->links->answer(opened.from,
+                        Control::KeyForwardAnswer{.id = opened.sentAs,
+                                                  .kind = answer.kind,
+                                                  .epoch = this->reducer.confirmedEpoch(),
+                                                  .status = answer.answer.status,
+                                                  .headers = std::move(answer.answer.headers),
+                                                  .body = std::move(answer.answer.body),
+                                                  .reason = std::move(answer.reason),
+                                                  .retryAfterSeconds = answer.retryAfterSeconds});
+}
+
+void KeyHost::apply(Keys::Event event)
+{
+    this->events.push_back(std::move(event));
+    if (this->applying || this->closed) {
+        return;
+    }
+    this->applying = true;
+    while (!this->events.empty()) {
+        const auto next = std::move(this->events.front());
+        this->events.pop_front();
+        for (const auto &effect : this->reducer.apply(next)) {
+            std::visit(
+                [this](const auto &specific) {
+                    this->carryOut(specific);
+                },
+                effect);
+        }
+    }
+    this->applying = false;
+    this->scheduleDeadline();
+}
+
+void KeyHost::scheduleDeadline()
+{
+    const auto next = this->reducer.nextDeadline();
+    if (!next) {
+        this->timer.cancel();
+        return;
+    }
+    this->timer.expires_at(*next);
+    this->timer.async_wait([weak = this->weak_from_this()](ErrorCode error) {
+        const auto held = weak.lock();
+        if (held && !error) {
+            held->apply(Keys::TimerExpired{.at = monotonicNow()});
+        }
+    });
+}
+
+void KeyHost::carryOut(const Keys::Execute &effect)
+{
+    const auto request = effect.request;
+    const auto found = this->open.find(request);
+    if (found == this->open.end()) {
+        this->apply(Keys::ExecutionEnded{
+            .at = monotonicNow(), .request = request, .result = Keys::ExecutionResult::NotRun, .answer = {}});
+        return;
+    }
+    const auto work = std::move(found->second.work);
+    this->host.runCaptured(work, [weak = this->weak_from_this(), request](CapturedAnswer captured) {
+        const auto held = weak.lock();
+        if (!held) {
+            return;
+        }
+        Keys::ExecutionEnded ended{
+            .at = monotonicNow(), .request = request, .result = captured.result, .answer = std::nullopt};
+        if (captured.answer.kind == Control::KeyAnswerKind::Answered) {
+            ended.answer = captured.answer.answer;
+        }
+        held->deliver(request, std::move(captured.answer));
+        held->apply(std::move(ended));
+    });
+}
+
+void KeyHost::carryOut(const Keys::Forward &effect)
+{
+    const auto found = this->open.find(effect.request);
+    if (found == this->open.end()) {
+        return;
+    }
+    const auto &work = found->second.work;
+    this->links->forward(effect.owner,
+                         Control::KeyForward{.id = effect.request,
+                                             .to = effect.owner.id(),
+                                             .epoch = effect.epoch,
+                                             .key = work.key,
+                                             .fingerprint = work.fingerprint,
+                                             .callerAddress = work.callerAddress,
+                                             .requestId = work.requestId,
+                                             .head = work.head,
+                                             .body = work.body});
+}
+
+void KeyHost::carryOut(const Keys::Replay &effect)
+{
+    this->deliver(effect.request,
+                  KeyAnswer{.kind = Control::KeyAnswerKind::Replayed, .answer = effect.answer, .reason = {}});
+}
+
+void KeyHost::carryOut(const Keys::Refuse &effect)
+{
+    this->deliver(effect.request, refusal(effect));
+}
+
+void KeyHost::carryOut(const Keys::RefuseForward &effect)
+{
+    const auto found = this->open.find(effect.request);
+    if (found == this->open.end()) {
+        return;
+    }
+    const auto opened = std::move(found->second);
+    this->open.erase(found);
+    if (opened.from) {
+        opened.from->requests.erase(effect.request);
+        this->links->answer(opened.from,
+                            Control::KeyForwardAnswer{.id = opened.sentAs,
+                                                      .kind = Control::KeyAnswerKind::NotOwner,
+                                                      .epoch = effect.epoch,
+                                                      .headers = {},
+                                                      .body = {},
+                                                      .reason = {}});
+    }
+}
+
+void KeyHost::carryOut(const Keys::SendFence &effect)
+{
+    this->links->askFence(effect.member, effect.request);
+}
+
+void KeyHost::carryOut(const Keys::SendFenceReply &effect)
+{
+    const auto found = this->fenceLinks.find({effect.reply.to, effect.reply.id});
+    if (found == this->fenceLinks.end()) {
+        return;
+    }
+    const auto link = found->second.lock();
+    this->fenceLinks.erase(found);
+    if (link) {
+        this->links->answer(link, effect.reply);
+    }
+}
+
+void KeyHost::carryOut(const Keys::SendHandOver &effect)
+{
+    this->links->handOver(effect.member, effect.part);
+}
+
+void KeyHost::carryOut(const Keys::AnswerHandOver &effect)
+{
+    const auto found = this->handOverLinks.find({effect.to, effect.part});
+    if (found == this->handOverLinks.end()) {
+        return;
+    }
+    const auto link = found->second.lock();
+    this->handOverLinks.erase(found);
+    if (link) {
+        this->links->answer(link, Control::KeyHandOverAnswer{.part = effect.part, .accepted = effect.accepted});
+    }
+}
+
+void KeyHost::carryOut(const Keys::FetchEpochs &effect)
+{
+    if (this->epochWanted) {
+        this->epochWanted(effect.epoch);
+    }
+}
+
+void KeyHost::carryOut(const Keys::StopCompleted & /*effect*/)
+{
+    this->completed = true;
+    asio::post(this->context, [weak = this->weak_from_this()] {
+        const auto held = weak.lock();
+        if (held && !held->closed) {
+            held->host.keysStopped();
+        }
+    });
+}
+
+std::string KeyHost::dump() const
+{
+    constexpr std::size_t MostKeys = 1000;
+    auto json = nlohmann::ordered_json::parse(this->reducer.dump(monotonicNow()));
+    auto &keys = json["keys"];
+    json["table_size"] = keys.size();
+    if (keys.size() > MostKeys) {
+        keys.erase(keys.begin() + MostKeys, keys.end());
+    }
+    json["unanswered"] = this->open.size();
+    json["links"] = {{"outgoing", this->links->outgoingCount()},
+                     {"incoming", this->links->incomingCount()},
+                     {"opened", this->links->counts().opened},
+                     {"silent", this->links->counts().silent},
+                     {"skipped_messages", this->links->counts().skipped}};
+    return json.dump();
+}
+
+} // namespace Verbenadock::Proxy::internal
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -45,6 +45,7 @@
                                      "Part of the latency that the entry adds, for requests with one attempt."))
     , registry(metrics)
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
+    , replayed(metrics.counter("verbenadock_replayed_answers_total", "Answers to repeated idempotency keys."))
 {
     for (std::size_t index = 0; index < BadRequestCount; ++index) {
         const std::string reason(internal::toString(static_cast<BadRequest>(index)));
@@ -81,6 +82,21 @@
     counter->add();
 }
 
+void ProxyMetrics::countKeyAnswer(const KeyAnswer &answer)
+{
+    using Kind = Control::KeyAnswerKind;
+    if (answer.kind == Kind::Answered || answer.kind == Kind::Replayed) {
+        this->answered.add();
+        this->replayed.add(answer.kind == Kind::Replayed ? 1 : 0);
+        return;
+    }
+    const auto outcome = answer.kind == Kind::NotRun ? Core::Outcome::NotRun : Core::Outcome::Unknown;
+    this->registry
+        .counter(
+            RequestsName, RequestsHelp, {{"outcome", std::string(Core::toString(outcome))}, {"refusal", answer.reason}})
+        .add();
+}
+
 void ProxyMetrics::countBadRequest(BadRequest reason)
 {
     this->badRequests[static_cast<std::size_t>(reason)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_PROXY_PROXYMETRICS_H
 #define VERBENADOCK_PROXY_PROXYMETRICS_H
 
+#include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/core/effect.h"
 #include "verbenadock/health/sample.h"
@@ -32,6 +33,7 @@
 
     void countAnswered();
     void countLocal(Core::Outcome outcome, Core::Refusal refusal);
+    void countKeyAnswer(const KeyAnswer &answer);
     void countBadRequest(BadRequest reason);
     void countAttempt(Health::Cause cause);
     void countClosed(CloseReason reason);
@@ -54,6 +56,7 @@
 
     Telemetry::MetricsRegistry &registry;
     Telemetry::Counter &answered;
+    Telemetry::Counter &replayed;
     std::array<std::array<Telemetry::Counter *, RefusalCount>, OutcomeCount> local{};
     std::array<Telemetry::Counter *, BadRequestCount> badRequests{};
     std::array<Telemetry::Counter *, CauseCount> attempts{};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -98,6 +98,9 @@
         auto callers = root.readTable("callers", Presence::Required);
         callers.readEndpoint("listen", settings.listen, Presence::Required);
         callers.finish();
+        auto peers = root.readTable("peers", Presence::Required);
+        peers.readEndpoint("listen", settings.peerListen, Presence::Required);
+        peers.finish();
         auto agent = root.readTable("agent", Presence::Required);
         agent.readEndpoint("endpoint", settings.agent, Presence::Required);
         agent.finish();
@@ -105,6 +108,7 @@
         readShutdown(root, settings);
         internal::checkDistinct(root,
                                 {{"callers.listen", settings.listen},
+                                 {"peers.listen", settings.peerListen},
                                  {"agent.endpoint", settings.agent},
                                  {"process.admin", settings.process.admin}});
     });
--- a/test/control/agentreducertest.cpp
+++ b/test/control/agentreducertest.cpp
@@ -238,10 +238,11 @@
     CHECK(fleet.entries["vm-1"].empty());
     fleet.apply("vm-1", EntryConnected{fleet.now});
     const auto &messages = fleet.entries["vm-1"];
-    REQUIRE(messages.size() == 3);
+    REQUIRE(messages.size() == 4);
     CHECK(std::get<ConfigurationUpdate>(messages[0]).bundles.at(0).content == content(1));
     CHECK(messages[1] == Message(LeavingUpdate{{"127.0.0.8"}}));
     CHECK(std::get<HealthVerdicts>(messages[2]).complete);
+    CHECK(messages[3] == Message(KeyEpochs{}));
 }
 
 // Guards against verdicts that do not leave the collectors, and against one VM that decides alone.
--- a/test/harness/fleetsettings.cpp
+++ b/test/harness/fleetsettings.cpp
@@ -79,8 +79,8 @@
 std::string entrySettings(const FleetVm &vm, bool faultProxy)
 {
     return processTable(vm, Ports::EntryAdmin) + "[callers]\nlisten = " + quoted(vm.address, Ports::EntryListen)
-           + "\n\n[agent]\nendpoint = " + quoted(vm.address, faultProxy ? Ports::LinkProxy : Ports::AgentForEntry)
-           + "\n\n";
+           + "\n\n[peers]\nlisten = " + quoted(vm.address, Ports::EntryPeers) + "\n\n[agent]\nendpoint = "
+           + quoted(vm.address, faultProxy ? Ports::LinkProxy : Ports::AgentForEntry) + "\n\n";
 }
 
 std::string bundleToml(const FleetSpec &spec, const std::vector<FleetUpstream> &upstreams, unsigned version)
--- a/test/harness/fleetsettings.h
+++ b/test/harness/fleetsettings.h
@@ -24,6 +24,7 @@
     static constexpr std::uint16_t AgentForEntry = 9102;
     static constexpr std::uint16_t AgentAdmin = 9103;
     static constexpr std::uint16_t AgentPeers = 9104;
+    static constexpr std::uint16_t EntryPeers = 9105;
     static constexpr std::uint16_t LinkProxy = 9112;
     static constexpr std::uint16_t PeersBehindProxy = 9114;
 
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -24,7 +24,8 @@
 }
 
 const std::string ValidEntry = "[process]\nvm_id = \"a\"\ndata_centre = \"b\"\n"
-                               "[callers]\nlisten = \"127.0.0.1:1\"\n[agent]\nendpoint = \"127.0.0.1:2\"\n";
+                               "[callers]\nlisten = \"127.0.0.1:1\"\n[peers]\nlisten = \"127.0.0.1:3\"\n"
+                               "[agent]\nendpoint = \"127.0.0.1:2\"\n";
 
 } // namespace
 
@@ -104,7 +105,7 @@
         toml += value + "\n";
         const auto text = mistakesOf(toml);
         INFO("value " << value << ": " << text);
-        CHECK_THAT(text, Catch::Contains("line 9: limits.header_timeout: "));
+        CHECK_THAT(text, Catch::Contains("line 11: limits.header_timeout: "));
     }
 }
 
@@ -112,7 +113,8 @@
 TEST_CASE("two keys with the same listening endpoint are refused")
 {
     CHECK_THAT(mistakesOf("[process]\nvm_id = \"a\"\ndata_centre = \"b\"\nadmin = \"127.0.0.1:1\"\n"
-                          "[callers]\nlisten = \"127.0.0.1:1\"\n[agent]\nendpoint = \"127.0.0.1:2\"\n"),
+                          "[callers]\nlisten = \"127.0.0.1:1\"\n[peers]\nlisten = \"127.0.0.1:3\"\n"
+                          "[agent]\nendpoint = \"127.0.0.1:2\"\n"),
                Catch::Contains("process.admin: 127.0.0.1:1 is already the endpoint of callers.listen"));
 }
 
