Test the epochs of idempotency keys among agents and bound keys and bodies

A peer that knew one epoch only looked like news, so an agent behind a gap stayed behind; KeyEpochs now says whether it is complete.

--- a/include/verbenadock/control/message.h
+++ b/include/verbenadock/control/message.h
@@ -227,6 +227,8 @@
 /// Known epochs, oldest first; from agent to agent and from an agent to its entry.
 struct KeyEpochs
 {
+    /// Whether these are all epochs that the sender knows; otherwise it is the one that is new to it.
+    bool complete = false;
     std::vector<KeyEpochRecord> epochs;
 
     auto operator<=>(const KeyEpochs &) const = default;
--- a/src/control/epochkeeper.cpp
+++ b/src/control/epochkeeper.cpp
@@ -73,7 +73,7 @@
     effects.emplace_back(SendToEntry{this->known()});
     for (const auto &peer : linked) {
         if (peer != source) {
-            effects.emplace_back(SendToPeer{peer, KeyEpochs{{toMessage(newest)}}});
+            effects.emplace_back(SendToPeer{peer, KeyEpochs{false, {toMessage(newest)}}});
         }
     }
 }
@@ -137,10 +137,10 @@
                          AgentEffects &effects)
 {
     bool changed = false;
-    // A single record is news and may have to be preceded by others; several are all that the peer knows.
-    const bool whole = message.epochs.size() > 1;
+    // A gap before news is closed by the next exchange; one before all that a peer knows stays.
     for (const auto &epoch : message.epochs) {
-        changed = this->take(now, wallOf(epoch.knownBy), epoch.record, whole && &epoch == &message.epochs.front())
+        changed = this->take(
+                      now, wallOf(epoch.knownBy), epoch.record, message.complete && &epoch == &message.epochs.front())
                   || changed;
     }
     if (changed) {
@@ -330,7 +330,7 @@
 
 KeyEpochs EpochKeeper::known() const
 {
-    KeyEpochs message;
+    KeyEpochs message{true, {}};
     for (const auto &known : this->log.epochs()) {
         message.epochs.push_back(toMessage(known));
     }
--- a/src/control/messagefields.h
+++ b/src/control/messagefields.h
@@ -147,6 +147,7 @@
 
 void describe(auto &archive, Like<KeyEpochs> auto &value)
 {
+    archive("c", value.complete);
     archive("e", value.epochs);
 }
 
--- a/src/proxy/hostkeys.cpp
+++ b/src/proxy/hostkeys.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
+constexpr unsigned BadRequestStatus = 400;
 constexpr unsigned GatewayTimeout = 504;
+// Keys are kept in memory for the whole window; a UUID has 36 bytes.
+constexpr std::size_t MaxKeyBytes = 256;
 
 CapturedAnswer answered(Keys::StoredAnswer answer)
 {
@@ -65,6 +68,12 @@
     if (!scope) {
         return false;
     }
+    if (request.idempotencyKey->empty() || request.idempotencyKey->size() > MaxKeyBytes) {
+        KeyAnswer refused{.kind = Control::KeyAnswerKind::NotRun, .answer = {}, .reason = "bad-idempotency-key"};
+        refused.answer.status = BadRequestStatus;
+        this->decide(exchange, std::move(refused));
+        return true;
+    }
     exchange.keyed = KeyedRequest{.key = {.bundle = scope->bundle, .value = std::string(*request.idempotencyKey)},
                                   .bodyLimit = std::min(scope->replayBytes, MaxKeyedBytes)};
     if (exchange.bodyReady) {
@@ -107,7 +116,8 @@
     auto checked = state == HeadState::Complete ? checkRequest(capture.message.parser) : CheckResult();
     auto *request = std::get_if<CheckedRequest>(&checked);
     if (state != HeadState::Complete || request == nullptr) {
-        auto refused = local(Core::RespondLocally{.request = 0, .status = 400, .refusal = Core::Refusal::NoRoute});
+        auto refused
+            = local(Core::RespondLocally{.request = 0, .status = BadRequestStatus, .refusal = Core::Refusal::NoRoute});
         refused.answer.reason = "malformed-head";
         done(std::move(refused));
         return;
@@ -117,6 +127,8 @@
     exchange->headText = &capture.message.headText;
     exchange->requestIdText = work.requestId;
     exchange->body = work.body;
+    // The body is whole by now, whatever its length was announced as.
+    exchange->request.bodyBytes = work.body.size();
     exchange->bodyReady = true;
     exchange->id = this->takeRequestId();
     exchange->arrivedAt = monotonicNow();
--- a/src/proxy/keyhost.h
+++ b/src/proxy/keyhost.h
@@ -96,6 +96,9 @@
     std::map<std::pair<Keys::MemberId, std::uint64_t>, std::weak_ptr<IncomingLink>> fenceLinks;
     std::map<std::pair<Keys::MemberId, std::uint32_t>, std::weak_ptr<IncomingLink>> handOverLinks;
     std::deque<Keys::Event> events;
+    /// The last epoch that the agent was asked for, and when.
+    Keys::EpochNumber wantedEpoch = 0;
+    TimePoint wantedAt{};
     bool applying = false;
     bool closed = false;
     bool completed = false;
--- a/src/proxy/peerlinks.cpp
+++ b/src/proxy/peerlinks.cpp
@@ -200,9 +200,8 @@
                 return part.second == handOver->part;
             });
             if (found != link->handOvers.end()) {
-                const auto ended = *found;
-                link->handOvers.erase(found);
-                this->handlers.onHandOverEnded(ended.first, ended.second);
+                const auto ended = link->handOvers.extract(found);
+                this->handlers.onHandOverEnded(ended.value().first, ended.value().second);
             }
         } else if (const auto *confirmation = std::get_if<Control::KeyConfirmation>(&message)) {
             this->handlers.onConfirmation(*confirmation);
--- a/test/control/agentreducertest.cpp
+++ b/test/control/agentreducertest.cpp
@@ -242,7 +242,7 @@
     CHECK(std::get<ConfigurationUpdate>(messages[0]).bundles.at(0).content == content(1));
     CHECK(messages[1] == Message(LeavingUpdate{{"127.0.0.8"}}));
     CHECK(std::get<HealthVerdicts>(messages[2]).complete);
-    CHECK(messages[3] == Message(KeyEpochs{}));
+    CHECK(messages[3] == Message(KeyEpochs{true, {}}));
 }
 
 // Guards against verdicts that do not leave the collectors, and against one VM that decides alone.
--- /dev/null
+++ b/test/control/keyepochstest.cpp
@@ -0,0 +1,251 @@
+#include "verbenadock/control/agentreducer.h"
+#include "verbenadock/keys/epochlog.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <set>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Control;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Agents on virtual time around one stream key-epochs; their messages arrive at once.
+class Agents
+{
+public:
+    explicit Agents(const std::vector<std::string> &all)
+        : ids(all)
+    {
+        for (const auto &id : this->ids) {
+            AgentReducerSettings settings;
+            settings.vmId = id;
+            settings.address = id;
+            settings.incarnation = 1000;
+            this->agents.emplace(id, AgentReducer(settings, this->now));
+        }
+        this->publish(this->ids);
+    }
+
+    void publish(const std::vector<std::string> &listed)
+    {
+        VmListRead list{.at = this->now, .members = {}, .leavingUpstreams = {}};
+        for (const auto &id : listed) {
+            list.members.push_back({.id = id, .address = id, .dataCentre = {}});
+        }
+        for (const auto &id : this->ids) {
+            this->apply(id, list);
+        }
+    }
+
+    void connectEntry(const std::string &id, std::uint64_t incarnation)
+    {
+        Hello hello;
+        hello.role = PeerRole::Entry;
+        hello.vmId = id;
+        hello.incarnation = incarnation;
+        hello.address = "127.0.0.1:9105";
+        hello.dataCentre = "d";
+        this->apply(id, EntryConnected{this->now, hello});
+    }
+
+    void run(Duration duration)
+    {
+        const auto end = this->now + duration;
+        while (this->now < end) {
+            this->now += 50ms;
+            for (const auto &id : this->ids) {
+                if (this->agents.at(id).nextDeadline() <= this->now) {
+                    this->apply(id, AgentTimerExpired{this->now});
+                }
+            }
+        }
+    }
+
+    /// The newest epoch that the entry was given.
+    std::optional<Keys::Epoch> epochAt(const std::string &id) const
+    {
+        const auto found = this->given.find(id);
+        if (found == this->given.end() || found->second.epochs.empty()) {
+            return std::nullopt;
+        }
+        return Keys::decodeEpoch(found->second.epochs.back().record);
+    }
+
+    std::set<Keys::MemberId> membersAt(const std::string &id) const
+    {
+        std::set<Keys::MemberId> members;
+        if (const auto epoch = this->epochAt(id)) {
+            for (const auto &member : epoch->members) {
+                members.insert(member.id());
+            }
+        }
+        return members;
+    }
+
+    void apply(const std::string &id, const AgentEvent &event)
+    {
+        this->events.emplace_back(id, event);
+        while (!this->events.empty()) {
+            const auto [target, next] = this->events.front();
+            this->events.pop_front();
+            for (const auto &effect : this->agents.at(target).apply(next)) {
+                this->carryOut(target, effect);
+            }
+        }
+    }
+
+    TimePoint now{1000s};
+    std::vector<std::string> ids;
+    std::vector<std::string> stream;
+    std::set<std::string> withoutLog;
+    /// Appends that take effect without an answer that says so are alike for the reducer.
+    std::size_t appends = 0;
+
+private:
+    void carryOut(const std::string &id, const AgentEffect &effect)
+    {
+        if (const auto *connect = std::get_if<ConnectPeer>(&effect)) {
+            this->events.emplace_back(connect->peer, PeerConnected{this->now, hello(id)});
+            this->events.emplace_back(id, PeerConnected{this->now, hello(connect->peer)});
+        } else if (const auto *send = std::get_if<SendToPeer>(&effect)) {
+            this->events.emplace_back(send->peer, PeerMessageReceived{this->now, id, send->message});
+        } else if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
+            if (const auto *epochs = std::get_if<KeyEpochs>(&toEntry->message)) {
+                this->given[id] = *epochs;
+            }
+        } else if (std::holds_alternative<ReadLog>(effect)) {
+            this->events.emplace_back(id, LogRecordsRead{.at = this->now, .records = {}});
+        } else if (const auto *read = std::get_if<ReadEpochs>(&effect)) {
+            this->answer(id, *read);
+        } else if (const auto *append = std::get_if<AppendEpoch>(&effect)) {
+            ++this->appends;
+            if (!this->withoutLog.contains(id)) {
+                this->stream.push_back(append->record);
+            }
+            this->events.emplace_back(id, EpochAppendEnded{this->now});
+        }
+    }
+
+    void answer(const std::string &id, const ReadEpochs &read)
+    {
+        if (this->withoutLog.contains(id)) {
+            this->events.emplace_back(id, EpochsUnavailable{this->now});
+            return;
+        }
+        EpochRecordsRead page{.at = this->now, .wall = {}, .first = 0, .next = this->stream.size(), .records = {}};
+        for (auto offset = read.from; offset < this->stream.size(); ++offset) {
+            page.records.push_back({.offset = offset, .data = this->stream[offset]});
+        }
+        this->events.emplace_back(id, page);
+    }
+
+    static Hello hello(const std::string &id)
+    {
+        return {.vmId = id, .dataCentre = {}, .incarnation = 1000, .address = id};
+    }
+
+    std::map<std::string, AgentReducer> agents;
+    std::deque<std::pair<std::string, AgentEvent>> events;
+    std::map<std::string, KeyEpochs> given;
+};
+
+const std::vector<std::string> Ids{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"};
+
+Agents withFirstEpoch()
+{
+    Agents agents(Ids);
+    for (const auto &id : Ids) {
+        agents.connectEntry(id, 7);
+    }
+    agents.run(5s);
+    return agents;
+}
+
+} // namespace
+
+// Guards against one append for each VM when a whole fleet starts, and against entries with different members.
+TEST_CASE("entries that start together share few epochs and all know the newest one")
+{
+    auto agents = withFirstEpoch();
+    for (const auto &id : Ids) {
+        CHECK(agents.membersAt(id).size() == Ids.size());
+    }
+    CHECK(agents.appends <= 4);
+    const auto settled = agents.appends;
+    agents.run(60s);
+    CHECK(agents.appends == settled);
+}
+
+// Guards against an entry without epochs on a VM to which the log is unavailable.
+TEST_CASE("a VM without the log gets each epoch from its peers")
+{
+    Agents agents(Ids);
+    agents.withoutLog = {"vm-1", "vm-2", "vm-3"};
+    for (const auto &id : Ids) {
+        agents.connectEntry(id, 7);
+    }
+    agents.run(15s);
+    CHECK(agents.membersAt("vm-1").size() == Ids.size());
+    CHECK(agents.epochAt("vm-1") == agents.epochAt("vm-5"));
+}
+
+// Guards against ownership that moves on a suspicion or on a fault of the platform instead of on a fact.
+TEST_CASE("only a fact removes or replaces a member")
+{
+    auto agents = withFirstEpoch();
+    const auto before = agents.epochAt("vm-1");
+    REQUIRE(before);
+    SECTION("an entry that is disconnected stays")
+    {
+        agents.apply("vm-2", EntryDisconnected{agents.now});
+        agents.run(30s);
+        CHECK(agents.epochAt("vm-1") == before);
+    }
+    SECTION("an empty VM list removes nobody")
+    {
+        agents.publish({});
+        agents.run(30s);
+        CHECK(agents.epochAt("vm-1") == before);
+    }
+    SECTION("an agent of an earlier entry process changes nothing")
+    {
+        agents.connectEntry("vm-2", 6);
+        agents.run(30s);
+        CHECK(agents.epochAt("vm-1") == before);
+    }
+    SECTION("a VM that is absent from the list is removed")
+    {
+        agents.publish({"vm-1", "vm-2", "vm-3", "vm-4"});
+        agents.run(15s);
+        CHECK_FALSE(agents.membersAt("vm-1").contains({"vm-5", 7}));
+        CHECK(agents.membersAt("vm-1").size() == 4);
+    }
+    SECTION("a new process replaces its predecessor")
+    {
+        agents.connectEntry("vm-2", 8);
+        agents.run(15s);
+        CHECK(agents.membersAt("vm-1").contains({"vm-2", 8}));
+        CHECK_FALSE(agents.membersAt("vm-1").contains({"vm-2", 7}));
+        CHECK(agents.epochAt("vm-1")->replaces == before->number);
+    }
+}
+
+// Guards against a change that is lost because the members that append first cannot reach the log.
+TEST_CASE("when the first members cannot append, others do")
+{
+    for (const auto &reachable : Ids) {
+        Agents agents(Ids);
+        for (const auto &id : Ids) {
+            if (id != reachable) {
+                agents.withoutLog.insert(id);
+            }
+            agents.connectEntry(id, 7);
+        }
+        agents.run(20s);
+        INFO("the log is reachable from " << reachable);
+        CHECK(agents.membersAt("vm-1").size() == Ids.size());
+    }
+}
--- a/test/control/messagetest.cpp
+++ b/test/control/messagetest.cpp
@@ -71,6 +71,14 @@
     const auto number = *rc::gen::arbitrary<std::uint64_t>();
     const auto flag = *rc::gen::arbitrary<bool>();
     const Duration age(*rc::gen::inRange<std::int64_t>(0, INT64_MAX));
+    const Keys::MemberId member{text, number};
+    const Keys::Key key{"bundle", text};
+    const Keys::Fingerprint fingerprint{"POST", text, "digest"};
+    Keys::KeyRecord record{.key = key, .fingerprint = {}, .answered = flag, .answer = {}, .age = age};
+    if (flag) {
+        record.fingerprint = fingerprint;
+        record.answer = Keys::StoredAnswer{200, {{"Name", text}}, text};
+    }
     return {
         Hello{1, flag ? PeerRole::Entry : PeerRole::Agent, text, "cz-1", number, text},
         ConfigurationDigest{number, flag, {{text, number, "d", 7}}},
@@ -84,6 +92,16 @@
         HeartbeatAck{number, several(anyUpdate)},
         IndirectProbe{text, number},
         IndirectProbeAck{text, number, flag},
+        KeyEpochs{flag, {{text, number}}},
+        KeyEpochRequest{number},
+        KeyMembers{{{.vm = text, .incarnation = number, .address = text, .dataCentre = "cz-1"}}},
+        KeyForward{number, member, number, key, fingerprint, text, "r-1", text, text},
+        KeyForwardAnswer{number, KeyAnswerKind::NotOwner, number, 503, {{"Name", text}}, text, text, 1},
+        KeyHandOverAnswer{7, flag},
+        KeyConfirmation{member, number},
+        Keys::FenceRequest{number, member, {"vm-2", 1}, number, key, {member}},
+        Keys::FenceReply{number, member, member, {"vm-2", 1}, Keys::FenceVerdict::Known, 3, 2, record, {member}},
+        Keys::HandOverPart{member, {"vm-2", 1}, number, 0, 2, {record}, {{member, number, {"vm-2", 1}}}},
     };
 }
 
