--- a/test/integration/idempotencykeytest.cpp
+++ b/test/integration/idempotencykeytest.cpp
@@ -1,4 +1,5 @@
 #include "harness/fleet.h"
+#include "verbenadock/net/error.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,14 +47,18 @@
         });
     }
 
-    Net::HttpResponse claim(std::size_t vm, const std::string &key, const std::string &body = "{}") const
+    Net::HttpResponse claim(std::size_t vm,
+                            const std::string &key,
+                            const std::string &body = "{}",
+                            Duration limit = CallLimit,
+                            const std::string &target = "/vydej/7") const
     {
         return Net::fetchBlocking(this->vms[vm].entryListen(),
                                   {.method = "POST",
-                                   .target = "/vydej/7",
+                                   .target = target,
                                    .body = body,
                                    .headers = {{"X-Work-Id", key}, {"Idempotency-Key", key}}},
-                                  CallLimit);
+                                  limit);
     }
 
     std::size_t runs(const std::string &key) const
@@ -222,3 +227,43 @@
     });
     CHECK(fleet.doubles().empty());
 }
+
+// Guards against work that is lost or repeated because the caller that asked for it did not wait.
+TEST_CASE("a caller that gave up gets the answer of the first run when it asks again at another VM")
+{
+    KeyedFleet fleet(3);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        const auto key = "impatient-" + std::to_string(vm);
+        CHECK_THROWS_AS(fleet.claim(vm, key, "{}", 40ms), Net::NetError);
+        const auto again = fleet.claim((vm + 1) % 3, key);
+        CHECK(again.status == 200);
+        CHECK(fleet.runs(key) == 1);
+    }
+    CHECK(fleet.doubles().empty());
+}
+
+// Guards against a key that is dropped silently where it cannot be honoured, so that the work would run twice.
+TEST_CASE("what cannot be kept is refused, and an answer that is not kept is not produced again")
+{
+    KeyedFleet fleet(2);
+    const std::string large(std::size_t{2} << 20U, 'x');
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        const auto key = "claim-" + std::to_string(vm);
+        const auto tooLarge = fleet.claim(vm, key, large);
+        CHECK(tooLarge.status == 413);
+        CHECK(outcome(tooLarge) == "not-run");
+        const auto longKey = fleet.claim(vm, std::string(300, 'k'));
+        CHECK(longKey.status == 400);
+        CHECK(outcome(longKey) == "not-run");
+
+        const auto first = fleet.claim(vm, key, "{}", CallLimit, "/vydej/7?size=400000");
+        REQUIRE(first.status == 200);
+        CHECK(Json::parse(first.body)["padding"].get<std::string>().size() == 400000);
+        for (std::size_t other = 0; other < 2; ++other) {
+            const auto again = fleet.claim(other, key, "{}", CallLimit, "/vydej/7?size=400000");
+            CHECK(again.status == 504);
+            CHECK(outcome(again) == "unknown");
+        }
+        CHECK(fleet.runs(key) == 1);
+    }
+}
