--- a/test/integration/idempotencykeytest.cpp
+++ b/test/integration/idempotencykeytest.cpp
@@ -267,3 +267,36 @@
         CHECK(fleet.runs(key) == 1);
     }
 }
+
+// Guards against a successor that takes a paused owner for gone, and against an owner that runs a key twice when it
+// wakes up and finds old requests.
+TEST_CASE("keys of a paused owner run once, whatever their callers were told meanwhile")
+{
+    KeyedFleet fleet(3);
+    REQUIRE(fleet.claim(0, "claim-1").status == 200);
+    const auto owner = fleet.ownerOf("claim-1");
+    const auto other = (owner + 1) % 3;
+    fleet.vms[owner].entry->signal(SIGSTOP);
+    std::vector<std::string> keys = {"claim-1"};
+    for (unsigned index = 0; index < 8; ++index) {
+        keys.push_back("paused-" + std::to_string(index));
+    }
+    std::vector<std::future<Net::HttpResponse>> calls;
+    for (const auto &key : keys) {
+        calls.push_back(std::async(std::launch::async, [&fleet, key, other] {
+            return fleet.claim(other, key);
+        }));
+    }
+    for (auto &call : calls) {
+        const auto answer = call.get();
+        CHECK((answer.status == 200 || outcome(answer) == "unknown"));
+    }
+    fleet.vms[owner].entry->signal(SIGCONT);
+    for (const auto &key : keys) {
+        INFO(key);
+        const auto again = fleet.claim(other, key);
+        CHECK(again.status == 200);
+        CHECK(fleet.runs(key) == 1);
+    }
+    CHECK(fleet.doubles().empty());
+}
