Merge branch 'keylink'

# Conflicts: # include/verbenadock/control/agentevent.h # include/verbenadock/control/message.h # src/agent/entrylink.cpp # src/agent/entrylink.h # src/agent/host.cpp # src/agent/host.h # src/control/agentreducer.cpp # src/control/agentstate.h # src/control/message.cpp # test/control/messagetest.cpp

--- a/src/agent/host.h
+++ b/src/agent/host.h
@@ -35,9 +35,13 @@
     void carryOut(const Control::SendToEntry &effect);
     void carryOut(const Control::ReadLog &effect);
     void carryOut(const Control::AppendLog &effect);
+    boost::asio::awaitable<void> appendLog(std::string data);
+    void carryOut(const Control::ReadEpochs &effect);
+    void carryOut(const Control::AppendEpoch &effect);
     void carryOut(const Control::ReportAgentChange &effect);
     boost::asio::awaitable<void> readLog(Control::ReadLog request);
-    boost::asio::awaitable<void> appendLog(std::string data);
+    boost::asio::awaitable<void> readEpochs(Control::ReadEpochs request);
+    boost::asio::awaitable<void> appendEpoch(std::string record);
     boost::asio::awaitable<void> followVmList();
     std::string metricsText();
     void setTotal(const std::string &name,
@@ -53,6 +57,7 @@
     std::shared_ptr<Net::StreamCounters> peerTraffic = std::make_shared<Net::StreamCounters>();
     std::shared_ptr<Net::StreamCounters> entryTraffic = std::make_shared<Net::StreamCounters>();
     Platform::LogClient logClient;
+    Platform::LogClient epochClient;
     Platform::VmListClient vmListClient;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer vmListTimer;
@@ -61,6 +66,7 @@
     Net::AdminServer admin;
     std::uint64_t vmListFailures = 0;
     std::uint64_t appendFailures = 0;
+    std::uint64_t epochAppendFailures = 0;
     bool stopped = false;
 };
 
--- a/src/control/agentstate.h
+++ b/src/control/agentstate.h
@@ -3,6 +3,7 @@
 
 #include "bundlesync.h"
 #include "draintable.h"
+#include "epochkeeper.h"
 #include "evidencepool.h"
 #include "verdicttable.h"
 
@@ -22,11 +23,16 @@
     void handle(const EntryDisconnected &event);
     void handle(const EvidenceReceived &event);
     void handle(const DrainsReceived &event);
+    void learnDrains(TimePoint now, const DrainNotice &notice, const std::string &from);
+    void sendLeaving();
+    void handle(const EpochWanted &event);
+    void handle(const EpochRecordsRead &event);
+    void handle(const EpochsUnavailable &event);
+    void handle(const EpochAppendEnded &event);
     void handle(const AgentTimerExpired &event);
 
     void receive(TimePoint now, const std::string &peer, const HealthVerdicts &message);
-    void learnDrains(TimePoint now, const DrainNotice &notice, const std::string &from);
-    void sendLeaving();
+    void receiveAboutKeys(const PeerMessageReceived &event);
     void bundlesChanged(const std::vector<std::string> &names);
     void sendToEntry(Message message);
     void sendConfiguration(const std::vector<std::string> &names);
@@ -43,6 +49,7 @@
     AgentCounters counters;
     Membership::Detector membership;
     internal::BundleSync bundles;
+    internal::EpochKeeper epochs;
     internal::EvidencePool pool;
     internal::VerdictTable verdicts;
     /// Peers with a stream, and when it was last used for sending.
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -309,11 +309,6 @@
     postJson({this->platformAddress, Ports::VmListControl}, "/set", faults);
 }
 
-void Fleet::restartUpstreams(const std::vector<std::string> &ids)
-{
-    postJson({this->platformAddress, Ports::UpstreamControl}, "/restart", {{"upstreams", ids}});
-}
-
 void Fleet::publishVms(const std::vector<std::string> &leaving)
 {
     postJson({this->platformAddress, Ports::VmListControl}, "/vms", vmListJson(this->vms, this->upstreams, leaving));
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -119,8 +119,6 @@
     std::vector<std::string> records() const;
     /// Lag and outage of the VM list.
     void setVmList(const Json &faults);
-    /// Closes the upstreams' connections and starts them cold.
-    void restartUpstreams(const std::vector<std::string> &ids);
     /// Publishes the VM list; the named VMs and upstreams are leaving.
     void publishVms(const std::vector<std::string> &leaving = {});
 
