Measure rolling versions out under faults, and never propose on an unproven log

Restatements also start in a log of 32 records instead of 64.

The new process test was seen to fail without the wait.

--- a/src/control/restater.cpp
+++ b/src/control/restater.cpp
@@ -18,7 +18,7 @@
 constexpr Duration RestatementInterval = std::chrono::seconds(10);
 constexpr std::uint64_t OldestPart = 4;
 // A young log from which nothing has expired yet is left alone.
-constexpr std::uint64_t LeastRecords = 64;
+constexpr std::uint64_t LeastRecords = 32;
 
 bool isDue(const Bundles::History &history, const LogRecordsRead &page, const std::string &name)
 {
--- a/src/ctl/changes.cpp
+++ b/src/ctl/changes.cpp
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds WaitInterval(200);
+// Agents append a version whose records have expired again after seconds.
+constexpr std::chrono::seconds RestatementLimit(15);
 constexpr std::size_t ShownDigits = 12;
 
 std::string describe(const Bundles::VersionReference &reference)
@@ -51,6 +53,43 @@
     }
 }
 
+/// The newest version of the bundle that an agent has in force. Throws CtlError when no agent can be asked.
+std::uint64_t versionOnAgents(const Settings::CtlSettings &settings, const std::string &name)
+{
+    std::uint64_t version = 0;
+    bool asked = false;
+    for (const auto &state : askFleet(settings)) {
+        asked = asked || (state.role == "agent" && state.failure.empty());
+        for (const auto &bundle : state.bundles) {
+            version = bundle.name == name ? std::max(version, bundle.version) : version;
+        }
+    }
+    if (!asked) {
+        throw CtlError(
+            ExitStatus::Unavailable,
+            "the log no longer shows what is in force of " + name
+                + ", and no agent can be asked\nnext: run the same command again when an agent is reachable");
+    }
+    return version;
+}
+
+/// Reads the log until it shows what is in force of the bundle. Without this, an operator whose view of the log lacks
+/// the version in force would be told that a change is accepted which the agents refuse.
+void readUntilProven(ConfigurationLog &log, const Settings::CtlSettings &settings, const std::string &name)
+{
+    log.refresh();
+    const auto deadline = std::chrono::steady_clock::now() + RestatementLimit;
+    while (log.isTruncated() && !log.isProven(name) && versionOnAgents(settings, name) > log.versionInForce(name)) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            throw CtlError(ExitStatus::Unavailable,
+                           "the log no longer shows what is in force of " + name
+                               + "\nnext: an agent appends it again soon; run the same command again later");
+        }
+        std::this_thread::sleep_for(WaitInterval);
+        log.refresh();
+    }
+}
+
 /// Signs the record, appends it and explains what it did.
 Bundles::HistoryEntry submit(ConfigurationLog &log,
                              const Settings::CtlSettings &settings,
@@ -156,7 +195,7 @@
 {
     const auto [content, bundle] = readBundleFile(file);
     ConfigurationLog log(settings);
-    log.refresh();
+    readUntilProven(log, settings, bundle.name);
     const auto current = log.versionInForce(bundle.name);
     if (bundle.version <= current) {
         throw CtlError(ExitStatus::NotAccepted,
@@ -181,7 +220,7 @@
 Output signOff(const Settings::CtlSettings &settings, const Selection &selection)
 {
     ConfigurationLog log(settings);
-    log.refresh();
+    readUntilProven(log, settings, selection.name);
     const auto proposal = select(log, selection).proposal;
     if (proposal.author == settings.operatorName) {
         throw CtlError(ExitStatus::NotAccepted,
@@ -201,7 +240,7 @@
 Output rollOut(const Settings::CtlSettings &settings, const Selection &selection, unsigned waitSeconds)
 {
     ConfigurationLog log(settings);
-    log.refresh();
+    readUntilProven(log, settings, selection.name);
     Output output;
     Bundles::VersionReference reference;
     if (isOwnRollOut(log, selection, settings.operatorName)) {
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -37,6 +37,7 @@
 };
 
 constexpr std::array Scenarios{
+    Scenario{"bundle", "versions rolled out by racing operators while the log and agents fail", measureBundle},
     Scenario{"path", "latency that one VM adds, and requests per second of one entry core", measurePath},
 };
 
--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -25,6 +25,7 @@
 
 /// Each runs a scenario with real processes and returns its figures.
 Report measurePath(const ScenarioOptions &options);
+Report measureBundle(const ScenarioOptions &options);
 
 } // namespace Verbenadock::Measure
 
--- a/test/harness/fleet.cpp
+++ b/test/harness/fleet.cpp
@@ -88,11 +88,15 @@
     this->createOperators();
     for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
         this->startAgent(vm);
-        this->startEntry(vm);
+        if (!this->spec.agentsOnly) {
+            this->startEntry(vm);
+        }
     }
     for (const auto &vm : this->vms) {
-        waitFor("the administration ports of " + vm.id, StartLimit, [&vm] {
-            getJson(vm.entryAdmin(), "/dump");
+        waitFor("the administration ports of " + vm.id, StartLimit, [this, &vm] {
+            if (!this->spec.agentsOnly) {
+                getJson(vm.entryAdmin(), "/dump");
+            }
             getJson(vm.agentAdmin(), "/dump");
             return true;
         });
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -32,6 +32,8 @@
     /// Puts the proxy before every upstream (route: the upstream's id), every agent's peer port (agent-VM) and every
     /// entry's agent (link-VM).
     bool faultProxy = false;
+    /// Starts the agents alone.
+    bool agentsOnly = false;
     /// Further lines of TOML for the entries' settings.
     std::string entryExtra = {};
 };
--- a/test/integration/bundletest.cpp
+++ b/test/integration/bundletest.cpp
@@ -251,6 +251,34 @@
     fleet.rollOut(2);
 }
 
+// Guards against an operator who builds on what a log without its oldest records shows, and is told that a version is
+// accepted which every agent refuses.
+TEST_CASE("while the log does not show what is in force, nothing is proposed")
+{
+    Fleet fleet(PROGRAM_DIR, smallFleet(2));
+    fleet.start();
+    fleet.rollOut(1);
+    const auto propose = [&fleet] {
+        return fleet.tryCtl("jana", {"propose", fleet.writeText("two.toml", fleet.bundleText(2))});
+    };
+    for (const auto &vm : fleet.vms) {
+        vm.agent->signal(SIGSTOP);
+    }
+    fleet.setLog({{"retain", 2}});
+    const auto refused = propose();
+    INFO(refused.text);
+    CHECK(refused.status == 4);
+    CHECK(fleet.logState()["streams"]["configuration"]["next"] == 3);
+    for (const auto &vm : fleet.vms) {
+        vm.agent->signal(SIGCONT);
+    }
+    fleet.setLog({{"retain", 20}});
+    const auto accepted = propose();
+    INFO(accepted.text);
+    CHECK(accepted.status == 0);
+    CHECK_THAT(fleet.records().back(), Catch::Contains("\"replaces\":1"));
+}
+
 // Guards against an operator who is told that a version is in force everywhere while some VM serves another one.
 TEST_CASE("status and --wait tell VMs that differ or cannot be reached")
 {
