Take a restatement over when a reader missed what followed an older one

It now compares with the agents whenever the log is truncated.

The tests of bundle and control pass.

--- a/src/bundle/historyexpiry.cpp
+++ b/src/bundle/historyexpiry.cpp
@@ -79,7 +79,8 @@
     if (current == this->inForce.end()) {
         return this->readFrom == 0;
     }
-    return current->second.offset >= this->readFrom || this->proof(name).value_or(0) >= this->readFrom;
+    // A restatement in what was read is not enough: a proposal that follows its version may stand before both.
+    return this->readFrom == 0 || current->second.offset >= this->readFrom;
 }
 
 HistoryEntry History::State::applyRestatement(std::uint64_t offset, const AcceptedVersion &version)
--- a/src/ctl/changes.cpp
+++ b/src/ctl/changes.cpp
@@ -79,7 +79,7 @@
 {
     log.refresh();
     const auto deadline = std::chrono::steady_clock::now() + RestatementLimit;
-    while (log.isTruncated() && !log.isProven(name) && versionOnAgents(settings, name) > log.versionInForce(name)) {
+    while (log.isTruncated() && versionOnAgents(settings, name) > log.versionInForce(name)) {
         if (std::chrono::steady_clock::now() >= deadline) {
             throw CtlError(ExitStatus::Unavailable,
                            "the log no longer shows what is in force of " + name
--- a/src/ctl/configurationlog.cpp
+++ b/src/ctl/configurationlog.cpp
@@ -156,11 +156,6 @@
     return position == this->fold.inForce().end() ? 0 : position->second.reference.version;
 }
 
-bool ConfigurationLog::isProven(const std::string &name) const
-{
-    return this->fold.provenFrom(name).has_value();
-}
-
 bool ConfigurationLog::isTruncated() const
 {
     return this->truncated;
--- a/src/ctl/configurationlog.h
+++ b/src/ctl/configurationlog.h
@@ -36,9 +36,6 @@
     /// Whether the log has dropped its oldest records, so that the fold may lack versions.
     bool isTruncated() const;
 
-    /// Whether the retained records prove the version in force of this bundle.
-    bool isProven(const std::string &name) const;
-
 private:
     struct Content
     {
