--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -30,6 +30,7 @@
 Report measureOverload(const ScenarioOptions &options);
 Report measureDetection(const ScenarioOptions &options);
 Report measureHealthy(const ScenarioOptions &options);
+Report measureBundle(const ScenarioOptions &options);
 
 } // namespace Verbenadock::Measure
 
