Count no relapse at an entry for a verdict on pooled evidence

The collectors withdraw a verdict for a trial, and pronounce it again when the trial fails at some entry. An entry whose own trial succeeded meanwhile went to the ramp and was ejected from it at once, and its next wait doubled. Now a pooled verdict takes the upstream from trial or ramp back without a relapse; the collectors' detector counts its own.

--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -147,7 +147,7 @@
         return;
     }
     ++member.trialSuccesses;
-    if (member.trialSuccesses >= TrialSuccessesNeeded) {
+    if (member.trialSuccesses >= TrialSuccessesNeeded && !member.pooledSick) {
         this->startRamp(member, at);
     }
 }
@@ -220,13 +220,16 @@
         }
         break;
     case HealthState::Trial:
-        if (now >= member.deadline) {
+        // The collectors count relapses of their own, and an entry's trial has not failed because others did.
+        if (member.pooledSick) {
+            this->markSick(member, now);
+        } else if (now >= member.deadline) {
             this->startRamp(member, now);
         }
         break;
     case HealthState::Ramp:
         if (this->alarmed(member)) {
-            ++member.relapses;
+            member.relapses += member.pooledSick ? 0 : 1;
             this->markSick(member, now);
         } else if (now >= member.deadline) {
             member.state = HealthState::Healthy;
--- a/test/health/servicedetectortest.cpp
+++ b/test/health/servicedetectortest.cpp
@@ -245,6 +245,23 @@
     CHECK(bench.state(4) == HealthState::Trial);
 }
 
+// Guards against waits that double at every entry although its own trials succeeded.
+TEST_CASE("a verdict on pooled evidence ends a trial without counting as a relapse")
+{
+    Bench bench;
+    bench.run(10, healthyOutcome);
+    bench.run(5, failing(3));
+    bench.run(100, healthyOutcome, [&] {
+        return bench.state(3) == HealthState::Trial;
+    });
+    bench.detector.applyPooled({{.upstream = "u3", .sick = true}}, bench.now);
+    bench.run(5, healthyOutcome);
+    CHECK(bench.state(3) == HealthState::Ejected);
+    bench.detector.applyPooled({{.upstream = "u3", .sick = false}}, bench.now);
+    CHECK(bench.state(3) == HealthState::Trial);
+    CHECK(bench.detector.report(bench.now).at(3).relapses == 0);
+}
+
 // Guards against stages that change while an outcome is recorded and are then missing from the reported changes.
 TEST_CASE("the reported changes of a relapse and of a recovery form an unbroken chain")
 {
