Find upstreams 2.5 times as slow in the careful preset

With a factor of 4 the preset could not find an upstream that is three times as slow. The evidence that it asks for stays at 100,000 samples between false alarms.

--- a/src/bundle/servicereader.cpp
+++ b/src/bundle/servicereader.cpp
@@ -24,7 +24,7 @@
 // Detection after a few failures at the price of more false alarms.
 constexpr Detection FastDetection{.samplesBetweenFalseAlarms = 2'000, .failureRate = 0.3, .slowFactor = 2};
 // For upstreams with few slots, where a false ejection costs more than a few slow answers.
-constexpr Detection CarefulDetection{.samplesBetweenFalseAlarms = 100'000, .failureRate = 0.3, .slowFactor = 4};
+constexpr Detection CarefulDetection{.samplesBetweenFalseAlarms = 100'000, .failureRate = 0.3, .slowFactor = 2.5};
 
 void readTimeouts(TableReader &service, Timeouts &timeouts)
 {
