Eject for slow answers only when they last two seconds

An upstream that starts cold is slow at first and was ejected for it. The slowness must now last two seconds, which the targets for slow upstreams (p50 3 s, p99 6 s) allow. Requests that wait in vain for an answer still eject at once, so that a hanging upstream is found as fast as before. Comparing the trend of the latency was ruled out as less certain with few samples.

--- a/src/health/member.h
+++ b/src/health/member.h
@@ -38,6 +38,8 @@
     HealthState reported = HealthState::Healthy;
     Cusum failures{};
     Cusum slowness{};
+    /// Requests in the run of slowness that still waited for their answer when they were counted.
+    unsigned overdueInRun = 0;
     TypicalLatency typicalLatency{};
     /// Share of bad samples, newer ones weighing more; orders sick upstreams at the floor.
     double badness = 0;
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -23,9 +23,10 @@
 
 namespace {
 
-// Ceiling of the evidence as a multiple of the threshold. A recovered upstream that the floor held is cleared by about
-// 40 successes.
+// Multiple of the threshold. A recovered upstream that the floor held is cleared by about 40 successes.
 constexpr double EvidenceCeiling = 1.5;
+// A cold start is slow too, but gets faster. An upstream that hangs is not waited for.
+constexpr Duration SlowPersistence = std::chrono::seconds(2);
 constexpr double BadnessWeight = 0.2;
 constexpr unsigned TrialSuccessesNeeded = 3;
 constexpr double FirstRampShare = 0.25;
@@ -57,7 +58,7 @@
     bool isSlow(const Member &member, const Sample &sample);
     void judge(Member &member, const Sample &sample, bool slow);
     void judgeTrial(Member &member, bool bad, TimePoint at);
-    bool alarmed(const Member &member) const;
+    bool alarmed(const Member &member, TimePoint now) const;
     bool confirmed(const Member &member, const Cusum &sum, SampleKind kind) const;
     bool cleared(const Member &member) const;
     void markSick(Member &member, TimePoint now) const;
@@ -129,6 +130,9 @@
     if (!failed) {
         member.slowness.add(slow, Internal::slowRates(HealthySlowRate), ceiling, sample.at);
     }
+    if (member.slowness.evidence() == 0) {
+        member.overdueInRun = 0;
+    }
     if (sample.cause == Cause::Success) {
         member.typicalLatency.add(sample.latency);
     }
@@ -167,10 +171,12 @@
     return Internal::logLikelihoodRatio(rates, sum.badInRun(), sum.goodInRun()) >= this->threshold(member);
 }
 
-bool ServiceDetector::State::alarmed(const Member &member) const
+bool ServiceDetector::State::alarmed(const Member &member, TimePoint now) const
 {
+    const bool ripe
+        = 2 * member.overdueInRun >= member.slowness.badInRun() || now - member.slowness.runStart() >= SlowPersistence;
     return member.pooledSick || this->confirmed(member, member.failures, SampleKind::Failed)
-           || this->confirmed(member, member.slowness, SampleKind::Slow);
+           || (ripe && this->confirmed(member, member.slowness, SampleKind::Slow));
 }
 
 bool ServiceDetector::State::cleared(const Member &member) const
@@ -200,6 +206,7 @@
     member.deadline = now + RampTime;
     member.failures.reset();
     member.slowness.reset();
+    member.overdueInRun = 0;
     member.badness = 0;
 }
 
@@ -210,7 +217,7 @@
         if (member.relapses > 0 && now - member.since >= RelapseMemory) {
             member.relapses = 0;
         }
-        if (this->alarmed(member)) {
+        if (this->alarmed(member, now)) {
             this->markSick(member, now);
         }
         break;
@@ -228,7 +235,7 @@
         }
         break;
     case HealthState::Ramp:
-        if (this->alarmed(member)) {
+        if (this->alarmed(member, now)) {
             member.relapses += member.pooledSick ? 0 : 1;
             this->markSick(member, now);
         } else if (now >= member.deadline) {
@@ -264,9 +271,8 @@
 void ServiceDetector::record(const std::string &upstream, const Sample &sample)
 {
     Member *member = this->state->find(upstream);
-    const bool ignored = member == nullptr || !isEvidence(sample.cause) || member->state == HealthState::Ejected;
-    if (ignored) {
-        // Answers that arrive after an ejection belong to requests sent before it.
+    if (member == nullptr || !isEvidence(sample.cause) || member->state == HealthState::Ejected) {
+        // Answers after an ejection belong to requests sent before it.
         return;
     }
     const bool slow = this->state->isSlow(*member, sample);
@@ -291,6 +297,7 @@
     }
     this->state->recent.add({.at = now, .member = member->number, .failed = false, .slow = true});
     this->state->judge(*member, {.at = now, .cause = Cause::Cancelled}, true);
+    ++member->overdueInRun;
 }
 
 void ServiceDetector::setLeaving(const std::vector<std::string> &upstreams)
--- a/test/control/evidencepooltest.cpp
+++ b/test/control/evidencepooltest.cpp
@@ -103,6 +103,9 @@
 TEST_CASE("an upstream that is slow for two observers is found")
 {
     Fixture fixture;
+    // One second of slow answers may be a cold start.
+    CHECK(fixture.run({"vm-1", "vm-2"}, 0, 200ms).empty());
+    fixture.run({"vm-1", "vm-2"}, 0, 200ms);
     const auto verdicts = fixture.run({"vm-1", "vm-2"}, 0, 200ms);
     REQUIRE(verdicts.size() == 1);
     CHECK(verdicts[0].upstream == SickUpstream);
