--- a/test/integration/idempotencykeytest.cpp
+++ b/test/integration/idempotencykeytest.cpp
@@ -282,6 +282,7 @@
         keys.push_back("paused-" + std::to_string(index));
     }
     std::vector<std::future<Net::HttpResponse>> calls;
+    calls.reserve(keys.size());
     for (const auto &key : keys) {
         calls.push_back(std::async(std::launch::async, [&fleet, key, other] {
             return fleet.claim(other, key);
