--- a/test/integration/idempotencykeytest.cpp
+++ b/test/integration/idempotencykeytest.cpp
@@ -110,7 +110,7 @@
 {
     static unsigned counter = 0;
     const auto since = std::chrono::system_clock::now().time_since_epoch();
-    std::array<char, 40> text{};
+    std::array<char, 64> text{};
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
     std::snprintf(text.data(),
                   text.size(),
