Derive the detector's settings from a service in one place

Cause: the entry's reducer and the agent's evidence pool each had a copy of the same two conversions, so a new threshold could reach only one of them.

Ruled out: leaving them in core, on which the agent does not depend.

--- a/src/control/evidencepool.cpp
+++ b/src/control/evidencepool.cpp
@@ -1,5 +1,7 @@
 #include "evidencepool.h"
 
+#include "verbenadock/health/servicesettings.h"
+
 #include <algorithm>
 #include <cstdint>
 
@@ -13,25 +15,6 @@
 // A report covers a fraction of a second; larger counts come from a faulty or hostile entry.
 constexpr std::uint64_t MaxSamples = 2000;
 
-Health::DetectorSettings toSettings(const Bundles::Service &service)
-{
-    Health::DetectorSettings settings;
-    settings.samplesBetweenFalseAlarms = service.detection.samplesBetweenFalseAlarms;
-    settings.failureRate = service.detection.failureRate;
-    settings.slowFactor = service.detection.slowFactor;
-    settings.floorPercent = service.floorPercent;
-    return settings;
-}
-
-std::vector<Health::UpstreamCapacity> toCapacities(const Bundles::Service &service)
-{
-    std::vector<Health::UpstreamCapacity> capacities;
-    for (const auto &upstream : service.upstreams) {
-        capacities.push_back({.id = upstream.id, .slots = upstream.slots});
-    }
-    return capacities;
-}
-
 std::uint64_t successes(const UpstreamEvidence &evidence)
 {
     const auto found = evidence.counts.find(Health::Cause::Success);
@@ -90,7 +73,7 @@
 } // namespace
 
 EvidencePool::Pool::Pool(const Bundles::Service &service)
-    : detector(toSettings(service), toCapacities(service))
+    : detector(Health::detectorSettings(service), Health::upstreamCapacities(service))
     , slowFactor(service.detection.slowFactor)
 {
 }
@@ -114,7 +97,7 @@
     for (auto &[key, pool] : this->pools) {
         if (key.bundle == bundle.name) {
             const auto &service = this->known.at(key);
-            pool.detector.reconfigure(toSettings(service), toCapacities(service));
+            pool.detector.reconfigure(Health::detectorSettings(service), Health::upstreamCapacities(service));
             pool.slowFactor = service.detection.slowFactor;
         }
     }
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -1,5 +1,7 @@
 #include "engine.h"
 
+#include "verbenadock/health/servicesettings.h"
+
 #include <algorithm>
 
 namespace Verbenadock::Core::Internal {
@@ -10,25 +12,6 @@
 constexpr double RetryReserve = 3;
 constexpr double HedgeReserve = 1;
 
-Health::DetectorSettings detectorSettings(const Bundles::Service &service)
-{
-    Health::DetectorSettings settings;
-    settings.samplesBetweenFalseAlarms = service.detection.samplesBetweenFalseAlarms;
-    settings.failureRate = service.detection.failureRate;
-    settings.slowFactor = service.detection.slowFactor;
-    settings.floorPercent = service.floorPercent;
-    return settings;
-}
-
-std::vector<Health::UpstreamCapacity> capacities(const Bundles::Service &service)
-{
-    std::vector<Health::UpstreamCapacity> result;
-    for (const auto &upstream : service.upstreams) {
-        result.push_back(Health::UpstreamCapacity{.id = upstream.id, .slots = upstream.slots});
-    }
-    return result;
-}
-
 bool haveSameRoutes(const Configuration &left, const Configuration &right)
 {
     return std::equal(left.bundles.begin(),
@@ -77,11 +60,11 @@
     state.pool.configure(bundle, &service, this->settings.dataCentre);
     state.pool.setLeaving(this->leaving);
     if (state.detector) {
-        state.detector->reconfigure(detectorSettings(service), capacities(service));
+        state.detector->reconfigure(Health::detectorSettings(service), Health::upstreamCapacities(service));
         state.retries.setPercent(service.budgets.retryPercent);
         state.hedges.setPercent(service.budgets.hedgePercent);
     } else {
-        state.detector.emplace(detectorSettings(service), capacities(service));
+        state.detector.emplace(Health::detectorSettings(service), Health::upstreamCapacities(service));
         state.retries = AttemptBudget(service.budgets.retryPercent, RetryReserve);
         state.hedges = AttemptBudget(service.budgets.hedgePercent, HedgeReserve);
     }
@@ -94,7 +77,7 @@
 {
     service.configured = false;
     service.pool.configure(service.bundle, nullptr, this->settings.dataCentre);
-    service.detector->reconfigure(detectorSettings(service.service), {});
+    service.detector->reconfigure(Health::detectorSettings(service.service), {});
     while (!service.queue.empty()) {
         this->conclude(service.queue.begin()->slot, Refusal::NotConfigured);
     }
