Show no age for upstreams that never changed their stage

Cause: the dump counted from the start of the clock, for example health_age_ms=2889482 on an entry that had run for 17 s.

Measured: the new test failed before (2000000 us where 0 was expected) and passes now; test_health 17 cases pass.

--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -91,6 +91,7 @@
     /// Evidence against the upstream, in nats; an alarm is raised at `threshold`.
     double evidence = 0;
     double threshold = 0;
+    /// Time in this stage; zero when the stage has never changed.
     Duration age{0};
     unsigned relapses = 0;
 
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -390,7 +390,7 @@
                            .state = member.state,
                            .evidence = std::max(member.failures.evidence(), member.slowness.evidence()),
                            .threshold = this->state->threshold(member),
-                           .age = now - member.since,
+                           .age = member.since == TimePoint{} ? Duration{0} : now - member.since,
                            .relapses = member.relapses});
     }
     return reports;
--- a/test/health/servicedetectortest.cpp
+++ b/test/health/servicedetectortest.cpp
@@ -325,6 +325,19 @@
     CHECK(changes.front().to == HealthState::Trial);
 }
 
+// Guards against a dump that shows the age of the clock for upstreams that never changed their stage.
+TEST_CASE("the age of a stage counts from its last change")
+{
+    Bench bench;
+    bench.run(10, healthyOutcome);
+    CHECK(bench.detector.report(bench.now).at(0).age == Duration{0});
+    bench.run(5, failing(3));
+    REQUIRE(bench.state(3) == HealthState::Ejected);
+    const auto age = bench.detector.report(bench.now).at(3).age;
+    CHECK(age > 0s);
+    CHECK(age < 1s);
+}
+
 TEST_CASE("no order of outcomes takes the slots in use below the floor")
 {
     rc::prop("slots in use stay at or above the floor", [] {
