--- a/include/verbenadock/membership/detector.h
+++ b/include/verbenadock/membership/detector.h
@@ -18,7 +18,7 @@
     /// Members that each member sends heartbeats to.
     std::size_t neighbours = 4;
     /// Neighbours that are asked to check a silent member.
-    std::size_t helpers = 2;
+    std::size_t indirectProbes = 2;
     Duration heartbeatInterval = std::chrono::seconds(1);
     Duration ackTimeout = std::chrono::milliseconds(400);
     Duration indirectTimeout = std::chrono::milliseconds(600);
--- a/src/membership/detector.cpp
+++ b/src/membership/detector.cpp
@@ -86,7 +86,7 @@
     auto &state = *this->implementation;
     state.noticePause(now);
     state.expireProbes(now);
-    state.expireHelpedProbes(now);
+    state.expireRelayedProbes(now);
     state.expireSuspicions(now);
     if (state.nextRound <= now) {
         state.startRound(now);
@@ -111,7 +111,7 @@
             earliest = std::min(earliest, link.probe->deadline);
         }
     }
-    for (const auto &[sequence, probe] : state.helped) {
+    for (const auto &[sequence, probe] : state.relayedProbes) {
         earliest = std::min(earliest, probe.deadline);
     }
     // Suspicions that are overdue but may not be acted on yet are looked at in each round.
--- a/src/membership/detectorstate.h
+++ b/src/membership/detectorstate.h
@@ -31,7 +31,7 @@
 };
 
 /// A check on behalf of another member.
-struct HelpedProbe
+struct RelayedProbe
 {
     std::string asker;
     std::string target;
@@ -53,7 +53,7 @@
     void startProbe(TimePoint now, const std::string &peer);
     void expireProbes(TimePoint now);
     void askOthers(TimePoint now, const std::string &peer, internal::Probe &probe);
-    void expireHelpedProbes(TimePoint now);
+    void expireRelayedProbes(TimePoint now);
     void accuse(TimePoint now, const std::string &peer);
     void expireSuspicions(TimePoint now);
     bool mayAccuse(TimePoint now) const;
@@ -86,7 +86,7 @@
     internal::MemberTable table;
     internal::UpdateQueue queue;
     std::map<std::string, internal::Link> links;
-    std::map<std::uint64_t, internal::HelpedProbe> helped;
+    std::map<std::uint64_t, internal::RelayedProbe> relayedProbes;
     std::uint64_t lastSequence = 0;
     TimePoint nextRound;
     TimePoint nextDeadProbe;
--- a/src/membership/news.cpp
+++ b/src/membership/news.cpp
@@ -51,28 +51,28 @@
         // The peer is alive and has other neighbours now.
         this->links.erase(link);
     }
-    const auto probe = this->helped.find(ack.sequence);
-    if (probe == this->helped.end() || probe->second.target != from) {
+    const auto probe = this->relayedProbes.find(ack.sequence);
+    if (probe == this->relayedProbes.end() || probe->second.target != from) {
         return;
     }
     this->send(probe->second.asker,
                ProbeAnswer{.target = from, .sequence = probe->second.askerSequence, .alive = true});
-    this->helped.erase(probe);
+    this->relayedProbes.erase(probe);
 }
 
 void Detector::Implementation::handle(TimePoint now, const std::string &from, const ProbeRequest &request)
 {
     // The bound protects against a peer that asks without end; each neighbour has one request open at most.
-    constexpr std::size_t MaxHelpedProbes = 256;
-    if (this->table.find(request.target) == nullptr || this->helped.size() >= MaxHelpedProbes) {
+    constexpr std::size_t MaxRelayedProbes = 256;
+    if (this->table.find(request.target) == nullptr || this->relayedProbes.size() >= MaxRelayedProbes) {
         this->send(from, ProbeAnswer{.target = request.target, .sequence = request.sequence, .alive = false});
         return;
     }
     const std::uint64_t sequence = ++this->lastSequence;
-    this->helped[sequence] = {.asker = from,
-                              .target = request.target,
-                              .askerSequence = request.sequence,
-                              .deadline = now + this->settings.ackTimeout};
+    this->relayedProbes[sequence] = {.asker = from,
+                                     .target = request.target,
+                                     .askerSequence = request.sequence,
+                                     .deadline = now + this->settings.ackTimeout};
     this->send(request.target, Ping{.sequence = sequence, .updates = this->updatesFor(request.target)});
 }
 
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -18,7 +18,7 @@
     }
     this->quietUntil = now + this->settings.pauseGrace;
     this->nextRound = now;
-    this->helped.clear();
+    this->relayedProbes.clear();
     for (auto &[peer, link] : this->links) {
         link.lastHeard = now;
         link.failing = false;
@@ -111,20 +111,20 @@
             candidates.push_back(id);
         }
     }
-    if (candidates.size() < this->settings.helpers) {
+    if (candidates.size() < this->settings.indirectProbes) {
         candidates = this->table.ids(false);
         std::erase(candidates, peer);
     }
-    // Another pair each time, so that one bad helper does not decide again and again.
+    // Another pair each time, so that one bad member does not decide again and again.
     const std::string key = this->self.id + '/' + std::to_string(probe.sequence);
-    for (const auto &helper : rendezvous(key, candidates, this->settings.helpers)) {
-        this->send(helper, ProbeRequest{.target = peer, .sequence = probe.sequence});
+    for (const auto &relay : rendezvous(key, candidates, this->settings.indirectProbes)) {
+        this->send(relay, ProbeRequest{.target = peer, .sequence = probe.sequence});
     }
 }
 
-void Detector::Implementation::expireHelpedProbes(TimePoint now)
+void Detector::Implementation::expireRelayedProbes(TimePoint now)
 {
-    std::erase_if(this->helped, [&](const auto &item) {
+    std::erase_if(this->relayedProbes, [&](const auto &item) {
         const auto &probe = item.second;
         if (probe.deadline > now) {
             return false;
