--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -176,7 +176,7 @@
 
 std::string EntryProcess::dump() const
 {
-    auto json = nlohmann::json::parse(this->server->dump());
+    auto json = nlohmann::ordered_json::parse(this->server->dump());
     const auto digests = this->store.digests();
     // The reducer knows parsed bundles only; operators tell two contents of one version apart by the digest.
     for (auto &bundle : json["bundles"]) {
