Share the in-test network of agents between its two tests

Cause: the tests of the agent's reducer and of the key epochs each had the same event queue, clock and delivery between peers, so a change of the reducer's effects had to be made twice.

Ruled out: a callback for the other effects, since it would refer to the object that one of the tests returns by value.

--- a/test/control/agentreducertest.cpp
+++ b/test/control/agentreducertest.cpp
@@ -1,11 +1,9 @@
-#include "verbenadock/control/agentreducer.h"
-
+#include "agentnetwork.h"
 #include "bundle/operators.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <set>
 
 using namespace Verbenadock;
@@ -24,8 +22,8 @@
     return {Team.proposal(content(version), named, "jana"), Team.signOff(named, "petr"), Team.rollOut(named, "jana")};
 }
 
-/// Agents on virtual time whose messages arrive at once.
-class Fleet
+/// Agents around one configuration stream.
+class Fleet : public Control::Test::AgentNetwork<Fleet>
 {
 public:
     explicit Fleet(const std::vector<std::string> &ids)
@@ -33,11 +31,8 @@
         VmListRead list{.at = this->now, .members = {}, .leavingUpstreams = {"127.0.0.8"}};
         for (const auto &id : ids) {
             AgentReducerSettings settings;
-            settings.vmId = id;
-            settings.address = id;
-            settings.incarnation = 1000;
             settings.operators = Team.trusted();
-            this->agents.emplace(id, AgentReducer(settings, this->now));
+            this->add(id, settings);
             list.members.push_back({.id = id, .address = id, .dataCentre = {}});
         }
         for (const auto &id : ids) {
@@ -45,39 +40,9 @@
         }
     }
 
-    void apply(const std::string &id, const AgentEvent &event)
-    {
-        this->events.emplace_back(id, event);
-        while (!this->events.empty()) {
-            const auto [target, next] = this->events.front();
-            this->events.pop_front();
-            for (const auto &effect : this->agents.at(target).apply(next)) {
-                this->carryOut(target, effect);
-            }
-        }
-    }
-
-    void run(Duration duration)
-    {
-        const auto end = this->now + duration;
-        while (this->now < end) {
-            this->now += 50ms;
-            for (auto &[id, agent] : this->agents) {
-                if (agent.nextDeadline() <= this->now) {
-                    this->apply(id, AgentTimerExpired{this->now});
-                }
-            }
-        }
-    }
-
-    void carryOut(const std::string &id, const AgentEffect &effect)
+    void handle(const std::string &id, const AgentEffect &effect)
     {
-        if (const auto *connect = std::get_if<ConnectPeer>(&effect)) {
-            this->events.emplace_back(connect->peer, PeerConnected{this->now, hello(id)});
-            this->events.emplace_back(id, PeerConnected{this->now, hello(connect->peer)});
-        } else if (const auto *send = std::get_if<SendToPeer>(&effect)) {
-            this->events.emplace_back(send->peer, PeerMessageReceived{this->now, id, send->message});
-        } else if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
+        if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
             this->entries[id].push_back(toEntry->message);
         } else if (const auto *read = std::get_if<ReadLog>(&effect)) {
             this->reads[id].push_back(*read);
@@ -91,14 +56,14 @@
     void answer(const std::string &id, const ReadLog &read)
     {
         if (this->withoutLog.contains(id)) {
-            this->events.emplace_back(id, LogUnavailable{this->now});
+            this->post(id, LogUnavailable{this->now});
             return;
         }
         LogRecordsRead page{.at = this->now, .first = this->first, .next = this->log.size(), .records = {}};
         for (auto offset = std::max(read.from, this->first); offset < this->log.size(); ++offset) {
             page.records.push_back({.offset = offset, .data = this->log[offset]});
         }
-        this->events.emplace_back(id, page);
+        this->post(id, page);
     }
 
     void append(const std::vector<std::string> &records)
@@ -106,11 +71,6 @@
         this->log.insert(this->log.end(), records.begin(), records.end());
     }
 
-    static Hello hello(const std::string &id)
-    {
-        return {.vmId = id, .dataCentre = {}, .incarnation = 1000, .address = id};
-    }
-
     /// The version that the entry was given last.
     std::uint64_t entryVersion(const std::string &id)
     {
@@ -137,9 +97,6 @@
         return count;
     }
 
-    TimePoint now{1000s};
-    std::map<std::string, AgentReducer> agents;
-    std::deque<std::pair<std::string, AgentEvent>> events;
     std::map<std::string, std::vector<Message>> entries;
     std::map<std::string, std::vector<ReadLog>> reads;
     std::vector<std::string> log;
--- a/test/control/keyepochstest.cpp
+++ b/test/control/keyepochstest.cpp
@@ -1,9 +1,8 @@
-#include "verbenadock/control/agentreducer.h"
+#include "agentnetwork.h"
 #include "verbenadock/keys/epochlog.h"
 
 #include <catch2/catch.hpp>
 
-#include <deque>
 #include <set>
 
 using namespace Verbenadock;
@@ -12,19 +11,15 @@
 
 namespace {
 
-/// Agents on virtual time around one stream key-epochs; their messages arrive at once.
-class Agents
+/// Agents around one stream key-epochs.
+class Agents : public Control::Test::AgentNetwork<Agents>
 {
 public:
     explicit Agents(const std::vector<std::string> &all)
         : ids(all)
     {
         for (const auto &id : this->ids) {
-            AgentReducerSettings settings;
-            settings.vmId = id;
-            settings.address = id;
-            settings.incarnation = 1000;
-            this->agents.emplace(id, AgentReducer(settings, this->now));
+            this->add(id);
         }
         this->publish(this->ids);
     }
@@ -51,19 +46,6 @@
         this->apply(id, EntryConnected{this->now, hello});
     }
 
-    void run(Duration duration)
-    {
-        const auto end = this->now + duration;
-        while (this->now < end) {
-            this->now += 50ms;
-            for (const auto &id : this->ids) {
-                if (this->agents.at(id).nextDeadline() <= this->now) {
-                    this->apply(id, AgentTimerExpired{this->now});
-                }
-            }
-        }
-    }
-
     /// The newest epoch that the entry was given.
     std::optional<Keys::Epoch> epochAt(const std::string &id) const
     {
@@ -85,39 +67,20 @@
         return members;
     }
 
-    void apply(const std::string &id, const AgentEvent &event)
-    {
-        this->events.emplace_back(id, event);
-        while (!this->events.empty()) {
-            const auto [target, next] = this->events.front();
-            this->events.pop_front();
-            for (const auto &effect : this->agents.at(target).apply(next)) {
-                this->carryOut(target, effect);
-            }
-        }
-    }
-
-    TimePoint now{1000s};
     std::vector<std::string> ids;
     std::vector<std::string> stream;
     std::set<std::string> withoutLog;
     /// Appends that take effect without an answer that says so are alike for the reducer.
     std::size_t appends = 0;
 
-private:
-    void carryOut(const std::string &id, const AgentEffect &effect)
+    void handle(const std::string &id, const AgentEffect &effect)
     {
-        if (const auto *connect = std::get_if<ConnectPeer>(&effect)) {
-            this->events.emplace_back(connect->peer, PeerConnected{this->now, hello(id)});
-            this->events.emplace_back(id, PeerConnected{this->now, hello(connect->peer)});
-        } else if (const auto *send = std::get_if<SendToPeer>(&effect)) {
-            this->events.emplace_back(send->peer, PeerMessageReceived{this->now, id, send->message});
-        } else if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
+        if (const auto *toEntry = std::get_if<SendToEntry>(&effect)) {
             if (const auto *epochs = std::get_if<KeyEpochs>(&toEntry->message)) {
                 this->given[id] = *epochs;
             }
         } else if (std::holds_alternative<ReadLog>(effect)) {
-            this->events.emplace_back(id, LogRecordsRead{.at = this->now, .records = {}});
+            this->post(id, LogRecordsRead{.at = this->now, .records = {}});
         } else if (const auto *read = std::get_if<ReadEpochs>(&effect)) {
             this->answer(id, *read);
         } else if (const auto *append = std::get_if<AppendEpoch>(&effect)) {
@@ -125,30 +88,24 @@
             if (!this->withoutLog.contains(id)) {
                 this->stream.push_back(append->record);
             }
-            this->events.emplace_back(id, EpochAppendEnded{this->now});
+            this->post(id, EpochAppendEnded{this->now});
         }
     }
 
+private:
     void answer(const std::string &id, const ReadEpochs &read)
     {
         if (this->withoutLog.contains(id)) {
-            this->events.emplace_back(id, EpochsUnavailable{this->now});
+            this->post(id, EpochsUnavailable{this->now});
             return;
         }
         EpochRecordsRead page{.at = this->now, .wall = {}, .first = 0, .next = this->stream.size(), .records = {}};
         for (auto offset = read.from; offset < this->stream.size(); ++offset) {
             page.records.push_back({.offset = offset, .data = this->stream[offset]});
         }
-        this->events.emplace_back(id, page);
-    }
-
-    static Hello hello(const std::string &id)
-    {
-        return {.vmId = id, .dataCentre = {}, .incarnation = 1000, .address = id};
+        this->post(id, page);
     }
 
-    std::map<std::string, AgentReducer> agents;
-    std::deque<std::pair<std::string, AgentEvent>> events;
     std::map<std::string, KeyEpochs> given;
 };
 
