--- a/include/verbenadock/bundle/bundle.h
+++ b/include/verbenadock/bundle/bundle.h
@@ -23,6 +23,9 @@
     unsigned slots = 1;
     /// Connections that the upstream accepts from the whole fleet.
     unsigned connectionLimit = 300;
+    /// Name under which the upstream itself runs. Requests carry it, so that a server that took over the address
+    /// rejects them; empty when upstreams do not check it.
+    std::string instance;
 
     auto operator<=>(const Upstream &) const = default;
 };
@@ -48,6 +51,14 @@
     double failureRate = 0.3;
     /// An answer slower than this multiple of the siblings' typical latency counts as slow.
     double slowFactor = 2.5;
+    /// First wait between an ejection and the recovery trials; it doubles with each relapse.
+    Duration firstEjection = std::chrono::seconds(2);
+    Duration longestEjection = std::chrono::minutes(5);
+    /// Multiple of the wait after which an upstream recovers without trials, for services without idempotent requests.
+    unsigned trialPatience = 5;
+    /// Verdicts on pooled evidence say also how an upstream recovers; entries then run no trials of their own after
+    /// them.
+    bool poolDecides = false;
 
     auto operator<=>(const Detection &) const = default;
 };
@@ -57,6 +68,13 @@
 {
     double retryPercent = 10;
     double hedgePercent = 2;
+    /// Retries that one entry may make regardless of its number of requests, and how many of them return per second.
+    double retryReserve = 3;
+    double retryReservePerSecond = 1;
+    /// Unused tokens that are kept for a burst of failures.
+    double tokenLimit = 50;
+    /// One budget covers every further request to an upstream: retries, hedges, and retries after a shed request.
+    bool coversAllAttempts = false;
 
     auto operator<=>(const Budgets &) const = default;
 };
@@ -79,10 +97,22 @@
     std::size_t replayBytes = 65536;
     /// Whether answers carry the X-Attempt-Id of their attempt.
     bool echoesAttemptId = true;
+    /// Requests leave the entry's data centre only when it has too little healthy capacity.
+    bool prefersOwnDataCentre = false;
 
     auto operator<=>(const Service &) const = default;
 };
 
+/// A service that gets a share of a route's requests.
+struct WeightedService
+{
+    std::string service;
+    /// Relative to the sum of the route's weights.
+    double weight = 1;
+
+    auto operator<=>(const WeightedService &) const = default;
+};
+
 /// What goes first when capacity is tight.
 enum class Priority {
     High,
@@ -100,6 +130,12 @@
     std::string service;
     bool idempotent = false;
     Priority priority = Priority::Normal;
+    /// Longest time until the final answer; zero takes the service's total timeout.
+    Duration timeout{0};
+    /// Upstreams to which one request may be sent; zero for no limit of the route's own.
+    unsigned maxAttempts = 0;
+    /// Shares the requests out among several services; `service` is empty then.
+    std::vector<WeightedService> split = {};
 
     auto operator<=>(const Route &) const = default;
 };
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -41,6 +41,8 @@
     /// Request bodies up to this size stay buffered for a further attempt.
     std::size_t replayBytes = 0;
     bool echoesAttemptId = true;
+    /// Name that the upstream must have to run the request; empty when it is not checked.
+    std::string instance = {};
 
     auto operator<=>(const StartAttempt &) const = default;
 };
@@ -118,6 +120,15 @@
     auto operator<=>(const ReportEvidence &) const = default;
 };
 
+/// The number of this entry's requests at an upstream changed, for the other entries of the data centre.
+struct ReportLoad
+{
+    UpstreamKey upstream;
+    unsigned inFlight = 0;
+
+    auto operator<=>(const ReportLoad &) const = default;
+};
+
 /// An upstream moved to another stage; the host writes one log line.
 struct HealthStateChanged
 {
@@ -167,6 +178,7 @@
                             RespondLocally,
                             AbortCaller,
                             ReportEvidence,
+                            ReportLoad,
                             ReportStateChange,
                             StopAccepting,
                             Terminate>;
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -38,6 +38,8 @@
     std::optional<std::string> idempotencyKey;
     /// Length of the body in bytes; absent for a chunked body.
     std::optional<std::uint64_t> bodyBytes;
+    /// How long the caller will wait; the service's timeout alone counts when the caller does not say.
+    std::optional<Duration> timeLeft;
 
     auto operator<=>(const RequestArrived &) const = default;
 };
@@ -61,10 +63,12 @@
     RequestId request = 0;
     AttemptId attempt = 0;
     unsigned status = 0;
-    /// The upstream said that it did not run the request (X-Not-Run).
+    /// The upstream said that it did not run the request.
     bool notRun = false;
-    /// The upstream said that it leaves (X-Draining).
+    /// The upstream said that it leaves.
     bool draining = false;
+    /// Another server than the expected instance has the address; the request was not run.
+    bool misdirected = false;
 
     auto operator<=>(const AttemptCompleted &) const = default;
 };
@@ -112,6 +116,8 @@
 {
     UpstreamKey upstream;
     bool sick = false;
+    /// Share of the usual work that an upstream that is not sick gets.
+    double share = 1;
 
     auto operator<=>(const HealthVerdict &) const = default;
 };
@@ -125,6 +131,16 @@
     auto operator<=>(const HealthChanged &) const = default;
 };
 
+/// Requests of the other entries at upstreams, as far as they are known.
+struct LoadChanged
+{
+    TimePoint at;
+    UpstreamKey upstream;
+    unsigned othersInFlight = 0;
+
+    auto operator<=>(const LoadChanged &) const = default;
+};
+
 /// All upstreams that leave: by address when the VM list reports them, by endpoint (ADDRESS:PORT) when they announced
 /// their drain to any entry.
 struct LeavingChanged
@@ -163,6 +179,7 @@
                            ConfigurationChanged,
                            HealthChanged,
                            LeavingChanged,
+                           LoadChanged,
                            TimerExpired,
                            ShutdownRequested>;
 
--- /dev/null
+++ b/include/verbenadock/health/pooledfailures.h
@@ -0,0 +1,91 @@
+#ifndef VERBENADOCK_HEALTH_POOLEDFAILURES_H
+#define VERBENADOCK_HEALTH_POOLEDFAILURES_H
+
+#include "verbenadock/base/identifiers.h"
+#include "verbenadock/base/time.h"
+#include "verbenadock/health/sample.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Verbenadock::Health {
+
+/// The outcome of one request as some entry saw it.
+struct ObservedOutcome
+{
+    UpstreamKey upstream;
+    /// The entry that saw it.
+    std::string observer;
+    Cause cause = Cause::ServerError;
+    TimePoint at;
+
+    auto operator<=>(const ObservedOutcome &) const = default;
+};
+
+/// What the fleet believes of an upstream.
+enum class Belief {
+    Sound,
+    /// One failure was seen; it gets no work for a moment, since half of all first failures are followed by more.
+    Suspect,
+    /// Gets no work.
+    Sick,
+    /// Gets a part of its work, which shows whether it has recovered.
+    Probation,
+};
+
+std::string_view toString(Belief belief);
+
+/// A belief that changed.
+struct BeliefChange
+{
+    UpstreamKey upstream;
+    Belief from = Belief::Sound;
+    Belief to = Belief::Sound;
+    /// Share of the usual work.
+    double share = 1;
+    /// The outcome that decided, and who saw it; empty when time did.
+    std::optional<Cause> cause;
+    std::string observer;
+
+    auto operator<=>(const BeliefChange &) const = default;
+};
+
+/// Judges upstreams on what all entries see, so that a failing one is found within one or two of the fleet's requests
+/// to it. Successes are only exchanged while an upstream is on probation, because they would be most of the traffic.
+///
+/// Usage: observe() each outcome for which isWanted(); expire() at nextDeadline(); act on the changes.
+class PooledFailures
+{
+public:
+    /// Whether the outcome tells other entries something. A failed connect may concern the path of one entry only.
+    bool isWanted(const UpstreamKey &upstream, Cause cause) const;
+
+    std::vector<BeliefChange> observe(const ObservedOutcome &outcome);
+
+    std::vector<BeliefChange> expire(TimePoint now);
+
+    std::optional<TimePoint> nextDeadline() const;
+
+private:
+    struct State
+    {
+        Belief belief = Belief::Sound;
+        /// End of Suspect, Sick and Probation.
+        TimePoint until{};
+        unsigned successes = 0;
+        /// Times that the upstream became sick without having been sound.
+        unsigned relapses = 0;
+    };
+
+    BeliefChange move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now);
+
+    std::map<UpstreamKey, State> upstreams;
+};
+
+} // namespace Verbenadock::Health
+
+#endif
--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -22,6 +22,11 @@
     /// First wait between an ejection and the recovery trials; it doubles with each relapse.
     Duration firstEjection = std::chrono::seconds(2);
     Duration longestEjection = std::chrono::minutes(5);
+    /// A service without idempotent requests gives no trial samples; its upstreams go to the ramp after this multiple
+    /// of the wait, since they would otherwise be lost for good.
+    unsigned trialPatience = 5;
+    /// An upstream recovers as the pooled verdicts say, without trials of this entry.
+    bool poolDecides = false;
 
     auto operator<=>(const DetectorSettings &) const = default;
 };
@@ -79,6 +84,8 @@
 {
     std::string upstream;
     bool sick = false;
+    /// Share of the usual work that an upstream that is not sick gets.
+    double share = 1;
 
     auto operator<=>(const PooledVerdict &) const = default;
 };
--- a/include/verbenadock/net/adminserver.h
+++ b/include/verbenadock/net/adminserver.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Verbenadock::Net {
 
@@ -24,6 +26,8 @@
         std::function<std::string()> metrics;
         /// The whole state of the process as JSON text.
         std::function<std::string()> dump;
+        /// Further pages by their target, as JSON text; nothing for a page that does not exist.
+        std::function<std::optional<std::string>(std::string_view target)> page = {};
     };
 
     AdminServer(boost::asio::io_context &context, const Endpoint &endpoint, Handlers handlers);
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -8,6 +8,7 @@
 #include "verbenadock/core/event.h"
 #include "verbenadock/core/reducer.h"
 #include "verbenadock/keys/epoch.h"
+#include "verbenadock/proxy/dialect.h"
 #include "verbenadock/settings/settings.h"
 #include "verbenadock/telemetry/metrics.h"
 
@@ -46,10 +47,31 @@
     Core::ReducerSettings reducer;
     /// Part of each attempt's id; it has to differ between VMs and between starts of one VM.
     std::string instance;
+    Dialect dialect = {};
     /// Without it requests are handled as if they had no idempotency key.
     std::optional<KeyOptions> keys;
 };
 
+/// A caller's request at its end, for the log.
+struct RequestReport
+{
+    /// The caller's id of the request.
+    std::string id;
+    std::string host;
+    std::string target;
+    /// What became of it: "answered", "not-run", "unknown", "aborted", "caller-gone" or "bad-request".
+    std::string_view outcome;
+    std::string_view reason;
+    unsigned status = 0;
+    /// The last upstream that was tried; empty names when none was.
+    UpstreamKey upstream;
+    unsigned attempts = 0;
+    /// From the head of the request to the decision.
+    Duration took{0};
+    /// How long the caller said it would wait.
+    std::optional<Duration> callerDeadline;
+};
+
 /// What an EntryServer tells its process.
 struct EntryHandlers
 {
@@ -58,6 +80,12 @@
     std::function<void(bool clean)> terminated;
     /// A peer named an epoch of the idempotency keys that is newer than the known ones.
     std::function<void(Keys::EpochNumber)> epochWanted;
+    /// The outcome of an attempt, as evidence about its upstream.
+    std::function<void(const Core::ReportEvidence &)> evidence = {};
+    /// The number of this entry's requests at an upstream changed.
+    std::function<void(const Core::ReportLoad &)> load = {};
+    /// A request is over.
+    std::function<void(const RequestReport &)> requestEnded = {};
 };
 
 /// Serves callers over HTTP/1.1 and carries out the effects of the core's reducer, on the one thread that runs the
@@ -85,6 +113,9 @@
     /// The epochs of the idempotency keys that the agent knows.
     void learnEpochs(const Control::KeyEpochs &known);
 
+    /// Limits of the requests that begin from now on.
+    void setLimits(const Settings::EntryLimits &limits);
+
     bool ready() const;
 
     /// The states of the reducers as JSON text.
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
     std::size_t maxRequests = 10000;
     /// Largest number of idle connections kept per upstream.
     std::size_t maxIdlePerUpstream = 8;
+    /// Non-idempotent requests use connections that carried an answer within this time, or new ones.
+    Duration provenAliveTime = std::chrono::seconds(1);
+    /// Idle connections to upstreams are closed after this time.
+    Duration upstreamIdleTime = std::chrono::seconds(30);
     /// A caller's connection without a request is closed after this time.
     Duration callerIdleTimeout = std::chrono::seconds(60);
     /// A request head has to be complete within this time.
@@ -53,6 +58,19 @@
     auto operator<=>(const EntryLimits &) const = default;
 };
 
+/// Where an entry without an agent reads the configuration and finds the other VMs.
+struct StoreSettings
+{
+    /// The platform's store.
+    Endpoint endpoint;
+    /// Addresses of VMs to ask while the store does not answer; they may be stale.
+    std::vector<Endpoint> seeds;
+    /// Time between two reads of the upstreams' entries.
+    Duration pollInterval = std::chrono::milliseconds(800);
+
+    auto operator<=>(const StoreSettings &) const = default;
+};
+
 struct EntrySettings
 {
     ProcessSettings process;
@@ -60,8 +78,9 @@
     Endpoint listen;
     /// Where other entries connect.
     Endpoint peerListen;
-    /// The agent of this VM.
+    /// The agent of this VM; unused with `store`.
     Endpoint agent;
+    std::optional<StoreSettings> store;
     EntryLimits limits;
     Duration drainDelay = std::chrono::seconds(2);
     Duration shutdownLimit = std::chrono::seconds(60);
--- a/src/bundle/signature.cpp
+++ b/src/bundle/signature.cpp
@@ -1,5 +1,7 @@
 #include "verbenadock/bundle/signature.h"
 
+#include "verbenadock/bundle/base64.h"
+
 #include <openssl/bio.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
@@ -38,27 +40,11 @@
     return reinterpret_cast<unsigned char *>(text.data());
 }
 
-std::string encodeBase64(std::string_view bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4, '\0');
-    // EVP_EncodeBlock also writes the terminating zero, for which std::string has room.
-    EVP_EncodeBlock(octets(text), octets(bytes), static_cast<int>(bytes.size()));
-    return text;
-}
-
 /// Empty when the text is not the base64 form of exactly this number of bytes.
-std::string decodeBase64(std::string_view text, std::size_t length)
+std::string decodeExactly(std::string_view text, std::size_t length)
 {
-    if (text.size() != (length + 2) / 3 * 4) {
-        return {};
-    }
-    std::string bytes(text.size() / 4 * 3, '\0');
-    if (EVP_DecodeBlock(octets(bytes), octets(text), static_cast<int>(text.size())) < 0) {
-        return {};
-    }
-    bytes.resize(length);
-    // EVP_DecodeBlock accepts spaces and stray padding. One signature must not have several spellings.
-    return encodeBase64(bytes) == text ? bytes : std::string();
+    const auto bytes = decodeBase64(text);
+    return bytes && bytes->size() == length ? *bytes : std::string();
 }
 
 int refusePassphrase(char *, int, int, void *)
@@ -148,8 +134,8 @@
 
 bool verify(std::string_view publicKeyBase64, std::string_view text, std::string_view signatureBase64)
 {
-    const auto keyBytes = decodeBase64(publicKeyBase64, KeyLength);
-    const auto signature = decodeBase64(signatureBase64, SignatureLength);
+    const auto keyBytes = decodeExactly(publicKeyBase64, KeyLength);
+    const auto signature = decodeExactly(signatureBase64, SignatureLength);
     if (keyBytes.empty() || signature.empty()) {
         return false;
     }
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -1,5 +1,7 @@
 #include "engine.h"
 
+#include <algorithm>
+
 namespace Verbenadock::Core::Internal {
 
 namespace {
@@ -9,6 +11,9 @@
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 
+/// Bodies from this size on are kept in the data centre; it is far above a claim and far below an upload.
+constexpr std::uint64_t LargeBody = 16 * 1024;
+
 /// Advice to callers whose request was not run.
 constexpr Duration RetryAfter = std::chrono::seconds(1);
 
@@ -33,7 +38,7 @@
         this->refuse(event.request, ServiceUnavailable, Refusal::ShuttingDown, RetryAfter);
         return std::nullopt;
     }
-    const auto target = this->routes->find(event.host, event.method, event.target);
+    auto target = this->routes->find(event.host, event.method, event.target);
     if (!target) {
         this->refuse(event.request, NotFound, Refusal::NoRoute);
         return std::nullopt;
@@ -42,6 +47,9 @@
         this->refuse(event.request, ServiceUnavailable, Refusal::NoCapacity, RetryAfter);
         return std::nullopt;
     }
+    if (target->split) {
+        target->service = this->drawPart(*target->split);
+    }
     if (const auto wait = this->callerLimits.admit(target->bundle, event.caller, this->now)) {
         this->refuse(event.request, TooManyRequests, Refusal::CallerOverLimit, *wait);
         return std::nullopt;
@@ -49,6 +57,22 @@
     return target;
 }
 
+std::uint32_t Engine::drawPart(const std::vector<SplitPart> &parts)
+{
+    double total = 0;
+    for (const auto &part : parts) {
+        total += part.weight;
+    }
+    double position = this->random.fraction() * total;
+    for (const auto &part : parts) {
+        position -= part.weight;
+        if (position < 0) {
+            return part.service;
+        }
+    }
+    return parts.back().service;
+}
+
 std::optional<KeyScope> Engine::keyScope(std::string_view host, std::string_view method, std::string_view target) const
 {
     const auto found = this->configuration ? this->routes->find(host, method, target) : std::nullopt;
@@ -77,8 +101,15 @@
     service.hedges.deposit();
     request.idempotent = target->idempotent;
     request.priority = target->priority;
+    request.large = !event.bodyBytes || *event.bodyBytes >= LargeBody;
     request.replayable = event.bodyBytes && *event.bodyBytes <= service.service.replayBytes;
-    request.deadline = event.at + service.service.timeouts.total;
+    request.maxAttempts = target->maxAttempts;
+    const auto configured = target->timeout > Duration(0) ? target->timeout : service.service.timeouts.total;
+    request.deadline = event.at + std::min(configured, event.timeLeft.value_or(configured));
+    if (request.deadline <= event.at) {
+        this->conclude(slot, Refusal::DeadlineExceeded);
+        return;
+    }
     this->schedule(slot);
 }
 
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -41,6 +41,7 @@
     auto &service = this->serviceOf(request);
     attempt.active = false;
     service.pool.finish(attempt.upstream);
+    this->reportLoad(service, attempt.upstream);
     this->touch(service);
     const auto latency = attempt.headLatency > Duration(0) ? attempt.headLatency : this->now - attempt.startedAt;
     if (cause == Cause::Success) {
@@ -129,7 +130,7 @@
     auto &attempt = *running->attempt;
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
-    if (event.draining) {
+    if (event.draining || event.misdirected) {
         this->noteDraining(service, attempt.upstream);
     } else if (event.notRun) {
         service.pool.noteShed(attempt.upstream, this->now, this->random);
@@ -179,7 +180,10 @@
 
 bool Engine::mayRetry(const Request &request, bool proven) const
 {
-    const auto limit = proven && !request.mayHaveRun() ? AttemptsWithoutWork : AttemptsAfterWork;
+    auto limit = proven && !request.mayHaveRun() ? AttemptsWithoutWork : AttemptsAfterWork;
+    if (request.maxAttempts > 0) {
+        limit = std::min<std::size_t>(limit, request.maxAttempts);
+    }
     return (request.idempotent || !request.mayHaveRun()) && !request.bodySpent && !request.callerGone
            && request.attempts.size() < limit && this->now < request.deadline;
 }
@@ -211,8 +215,10 @@
     }
     // A retry that follows a proof adds no work to the service, so that it needs no budget. Otherwise the budget would
     // be used up as soon as more than a tenth of the upstreams stop at once.
-    const bool allowed
-        = this->mayRetry(request, proven) && (proven || this->serviceOf(request).retries.take(this->now));
+    auto &service = this->serviceOf(request);
+    const bool wasShed = !request.attempts.empty() && request.attempts.back().shed;
+    const bool isFree = proven && !(wasShed && service.service.budgets.coversAllAttempts);
+    const bool allowed = this->mayRetry(request, proven) && (isFree || service.retries.take(this->now));
     if (allowed) {
         this->schedule(slot);
     } else {
--- a/src/core/budgets.cpp
+++ b/src/core/budgets.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-/// Unused tokens kept for a burst of failures; more would let a long quiet time pay for a retry storm.
-constexpr double TokenLimit = 50;
-/// Refill of the reserve, in tokens per second.
-constexpr double ReservePerSecond = 1;
-
 /// Answers needed before the estimates are used.
 constexpr std::uint64_t WarmCount = 20;
 /// Relative step of the estimate once it is warm; it follows a shift by 2 in about 70 samples.
@@ -31,33 +26,33 @@
 
 } // namespace
 
-AttemptBudget::AttemptBudget(double ofRequests, double reserved)
-    : percent(ofRequests)
-    , reserve(reserved)
-    , tokens(reserved)
+AttemptBudget::AttemptBudget(const Settings &given)
+    : settings(given)
+    , tokens(given.reserve)
 {
 }
 
-void AttemptBudget::setPercent(double value)
+void AttemptBudget::configure(const Settings &given)
 {
-    this->percent = value;
+    this->settings = given;
 }
 
 void AttemptBudget::deposit()
 {
-    this->tokens = std::min(TokenLimit, this->tokens + this->percent / 100);
+    this->tokens = std::min(this->settings.tokenLimit, this->tokens + this->settings.percent / 100);
 }
 
 bool AttemptBudget::take(TimePoint now)
 {
     // A budget of zero percent switches extra attempts off, the reserve included.
-    if (this->percent <= 0) {
+    if (this->settings.percent <= 0) {
         return false;
     }
     const double seconds = std::chrono::duration<double>(now - this->refilledAt).count();
     this->refilledAt = now;
-    if (this->tokens < this->reserve) {
-        this->tokens = std::min(this->reserve, this->tokens + std::max(0.0, seconds) * ReservePerSecond);
+    if (this->tokens < this->settings.reserve) {
+        this->tokens
+            = std::min(this->settings.reserve, this->tokens + std::max(0.0, seconds) * this->settings.reservePerSecond);
     }
     if (this->tokens < 1) {
         return false;
--- a/src/core/budgets.h
+++ b/src/core/budgets.h
@@ -15,9 +15,19 @@
 {
 public:
     AttemptBudget() = default;
-    AttemptBudget(double ofRequests, double reserved);
+    struct Settings
+    {
+        /// Tokens per hundred requests.
+        double percent = 0;
+        double reserve = 0;
+        double reservePerSecond = 0;
+        /// Unused tokens that are kept.
+        double tokenLimit = 0;
+    };
 
-    void setPercent(double value);
+    explicit AttemptBudget(const Settings &given);
+
+    void configure(const Settings &given);
 
     void deposit();
 
@@ -27,8 +37,7 @@
     double available() const;
 
 private:
-    double percent = 0;
-    double reserve = 0;
+    Settings settings;
     double tokens = 0;
     TimePoint refilledAt{};
 };
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -8,9 +8,25 @@
 
 namespace {
 
-/// Extra attempts that a service may make regardless of its number of requests.
-constexpr double RetryReserve = 3;
+/// Hedges that a service may make regardless of its number of requests, and how many of them return per second.
 constexpr double HedgeReserve = 1;
+constexpr double HedgeReservePerSecond = 1;
+
+AttemptBudget::Settings retrySettings(const Bundles::Budgets &budgets)
+{
+    return {.percent = budgets.retryPercent,
+            .reserve = budgets.retryReserve,
+            .reservePerSecond = budgets.retryReservePerSecond,
+            .tokenLimit = budgets.tokenLimit};
+}
+
+AttemptBudget::Settings hedgeSettings(const Bundles::Budgets &budgets)
+{
+    return {.percent = budgets.hedgePercent,
+            .reserve = HedgeReserve,
+            .reservePerSecond = HedgeReservePerSecond,
+            .tokenLimit = budgets.tokenLimit};
+}
 
 bool haveSameRoutes(const Configuration &left, const Configuration &right)
 {
@@ -61,12 +77,12 @@
     state.pool.setLeaving(this->leaving);
     if (state.detector) {
         state.detector->reconfigure(Health::detectorSettings(service), Health::upstreamCapacities(service));
-        state.retries.setPercent(service.budgets.retryPercent);
-        state.hedges.setPercent(service.budgets.hedgePercent);
+        state.retries.configure(retrySettings(service.budgets));
+        state.hedges.configure(hedgeSettings(service.budgets));
     } else {
         state.detector.emplace(Health::detectorSettings(service), Health::upstreamCapacities(service));
-        state.retries = AttemptBudget(service.budgets.retryPercent, RetryReserve);
-        state.hedges = AttemptBudget(service.budgets.hedgePercent, HedgeReserve);
+        state.retries = AttemptBudget(retrySettings(service.budgets));
+        state.hedges = AttemptBudget(hedgeSettings(service.budgets));
     }
     state.detector->setLeaving(state.pool.leavingIds(this->now));
     this->evaluate(state);
@@ -84,18 +100,44 @@
     this->touch(service);
 }
 
+bool Engine::resolveServices(const std::string &bundle, const Bundles::Route &route, RouteTarget &target) const
+{
+    const auto placeOf = [this, &bundle](const std::string &service) -> std::optional<std::uint32_t> {
+        const auto place = this->servicePlaces.find({bundle, service});
+        const bool known = place != this->servicePlaces.end() && this->services[place->second]->configured;
+        return known ? std::optional(place->second) : std::nullopt;
+    };
+    if (route.split.empty()) {
+        const auto place = placeOf(route.service);
+        target.service = place.value_or(0);
+        return place.has_value();
+    }
+    std::vector<SplitPart> parts;
+    for (const auto &part : route.split) {
+        if (const auto place = placeOf(part.service); place && part.weight > 0) {
+            parts.push_back({.service = *place, .weight = part.weight});
+        }
+    }
+    if (parts.empty()) {
+        return false;
+    }
+    target.service = parts.front().service;
+    target.split = std::make_shared<const std::vector<SplitPart>>(std::move(parts));
+    return true;
+}
+
 void Engine::buildRoutes(const Configuration &configured)
 {
     std::vector<ResolvedRoute> resolved;
     for (std::uint32_t index = 0; index < configured.bundles.size(); ++index) {
         const auto &bundle = configured.bundles[index];
         for (const auto &route : bundle.routes) {
-            const auto place = this->servicePlaces.find({bundle.name, route.service});
-            if (place != this->servicePlaces.end() && this->services[place->second]->configured) {
-                const RouteTarget target{.service = place->second,
-                                         .bundle = index,
-                                         .idempotent = route.idempotent,
-                                         .priority = route.priority};
+            RouteTarget target{.bundle = index,
+                               .idempotent = route.idempotent,
+                               .priority = route.priority,
+                               .timeout = route.timeout,
+                               .maxAttempts = route.maxAttempts};
+            if (this->resolveServices(bundle.name, route, target)) {
                 resolved.push_back(ResolvedRoute{.route = route, .target = target});
             }
         }
@@ -161,8 +203,8 @@
     for (const auto &verdict : event.verdicts) {
         const auto place = this->servicePlaces.find({verdict.upstream.bundle, verdict.upstream.service});
         if (place != this->servicePlaces.end()) {
-            byService[place->second].push_back(
-                Health::PooledVerdict{.upstream = verdict.upstream.upstream, .sick = verdict.sick});
+            byService[place->second].push_back(Health::PooledVerdict{
+                .upstream = verdict.upstream.upstream, .sick = verdict.sick, .share = verdict.share});
         }
     }
     for (const auto &[place, verdicts] : byService) {
@@ -173,6 +215,14 @@
     }
 }
 
+void Engine::on(const LoadChanged &event)
+{
+    const auto place = this->servicePlaces.find({event.upstream.bundle, event.upstream.service});
+    if (place != this->servicePlaces.end()) {
+        this->services[place->second]->pool.noteOthers(event.upstream.upstream, event.othersInFlight);
+    }
+}
+
 void Engine::on(const LeavingChanged &event)
 {
     this->leavingAt = this->now;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -70,6 +70,14 @@
     return *this->services[request.service];
 }
 
+void Engine::reportLoad(const ServiceState &service, std::uint32_t upstream)
+{
+    const auto &state = service.pool.at(upstream);
+    if (service.service.prefersOwnDataCentre && state.ownDataCentre) {
+        this->effects.emplace_back(ReportLoad{.upstream = state.key, .inFlight = state.inFlight});
+    }
+}
+
 void Engine::record(ServiceState &service, std::uint32_t upstream, Health::Cause cause, Duration latency)
 {
     if (cause == Health::Cause::Cancelled) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -74,11 +74,14 @@
     void on(const ConfigurationChanged &event);
     void on(const HealthChanged &event);
     void on(const LeavingChanged &event);
+    void on(const LoadChanged &event);
     void on(const TimerExpired &event);
     void on(const ShutdownRequested &event);
 
     // arrivals.cpp
     std::optional<RouteTarget> admit(const RequestArrived &event);
+    /// Chooses one service of a split by its weight.
+    std::uint32_t drawPart(const std::vector<SplitPart> &parts);
     void refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter = Duration(0));
     void conclude(std::uint32_t slot, Refusal refusal);
     void close(std::uint32_t slot);
@@ -112,6 +115,8 @@
 
     // engine.cpp
     ServiceState &serviceOf(const Request &request);
+    /// Tells the other entries how many requests this one has at the upstream.
+    void reportLoad(const ServiceState &service, std::uint32_t upstream);
     void record(ServiceState &service, std::uint32_t upstream, Health::Cause cause, Duration latency);
     bool mayWait(const ServiceState &service, Health::Cause cause, Duration latency) const;
     void evaluate(ServiceState &service);
@@ -125,6 +130,8 @@
     std::uint32_t placeOf(const std::string &bundle, const std::string &service);
     void configureService(std::uint32_t index, const std::string &bundle, const Bundles::Service &service);
     void removeService(ServiceState &service);
+    /// Returns false when none of the route's services is configured.
+    bool resolveServices(const std::string &bundle, const Bundles::Route &route, RouteTarget &target) const;
     void buildRoutes(const Configuration &configured);
     void noteBundleTimes(const Configuration &configured);
 
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -43,6 +43,10 @@
     RequestId id = 0;
     std::uint32_t service = 0;
     bool idempotent = false;
+    /// Upstreams to which the request may be sent; zero for no limit of the route's own.
+    unsigned maxAttempts = 0;
+    /// The body is so long that the way to another data centre is dear.
+    bool large = false;
     /// The body can be sent again after a part of it was written.
     bool replayable = true;
     Bundles::Priority priority = Bundles::Priority::Normal;
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,14 +14,29 @@
 
 namespace Verbenadock::Core::Internal {
 
+/// One part of a weighted split, by index.
+struct SplitPart
+{
+    std::uint32_t service = 0;
+    double weight = 1;
+
+    auto operator<=>(const SplitPart &) const = default;
+};
+
 /// Where a request goes, by index.
 struct RouteTarget
 {
     std::uint32_t service = 0;
+    /// Null for a route to one service.
+    std::shared_ptr<const std::vector<SplitPart>> split;
     /// Index of the bundle in the configuration; it selects the caller limits.
     std::uint32_t bundle = 0;
     bool idempotent = false;
     Bundles::Priority priority = Bundles::Priority::Normal;
+    /// Zero takes the service's total timeout.
+    Duration timeout{0};
+    /// Zero for no limit of the route's own.
+    unsigned maxAttempts = 0;
 
     auto operator<=>(const RouteTarget &) const = default;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -104,6 +104,7 @@
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     service.pool.start(upstream);
+    this->reportLoad(service, upstream);
     const auto &target = service.pool.at(upstream);
     request.attempts.push_back(
         Attempt{.id = ++this->lastAttempt, .upstream = upstream, .startedAt = this->now, .hedge = hedge});
@@ -120,6 +121,7 @@
         .holdBackBytes = service.service.holdBackBytes,
         .replayBytes = service.service.replayBytes,
         .echoesAttemptId = service.service.echoesAttemptId,
+        .instance = target.instance,
     });
     // The time of a long upload depends on the caller, so that it says nothing about the upstream.
     const auto delay = service.latency.hedgeDelay();
@@ -152,8 +154,12 @@
     if (!request.idempotent || !service.queue.empty()) {
         return;
     }
+    if (request.maxAttempts > 0 && request.attempts.size() >= request.maxAttempts) {
+        return;
+    }
     const auto other = service.pool.pick(request, this->now, this->random);
-    if (other && service.hedges.take(this->now)) {
+    const bool sharesBudget = service.service.budgets.coversAllAttempts;
+    if (other && service.hedges.take(this->now) && (!sharesBudget || service.retries.take(this->now))) {
         this->startAttempt(slot, *other, true);
     }
 }
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -53,7 +53,8 @@
                                                         Field{"endpoint", &Bundles::Upstream::endpoint},
                                                         Field{"data_centre", &Bundles::Upstream::dataCentre},
                                                         Field{"slots", &Bundles::Upstream::slots},
-                                                        Field{"connection_limit", &Bundles::Upstream::connectionLimit}};
+                                                        Field{"connection_limit", &Bundles::Upstream::connectionLimit},
+                                                        Field{"instance", &Bundles::Upstream::instance}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::Timeouts>{Field{"connect", &Bundles::Timeouts::connect},
                                                         Field{"first_byte", &Bundles::Timeouts::firstByte},
@@ -62,28 +63,45 @@
 inline constexpr std::tuple FieldsOf<Bundles::Detection>{
     Field{"samples_between_false_alarms", &Bundles::Detection::samplesBetweenFalseAlarms},
     Field{"failure_rate", &Bundles::Detection::failureRate},
-    Field{"slow_factor", &Bundles::Detection::slowFactor}};
-template<>
-inline constexpr std::tuple FieldsOf<Bundles::Budgets>{Field{"retry_percent", &Bundles::Budgets::retryPercent},
-                                                       Field{"hedge_percent", &Bundles::Budgets::hedgePercent}};
-template<>
-inline constexpr std::tuple FieldsOf<Bundles::Service>{Field{"name", &Bundles::Service::name},
-                                                       Field{"upstreams", &Bundles::Service::upstreams},
-                                                       Field{"timeouts", &Bundles::Service::timeouts},
-                                                       Field{"detection", &Bundles::Service::detection},
-                                                       Field{"budgets", &Bundles::Service::budgets},
-                                                       Field{"floor_percent", &Bundles::Service::floorPercent},
-                                                       Field{"queue_limit", &Bundles::Service::queueLimit},
-                                                       Field{"hold_back_bytes", &Bundles::Service::holdBackBytes},
-                                                       Field{"replay_bytes", &Bundles::Service::replayBytes},
-                                                       Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId}};
+    Field{"slow_factor", &Bundles::Detection::slowFactor},
+    Field{"first_ejection", &Bundles::Detection::firstEjection},
+    Field{"longest_ejection", &Bundles::Detection::longestEjection},
+    Field{"trial_patience", &Bundles::Detection::trialPatience},
+    Field{"pool_decides", &Bundles::Detection::poolDecides}};
+template<>
+inline constexpr std::tuple FieldsOf<Bundles::Budgets>{
+    Field{"retry_percent", &Bundles::Budgets::retryPercent},
+    Field{"hedge_percent", &Bundles::Budgets::hedgePercent},
+    Field{"retry_reserve", &Bundles::Budgets::retryReserve},
+    Field{"retry_reserve_per_second", &Bundles::Budgets::retryReservePerSecond},
+    Field{"token_limit", &Bundles::Budgets::tokenLimit},
+    Field{"covers_all_attempts", &Bundles::Budgets::coversAllAttempts}};
+template<>
+inline constexpr std::tuple FieldsOf<Bundles::Service>{
+    Field{"name", &Bundles::Service::name},
+    Field{"upstreams", &Bundles::Service::upstreams},
+    Field{"timeouts", &Bundles::Service::timeouts},
+    Field{"detection", &Bundles::Service::detection},
+    Field{"budgets", &Bundles::Service::budgets},
+    Field{"floor_percent", &Bundles::Service::floorPercent},
+    Field{"queue_limit", &Bundles::Service::queueLimit},
+    Field{"hold_back_bytes", &Bundles::Service::holdBackBytes},
+    Field{"replay_bytes", &Bundles::Service::replayBytes},
+    Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId},
+    Field{"prefers_own_data_centre", &Bundles::Service::prefersOwnDataCentre}};
+template<>
+inline constexpr std::tuple FieldsOf<Bundles::WeightedService>{Field{"service", &Bundles::WeightedService::service},
+                                                               Field{"weight", &Bundles::WeightedService::weight}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::Route>{Field{"host", &Bundles::Route::host},
                                                      Field{"method", &Bundles::Route::method},
                                                      Field{"path_prefix", &Bundles::Route::pathPrefix},
                                                      Field{"service", &Bundles::Route::service},
                                                      Field{"idempotent", &Bundles::Route::idempotent},
-                                                     Field{"priority", &Bundles::Route::priority}};
+                                                     Field{"priority", &Bundles::Route::priority},
+                                                     Field{"split", &Bundles::Route::split},
+                                                     Field{"timeout", &Bundles::Route::timeout},
+                                                     Field{"max_attempts", &Bundles::Route::maxAttempts}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::CallerLimit>{
     Field{"caller", &Bundles::CallerLimit::caller},
@@ -100,7 +118,8 @@
                                                     Field{"bundles", &Configuration::bundles}};
 template<>
 inline constexpr std::tuple FieldsOf<HealthVerdict>{Field{"upstream", &HealthVerdict::upstream},
-                                                    Field{"sick", &HealthVerdict::sick}};
+                                                    Field{"sick", &HealthVerdict::sick},
+                                                    Field{"share", &HealthVerdict::share}};
 template<>
 inline constexpr std::tuple FieldsOf<Health::Sample>{Field{"at", &Health::Sample::at},
                                                      Field{"cause", &Health::Sample::cause},
@@ -123,7 +142,8 @@
                                                      Field{"target", &RequestArrived::target},
                                                      Field{"caller", &RequestArrived::caller},
                                                      Field{"idempotency_key", &RequestArrived::idempotencyKey},
-                                                     Field{"body_bytes", &RequestArrived::bodyBytes}};
+                                                     Field{"body_bytes", &RequestArrived::bodyBytes},
+                                                     Field{"time_left", &RequestArrived::timeLeft}};
 template<>
 inline constexpr std::string_view NameOf<ResponseHeadReceived> = "ResponseHeadReceived";
 template<>
@@ -140,7 +160,8 @@
                                                        Field{"attempt", &AttemptCompleted::attempt},
                                                        Field{"status", &AttemptCompleted::status},
                                                        Field{"not_run", &AttemptCompleted::notRun},
-                                                       Field{"draining", &AttemptCompleted::draining}};
+                                                       Field{"draining", &AttemptCompleted::draining},
+                                                       Field{"misdirected", &AttemptCompleted::misdirected}};
 template<>
 inline constexpr std::string_view NameOf<AttemptFailed> = "AttemptFailed";
 template<>
@@ -171,6 +192,12 @@
 inline constexpr std::tuple FieldsOf<LeavingChanged>{Field{"at", &LeavingChanged::at},
                                                      Field{"addresses", &LeavingChanged::addresses}};
 template<>
+inline constexpr std::string_view NameOf<LoadChanged> = "LoadChanged";
+template<>
+inline constexpr std::tuple FieldsOf<LoadChanged>{Field{"at", &LoadChanged::at},
+                                                  Field{"upstream", &LoadChanged::upstream},
+                                                  Field{"others_in_flight", &LoadChanged::othersInFlight}};
+template<>
 inline constexpr std::string_view NameOf<TimerExpired> = "TimerExpired";
 template<>
 inline constexpr std::tuple FieldsOf<TimerExpired>{Field{"at", &TimerExpired::at}};
@@ -196,7 +223,8 @@
                                                    Field{"deadline", &StartAttempt::deadline},
                                                    Field{"hold_back_bytes", &StartAttempt::holdBackBytes},
                                                    Field{"replay_bytes", &StartAttempt::replayBytes},
-                                                   Field{"echoes_attempt_id", &StartAttempt::echoesAttemptId}};
+                                                   Field{"echoes_attempt_id", &StartAttempt::echoesAttemptId},
+                                                   Field{"instance", &StartAttempt::instance}};
 template<>
 inline constexpr std::string_view NameOf<CancelAttempt> = "CancelAttempt";
 template<>
@@ -225,6 +253,11 @@
 inline constexpr std::tuple FieldsOf<ReportEvidence>{Field{"upstream", &ReportEvidence::upstream},
                                                      Field{"sample", &ReportEvidence::sample}};
 template<>
+inline constexpr std::string_view NameOf<ReportLoad> = "ReportLoad";
+template<>
+inline constexpr std::tuple FieldsOf<ReportLoad>{Field{"upstream", &ReportLoad::upstream},
+                                                 Field{"in_flight", &ReportLoad::inFlight}};
+template<>
 inline constexpr std::string_view NameOf<ReportStateChange> = "ReportStateChange";
 template<>
 inline constexpr std::tuple FieldsOf<ReportStateChange>{Field{"change", &ReportStateChange::change}};
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace Verbenadock::Core::Internal {
@@ -18,6 +20,13 @@
 constexpr Duration LongestConnectBackOff = std::chrono::seconds(2);
 /// Load difference up to which an upstream in the own data centre is preferred.
 constexpr double SimilarLoad = 0.25;
+/// With a preference for the own data centre, requests stay there while it has at least this share of the healthy slots
+/// that an even distribution over the data centres would give it; below, a part in proportion leaves.
+constexpr double EnoughOwnShare = 2.0 / 3;
+/// Load in requests per slot up to which a request stays in the data centre. Upstreams queue, and a wait for a part of
+/// the usual work costs less than the way to another data centre. A large body costs far more on that way.
+constexpr double NearLimit = 1.25;
+constexpr double LargeNearLimit = 2.5;
 /// Random draws before the pool is searched as a whole.
 constexpr int Draws = 6;
 
@@ -28,7 +37,7 @@
 
 double load(const UpstreamState &upstream)
 {
-    return upstream.inFlight / capacity(upstream);
+    return (upstream.inFlight + upstream.othersInFlight) / capacity(upstream);
 }
 
 bool inService(const UpstreamState &upstream, TimePoint now)
@@ -48,7 +57,10 @@
     if (service == nullptr) {
         return;
     }
+    this->prefersOwn = service->prefersOwnDataCentre;
+    std::set<std::string_view> dataCentreNames;
     for (const auto &upstream : service->upstreams) {
+        dataCentreNames.insert(upstream.dataCentre);
         const auto place = this->placeFor(upstream);
         auto &state = this->upstreams[place];
         const bool own = upstream.dataCentre == ownDataCentre;
@@ -63,12 +75,15 @@
                 .ownDataCentre = own,
                 .concurrency = static_cast<double>(upstream.slots),
                 .inFlight = state.inFlight,
+                .othersInFlight = 0,
                 .admission = {},
             };
         }
+        state.instance = upstream.instance;
         state.configured = true;
         this->active.push_back(place);
     }
+    this->dataCentres = dataCentreNames.size();
 }
 
 std::uint32_t UpstreamPool::placeFor(const Bundles::Upstream &upstream)
@@ -117,6 +132,9 @@
     if (count == 0) {
         return std::nullopt;
     }
+    if (this->prefersOwn) {
+        return this->pickNear(request, now, random);
+    }
     std::optional<std::uint32_t> first;
     for (int draw = 0; draw < Draws; ++draw) {
         const auto index = this->active[random.below(count)];
@@ -137,7 +155,13 @@
     if (first) {
         return first;
     }
-    const auto offset = random.below(count);
+    return this->search(request, now, random.below(count));
+}
+
+std::optional<std::uint32_t> UpstreamPool::search(const Request &request, TimePoint now, std::uint32_t offset) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    std::optional<std::uint32_t> first;
     for (std::uint32_t step = 0; step < count; ++step) {
         const auto position = offset + step;
         const auto index = this->active[position < count ? position : position - count];
@@ -151,6 +175,52 @@
     return first;
 }
 
+std::optional<std::uint32_t> UpstreamPool::pickNear(const Request &request, TimePoint now, Random &random) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    const auto offset = random.below(count);
+    std::optional<std::uint32_t> near;
+    std::optional<std::uint32_t> far;
+    for (std::uint32_t step = 0; step < count; ++step) {
+        const auto position = offset + step;
+        const auto index = this->active[position < count ? position : position - count];
+        const auto &upstream = this->upstreams[index];
+        const bool admitted = upstream.admission.trialOnly || upstream.admission.share >= 1
+                              || random.fraction() < upstream.admission.share;
+        if (!this->usable(upstream, request, now) || request.tried(index) || !admitted) {
+            continue;
+        }
+        auto &best = upstream.ownDataCentre ? near : far;
+        if (!best || load(upstream) < load(this->upstreams[*best])) {
+            best = index;
+        }
+    }
+    if (near && far) {
+        const double limit = request.large ? LargeNearLimit : NearLimit;
+        const bool nearHasRoom = load(this->upstreams[*near]) < limit;
+        return nearHasRoom && (request.large || random.fraction() < this->ownShare(now)) ? near : far;
+    }
+    if (far || near) {
+        return near ? near : far;
+    }
+    return this->search(request, now, offset);
+}
+
+double UpstreamPool::ownShare(TimePoint now) const
+{
+    double own = 0;
+    double all = 0;
+    for (const auto index : this->active) {
+        const auto &upstream = this->upstreams[index];
+        if (inService(upstream, now) && !upstream.admission.trialOnly) {
+            const double slots = upstream.slots * upstream.admission.share;
+            all += slots;
+            own += upstream.ownDataCentre ? slots : 0;
+        }
+    }
+    return all > 0 ? own * static_cast<double>(this->dataCentres) / (all * EnoughOwnShare) : 0;
+}
+
 bool UpstreamPool::couldServe(const Request &request, TimePoint now) const
 {
     return std::any_of(this->active.begin(), this->active.end(), [&](std::uint32_t index) {
@@ -175,6 +245,15 @@
     --this->upstreams[upstream].inFlight;
 }
 
+void UpstreamPool::noteOthers(const std::string &upstream, unsigned inFlight)
+{
+    for (const auto index : this->active) {
+        if (this->upstreams[index].key.upstream == upstream) {
+            this->upstreams[index].othersInFlight = inFlight;
+        }
+    }
+}
+
 void UpstreamPool::noteSuccess(std::uint32_t upstream)
 {
     auto &state = this->upstreams[upstream];
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -21,6 +21,8 @@
 {
     UpstreamKey key;
     Endpoint endpoint;
+    /// See Bundles::Upstream.
+    std::string instance;
     unsigned slots = 1;
     bool ownDataCentre = false;
     bool configured = true;
@@ -33,6 +35,8 @@
     /// Bound on the requests in flight that adapts to shed work, at most the slots.
     double concurrency = 1;
     unsigned inFlight = 0;
+    /// Requests of the other entries of the data centre, as far as they are known.
+    unsigned othersInFlight = 0;
     Health::Admission admission;
 };
 
@@ -57,6 +61,7 @@
     void start(std::uint32_t upstream);
     void finish(std::uint32_t upstream);
 
+    void noteOthers(const std::string &upstream, unsigned inFlight);
     void noteSuccess(std::uint32_t upstream);
     void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
     void noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random);
@@ -82,6 +87,12 @@
     const std::vector<std::uint32_t> &configured() const;
 
 private:
+    /// The better of the first two usable upstreams from the offset on.
+    std::optional<std::uint32_t> search(const Request &request, TimePoint now, std::uint32_t offset) const;
+    /// The least loaded upstream of the own data centre while it has room, otherwise one of another.
+    std::optional<std::uint32_t> pickNear(const Request &request, TimePoint now, Random &random) const;
+    /// Share of the requests that the healthy slots of the own data centre can take; above 1 for all.
+    double ownShare(TimePoint now) const;
     bool usable(const UpstreamState &upstream, const Request &request, TimePoint now) const;
     void ask(const Health::ServiceDetector &detector, std::uint32_t upstream, TimePoint now);
     std::uint32_t better(std::uint32_t first, std::uint32_t second) const;
@@ -95,6 +106,8 @@
 
     std::vector<UpstreamState> upstreams;
     std::vector<std::uint32_t> active;
+    bool prefersOwn = false;
+    std::size_t dataCentres = 0;
     /// Upstreams whose admission is not the full one.
     std::vector<std::uint32_t> restricted;
     /// The latest end of any drain, so that nothing is searched while none drains.
--- a/src/health/member.h
+++ b/src/health/member.h
@@ -33,6 +33,8 @@
     bool leaving = false;
     /// The verdict on pooled evidence.
     bool pooledSick = false;
+    /// Share of the usual work that the verdict allows.
+    double pooledShare = 1;
     HealthState state = HealthState::Healthy;
     /// The stage that evaluate() knew last, from which it reports a change.
     HealthState reported = HealthState::Healthy;
--- /dev/null
+++ b/src/health/pooledfailures.cpp
@@ -0,0 +1,144 @@
+#include "verbenadock/health/pooledfailures.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Health {
+
+namespace {
+
+// A first failure is about as likely one of the few that sound upstreams have as the start of an episode.
+constexpr Duration SuspectTime = std::chrono::milliseconds(800);
+// Episodes of partial failure last 5 to 9 s. A longer first wait would cost capacity, a shorter one failed requests.
+constexpr Duration FirstSickTime = std::chrono::milliseconds(5000);
+constexpr Duration NextSickTime = std::chrono::milliseconds(4000);
+// An upstream that gets no requests on probation is taken as sound after this time.
+constexpr Duration ProbationTime = std::chrono::seconds(5);
+// An upstream that fails most requests succeeds twice in a row in 2 of 100 cases.
+constexpr unsigned SuccessesNeeded = 2;
+constexpr double FirstShare = 0.2;
+constexpr double NextShare = 0.5;
+
+bool isSharedFailure(Cause cause)
+{
+    switch (cause) {
+    case Cause::ServerError:
+    case Cause::Reset:
+    case Cause::Truncated:
+    case Cause::Mismatched:
+    case Cause::Malformed:
+        return true;
+    case Cause::Success:
+    case Cause::Refused:
+    case Cause::ConnectTimeout:
+    case Cause::SilentConnection:
+    case Cause::Shed:
+    case Cause::Timeout:
+    case Cause::Cancelled:
+        // Sound upstreams are late when they are full; taking them out would fill the others.
+        break;
+    }
+    return false;
+}
+
+} // namespace
+
+std::string_view toString(Belief belief)
+{
+    switch (belief) {
+    case Belief::Sound:
+        return "sound";
+    case Belief::Suspect:
+        return "suspect";
+    case Belief::Sick:
+        return "sick";
+    case Belief::Probation:
+        return "probation";
+    }
+    return "invalid";
+}
+
+bool PooledFailures::isWanted(const UpstreamKey &upstream, Cause cause) const
+{
+    if (cause != Cause::Success) {
+        return isSharedFailure(cause);
+    }
+    const auto known = this->upstreams.find(upstream);
+    return known != this->upstreams.end() && known->second.belief == Belief::Probation;
+}
+
+BeliefChange PooledFailures::move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now)
+{
+    BeliefChange change{.upstream = upstream, .from = state.belief, .to = to};
+    state.belief = to;
+    switch (to) {
+    case Belief::Sound:
+        state.relapses = 0;
+        break;
+    case Belief::Suspect:
+        state.until = now + SuspectTime;
+        change.share = 0;
+        break;
+    case Belief::Sick:
+        state.until = now + (state.relapses == 0 ? FirstSickTime : NextSickTime);
+        ++state.relapses;
+        change.share = 0;
+        break;
+    case Belief::Probation:
+        state.until = now + ProbationTime;
+        state.successes = 0;
+        change.share = FirstShare;
+        break;
+    }
+    return change;
+}
+
+std::vector<BeliefChange> PooledFailures::observe(const ObservedOutcome &outcome)
+{
+    if (!this->isWanted(outcome.upstream, outcome.cause)) {
+        return {};
+    }
+    auto &state = this->upstreams[outcome.upstream];
+    BeliefChange change{.upstream = outcome.upstream, .from = state.belief, .to = state.belief};
+    if (outcome.cause == Cause::Success) {
+        ++state.successes;
+        change = state.successes >= SuccessesNeeded ? this->move(outcome.upstream, state, Belief::Sound, outcome.at)
+                                                    : change;
+        change.share = change.to == Belief::Sound ? 1 : NextShare;
+    } else if (state.belief == Belief::Sick) {
+        // The request was sent before the verdict.
+        return {};
+    } else {
+        const auto next = state.belief == Belief::Sound ? Belief::Suspect : Belief::Sick;
+        change = this->move(outcome.upstream, state, next, outcome.at);
+    }
+    change.cause = outcome.cause;
+    change.observer = outcome.observer;
+    return {change};
+}
+
+std::vector<BeliefChange> PooledFailures::expire(TimePoint now)
+{
+    std::vector<BeliefChange> changes;
+    for (auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
+        auto &[key, state] = *entry;
+        if (state.belief != Belief::Sound && state.until <= now) {
+            const auto next = state.belief == Belief::Probation ? Belief::Sound : Belief::Probation;
+            changes.push_back(this->move(key, state, next, now));
+        }
+        entry = state.belief == Belief::Sound ? this->upstreams.erase(entry) : std::next(entry);
+    }
+    return changes;
+}
+
+std::optional<TimePoint> PooledFailures::nextDeadline() const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[key, state] : this->upstreams) {
+        if (state.belief != Belief::Sound && (!earliest || state.until < *earliest)) {
+            earliest = state.until;
+        }
+    }
+    return earliest;
+}
+
+} // namespace Verbenadock::Health
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -29,13 +29,12 @@
 constexpr Duration SlowPersistence = std::chrono::seconds(2);
 constexpr double BadnessWeight = 0.2;
 constexpr unsigned TrialSuccessesNeeded = 3;
+// With pooled verdicts the others carry on until they are full; a held upstream gets what shows that it has recovered.
+constexpr double HeldShare = 0.2;
 constexpr double FirstRampShare = 0.25;
 constexpr Duration RampTime = std::chrono::seconds(4);
 // During the ramp less evidence is enough, since a relapse is likely.
 constexpr double RampThresholdShare = 0.6;
-// A service without idempotent requests gives no trial samples; its upstreams go to the ramp after this multiple of
-// the wait, since they would otherwise be lost for good.
-constexpr int TrialPatience = 5;
 // An upstream that stays healthy this long counts as recovered; a new ejection starts with the first wait again.
 constexpr Duration RelapseMemory = std::chrono::minutes(2);
 
@@ -64,6 +63,7 @@
     void markSick(Member &member, TimePoint now) const;
     void startTrial(Member &member, TimePoint now) const;
     void startRamp(Member &member, TimePoint now) const;
+    void recover(Member &member, TimePoint now) const;
     void advance(Member &member, TimePoint now) const;
 };
 
@@ -195,7 +195,7 @@
 {
     member.state = HealthState::Trial;
     member.since = now;
-    member.deadline = now + TrialPatience * this->wait(member);
+    member.deadline = now + this->settings.trialPatience * this->wait(member);
     member.trialSuccesses = 0;
 }
 
@@ -210,6 +210,16 @@
     member.badness = 0;
 }
 
+void ServiceDetector::State::recover(Member &member, TimePoint now) const
+{
+    member.state = HealthState::Healthy;
+    member.since = now;
+    member.failures.reset();
+    member.slowness.reset();
+    member.overdueInRun = 0;
+    member.badness = 0;
+}
+
 void ServiceDetector::State::advance(Member &member, TimePoint now) const
 {
     switch (member.state) {
@@ -312,11 +322,15 @@
 {
     for (const PooledVerdict &verdict : verdicts) {
         Member *member = this->state->find(verdict.upstream);
-        if (member == nullptr || member->pooledSick == verdict.sick) {
+        if (member == nullptr || (member->pooledSick == verdict.sick && member->pooledShare == verdict.share)) {
             continue;
         }
+        const bool recovers = member->pooledSick && !verdict.sick;
         member->pooledSick = verdict.sick;
-        if (!verdict.sick && member->state == HealthState::Ejected) {
+        member->pooledShare = verdict.share;
+        if (recovers && this->state->settings.poolDecides) {
+            this->state->recover(*member, now);
+        } else if (recovers && member->state == HealthState::Ejected) {
             this->state->startTrial(*member, now);
         }
     }
@@ -368,8 +382,9 @@
     }
     switch (member->state) {
     case HealthState::Healthy:
+        return {.share = member->pooledShare};
     case HealthState::HeldByFloor:
-        return {};
+        return {.share = this->state->settings.poolDecides ? HeldShare : 1};
     case HealthState::Ejected:
         return {.allowed = false, .share = 0};
     case HealthState::Trial:
--- a/src/health/servicesettings.cpp
+++ b/src/health/servicesettings.cpp
@@ -8,6 +8,10 @@
     settings.samplesBetweenFalseAlarms = service.detection.samplesBetweenFalseAlarms;
     settings.failureRate = service.detection.failureRate;
     settings.slowFactor = service.detection.slowFactor;
+    settings.firstEjection = service.detection.firstEjection;
+    settings.longestEjection = service.detection.longestEjection;
+    settings.trialPatience = service.detection.trialPatience;
+    settings.poolDecides = service.detection.poolDecides;
     settings.floorPercent = service.floorPercent;
     return settings;
 }
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -27,8 +27,9 @@
     response.body() = std::move(body);
 }
 
-void route(const AdminServer::Handlers &handlers, std::string_view path, Response &response)
+void route(const AdminServer::Handlers &handlers, std::string_view target, Response &response)
 {
+    const auto path = target.substr(0, target.find('?'));
     if (path == "/ready") {
         const bool ready = handlers.ready();
         const auto status = ready ? http::status::ok : http::status::service_unavailable;
@@ -37,6 +38,8 @@
         fill(response, http::status::ok, "text/plain; version=0.0.4", handlers.metrics());
     } else if (path == "/dump") {
         fill(response, http::status::ok, "application/json", handlers.dump());
+    } else if (auto page = handlers.page ? handlers.page(target) : std::nullopt) {
+        fill(response, http::status::ok, "application/json", std::move(*page));
     } else {
         fill(response, http::status::not_found, "text/plain", "no such page\n");
     }
@@ -55,7 +58,7 @@
         response.keep_alive(false);
     } else {
         try {
-            route(handlers, target.substr(0, target.find('?')), response);
+            route(handlers, target, response);
         } catch (const std::exception &error) {
             fill(response, http::status::internal_server_error, "text/plain", std::string(error.what()) + "\n");
         }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -7,7 +7,10 @@
 #include <algorithm>
 #include <cctype>
 #include <exception>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 
 namespace Verbenadock::Net {
 
@@ -18,6 +21,22 @@
 constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 
+// A connection that goes silent without a reset would hold a call that waits for news until its time limit.
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void watchForSilence(Tcp::socket &socket)
+{
+    const auto set = [&socket](int level, int option, int value) {
+        // Without these options the time limit of the call still holds.
+        static_cast<void>(::setsockopt(socket.native_handle(), level, option, &value, sizeof value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
 http::request<http::string_body> buildRequest(const Endpoint &endpoint, const HttpRequest &request)
 {
     http::request<http::string_body> message;
@@ -50,6 +69,7 @@
 asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
 {
     co_await stream.async_connect(toAsio(endpoint), asio::use_awaitable);
+    watchForSilence(stream.socket());
     const auto message = buildRequest(endpoint, request);
     co_await http::async_write(stream, message, asio::use_awaitable);
 
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -165,7 +165,8 @@
     const AttemptFields fields{.requestId = this->exchange->requestIdText,
                                .attemptId = this->idText,
                                .deadlineMilliseconds
-                               = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()};
+                               = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count(),
+                               .instance = this->order.instance};
     const auto &request = this->exchange->request;
     BodyFraming framing;
     if (this->exchange->bodyStreams && !request.bodyBytes) {
@@ -176,7 +177,7 @@
     }
     std::string text = std::move(this->outgoing);
     text.clear();
-    appendRequestHead(text, *this->exchange->parser, request.target, fields, framing);
+    appendRequestHead(text, *this->exchange->parser, request.target, fields, this->host->dialect(), framing);
     if (framing.kind == BodyFraming::Kind::Chunked) {
         appendChunk(text, this->exchange->body);
     } else {
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -53,6 +53,11 @@
         return this->order;
     }
 
+    unsigned answerStatus() const
+    {
+        return this->response ? this->response->parser.statusCode : 0;
+    }
+
     bool completed() const
     {
         return this->answerComplete;
@@ -82,6 +87,8 @@
     Task<void> receive();
     Task<bool> readHead();
     Task<bool> readMore();
+    /// Whether the answer repeats the id of this attempt, or of the request where attempts have no ids.
+    bool belongsToRequest() const;
     bool checkHead();
     Task<bool> readBody();
     Task<bool> forwardPiece(bool last);
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -9,6 +9,15 @@
 
 namespace {
 
+constexpr unsigned FirstErrorStatus = 400;
+constexpr unsigned MisdirectedStatus = 421;
+
+/// Statuses that some callers read as "not run".
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
 constexpr std::size_t SmallReadBytes = 4096;
 constexpr std::size_t LargeReadBytes = 65536;
@@ -75,6 +84,16 @@
     if (this->stopped()) {
         co_return false;
     }
+    // Only an orderly end of the connection ends an answer without a length; a reset one is truncated.
+    const bool endsAnswer = error == asio::error::eof && !this->timedOut && this->response->parser.is_header_done()
+                            && this->response->parser.need_eof();
+    if (endsAnswer) {
+        ErrorCode finishing;
+        this->response->parser.put_eof(finishing);
+        if (!finishing) {
+            co_return true;
+        }
+    }
     if (error || this->timedOut) {
         this->fail(this->readFailure(error));
         co_return false;
@@ -82,6 +101,18 @@
     co_return true;
 }
 
+bool Attempt::belongsToRequest() const
+{
+    const auto &dialect = this->host->dialect();
+    const auto &fields = this->response->parser.fields;
+    if (!dialect.attemptId.empty()) {
+        return !this->order.echoesAttemptId || singleField(fields, dialect.attemptId) == this->idText;
+    }
+    const auto echoed = singleField(fields, dialect.requestId);
+    // A rejection may come from a server that did not read as far as the id.
+    return echoed ? *echoed == this->exchange->requestIdText : this->response->parser.statusCode >= FirstErrorStatus;
+}
+
 bool Attempt::checkHead()
 {
     const auto &parser = this->response->parser;
@@ -100,11 +131,11 @@
         return false;
     }
     // Checked before the length, because an answer to another request proves that the connection is out of step.
-    if (this->order.echoesAttemptId && singleField(parser.fields, "X-Attempt-Id") != this->idText) {
+    if (!this->belongsToRequest()) {
         this->fail(Health::Cause::Mismatched);
         return false;
     }
-    if (parser.need_eof()) {
+    if (parser.need_eof() && !this->host->dialect().answersMayEndWithConnection) {
         // The end of the connection does not tell a whole answer from a truncated one.
         this->fail(Health::Cause::Truncated);
         return false;
@@ -126,7 +157,7 @@
             && (tooLongToHold || this->body.size() > this->order.holdBackBytes)) {
             this->headReported = true;
             this->timer.set(this->order.deadline);
-            this->host->answerBegins(*this, parser.statusCode, this->answerFlag("X-Draining"));
+            this->host->answerBegins(*this, parser.statusCode, this->answerFlag(this->host->dialect().draining));
         }
         if (this->headReported) {
             const bool forwarded = co_await this->forwardPiece(parser.is_done());
@@ -168,7 +199,8 @@
     if (!this->headForwarded) {
         this->headForwarded = true;
         this->exchange->headForwarded = true;
-        appendResponseHead(this->outgoing, this->response->parser, framing, caller.closesAfterAnswer());
+        appendResponseHead(
+            this->outgoing, this->response->parser, this->host->dialect(), framing, caller.closesAfterAnswer());
     }
     if (framing.kind == BodyFraming::Kind::Chunked) {
         appendChunk(this->outgoing, this->body);
@@ -194,7 +226,7 @@
         this->headForwarded = true;
         this->exchange->headForwarded = true;
         capture.streamed.status = this->response->parser.statusCode;
-        capture.streamed.headers = endToEndFields(this->response->parser);
+        capture.streamed.headers = endToEndFields(this->response->parser, this->host->dialect());
     }
     if (capture.streamed.body.size() + this->body.size() > MaxKeyedBytes) {
         capture.tooLong = true;
@@ -209,7 +241,7 @@
 Keys::StoredAnswer Attempt::heldAnswer() const
 {
     const auto &parser = this->response->parser;
-    return {.status = parser.statusCode, .headers = endToEndFields(parser), .body = this->body};
+    return {.status = parser.statusCode, .headers = endToEndFields(parser, this->host->dialect()), .body = this->body};
 }
 
 void Attempt::complete()
@@ -219,8 +251,17 @@
     this->answerComplete = true;
     this->answeredAt = monotonicNow();
     this->releaseConnection();
-    this->host->attemptCompleted(
-        *this, this->response->parser.statusCode, this->answerFlag("X-Not-Run"), this->answerFlag("X-Draining"));
+    const auto status = this->response->parser.statusCode;
+    const bool notRun = this->answerFlag(this->host->dialect().notRun) || status == MisdirectedStatus;
+    if (this->host->dialect().statusesPromiseNotRun && promisesNotRun(status) && !notRun && !this->headReported) {
+        // The caller would take the status for a proof that the upstream did not give.
+        this->host->attemptFailed(*this, Health::Cause::ServerError, false);
+        return;
+    }
+    this->host->attemptCompleted(*this,
+                                 this->response->parser.statusCode,
+                                 this->answerFlag(this->host->dialect().notRun),
+                                 this->answerFlag(this->host->dialect().draining));
 }
 
 void Attempt::releaseConnection()
@@ -262,14 +303,14 @@
 
 void Attempt::appendHeldAnswer(std::string &out, bool close) const
 {
-    appendResponseHead(out, this->response->parser, this->answerFraming(), close);
+    appendResponseHead(out, this->response->parser, this->host->dialect(), this->answerFraming(), close);
     out.append(this->body);
 }
 
 bool Attempt::answerFlag(std::string_view name) const
 {
     const auto value = singleField(this->response->parser.fields, name);
-    return value && equalsIgnoringCase(*value, "true");
+    return value && !equalsIgnoringCase(*value, "false");
 }
 
 void Attempt::fail(Health::Cause cause)
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -10,11 +10,6 @@
 
 constexpr Duration LingerLimit = std::chrono::seconds(2);
 
-std::int64_t wholeSeconds(Duration duration)
-{
-    return std::chrono::ceil<std::chrono::seconds>(duration).count();
-}
-
 } // namespace
 
 Task<CallerConnection::Next> CallerConnection::writeDecision(Exchange &current)
@@ -67,7 +62,8 @@
     const auto text = localAnswerText(LocalAnswer{.status = answer.status,
                                                   .outcome = answer.outcome,
                                                   .reason = Core::toString(answer.refusal),
-                                                  .retryAfterSeconds = wholeSeconds(answer.retryAfter),
+                                                  .retryAfter = answer.retryAfter,
+                                                  .fractionalRetryAfter = this->host->dialect().fractionalRetryAfter,
                                                   .close = close,
                                                   .headMethod = current.request.headMethod});
     const bool written = co_await this->write(text);
--- a/src/proxy/entryserver.cpp
+++ b/src/proxy/entryserver.cpp
@@ -37,6 +37,11 @@
     this->implementation->host->apply(event);
 }
 
+void EntryServer::setLimits(const Settings::EntryLimits &limits)
+{
+    this->implementation->host->setLimits(limits);
+}
+
 bool EntryServer::ready() const
 {
     return this->implementation->host->core().ready();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -98,6 +98,7 @@
     std::vector<Core::StartAttempt> pending;
     std::vector<std::shared_ptr<Attempt>> attempts;
     unsigned startedAttempts = 0;
+    UpstreamKey lastUpstream;
     /// The head of a streaming answer was passed on.
     bool headForwarded = false;
 
--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -17,6 +17,14 @@
     out.append(name).append(": ").append(value).append(LineEnd);
 }
 
+/// Leaves out a field without a name or a value.
+void appendNamed(std::string &out, std::string_view name, std::string_view value)
+{
+    if (!name.empty() && !value.empty()) {
+        appendField(out, name, value);
+    }
+}
+
 template<typename Number>
 void appendNumber(std::string &out, Number value, int base = 10)
 {
@@ -62,19 +70,20 @@
 }
 
 /// Fields that only the fleet itself may set.
-bool isOwnField(const Field &field, bool request)
+bool isOwnField(const Field &field, const Dialect &dialect, bool request)
 {
     if (field.name != http::field::unknown) {
         return request && field.name == http::field::expect;
     }
-    static constexpr std::array<std::string_view, 3> RequestFields{"X-Request-Id", "X-Attempt-Id", "X-Deadline-Ms"};
-    static constexpr std::array<std::string_view, 5> AnswerFields{
-        "Verbenadock-Outcome", "Verbenadock-Replayed", "X-Attempt-Id", "X-Not-Run", "X-Draining"};
     const auto same = [&field](std::string_view name) {
-        return equalsIgnoringCase(field.nameText, name);
+        return !name.empty() && equalsIgnoringCase(field.nameText, name);
     };
-    return request ? std::any_of(RequestFields.begin(), RequestFields.end(), same)
-                   : std::any_of(AnswerFields.begin(), AnswerFields.end(), same);
+    if (request) {
+        return same(dialect.requestId) || same(dialect.attemptId) || same(dialect.deadline)
+               || same(dialect.expectedInstance);
+    }
+    return same("Verbenadock-Outcome") || same("Verbenadock-Replayed") || same(dialect.attemptId)
+           || same(dialect.notRun) || same(dialect.draining);
 }
 
 bool isNamedByConnection(const std::vector<Field> &fields, const Field &candidate)
@@ -85,7 +94,7 @@
 }
 
 template<typename Take>
-void takeEndToEnd(const std::vector<Field> &fields, bool request, Take take)
+void takeEndToEnd(const std::vector<Field> &fields, const Dialect &dialect, bool request, Take take)
 {
     const bool namesFields = std::any_of(fields.begin(), fields.end(), [](const Field &field) {
         return field.name == http::field::connection && !equalsIgnoringCase(field.value, "keep-alive")
@@ -94,19 +103,30 @@
     for (const auto &field : fields) {
         // Host is kept whatever Connection names, because the request would be invalid without it.
         const bool named = namesFields && field.name != http::field::host && isNamedByConnection(fields, field);
-        if (!isHopByHop(field) && !isOwnField(field, request) && !named) {
+        if (!isHopByHop(field) && !isOwnField(field, dialect, request) && !named) {
             take(field);
         }
     }
 }
 
-void appendEndToEnd(std::string &out, const std::vector<Field> &fields, bool request)
+void appendEndToEnd(std::string &out, const std::vector<Field> &fields, const Dialect &dialect, bool request)
 {
-    takeEndToEnd(fields, request, [&out](const Field &field) {
+    takeEndToEnd(fields, dialect, request, [&out](const Field &field) {
         appendField(out, field.nameText, field.value);
     });
 }
 
+std::string retryAfterText(const LocalAnswer &answer)
+{
+    if (!answer.fractionalRetryAfter) {
+        return std::to_string(std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count());
+    }
+    std::array<char, 24> text{};
+    const auto seconds = std::chrono::duration<double>(answer.retryAfter).count();
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, 3).ptr;
+    return {text.data(), end};
+}
+
 std::string_view reasonPhrase(unsigned status)
 {
     const auto text = http::obsolete_reason(http::int_to_status(status));
@@ -119,25 +139,31 @@
                        const RequestParser &parser,
                        std::string_view target,
                        const AttemptFields &fields,
+                       const Dialect &dialect,
                        BodyFraming framing)
 {
     out.append(parser.methodText).append(" ").append(target).append(" HTTP/1.1\r\n");
-    appendEndToEnd(out, parser.fields, true);
-    appendField(out, "X-Request-Id", fields.requestId);
-    appendField(out, "X-Attempt-Id", fields.attemptId);
-    out.append("X-Deadline-Ms: ");
+    appendEndToEnd(out, parser.fields, dialect, true);
+    appendNamed(out, dialect.requestId, fields.requestId);
+    appendNamed(out, dialect.attemptId, fields.attemptId);
+    appendNamed(out, dialect.expectedInstance, fields.instance);
+    out.append(dialect.deadline).append(": ");
     appendNumber(out, fields.deadlineMilliseconds);
     out.append(LineEnd);
     appendFraming(out, framing);
     out.append(LineEnd);
 }
 
-void appendResponseHead(std::string &out, const ResponseParser &parser, BodyFraming framing, bool close)
+void appendResponseHead(std::string &out,
+                        const ResponseParser &parser,
+                        const Dialect &dialect,
+                        BodyFraming framing,
+                        bool close)
 {
     out.append("HTTP/1.1 ");
     appendNumber(out, parser.statusCode);
     out.append(" ").append(parser.reason).append(LineEnd);
-    appendEndToEnd(out, parser.fields, false);
+    appendEndToEnd(out, parser.fields, dialect, false);
     out.append("Verbenadock-Outcome: answered\r\n");
     appendFraming(out, framing);
     if (close) {
@@ -146,10 +172,10 @@
     out.append(LineEnd);
 }
 
-std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser)
+std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser, const Dialect &dialect)
 {
     std::vector<std::pair<std::string, std::string>> taken;
-    takeEndToEnd(parser.fields, false, [&taken](const Field &field) {
+    takeEndToEnd(parser.fields, dialect, false, [&taken](const Field &field) {
         taken.emplace_back(field.nameText, field.value);
     });
     return taken;
@@ -163,7 +189,7 @@
         return localAnswerText(LocalAnswer{.status = answer.answer.status,
                                            .outcome = outcome,
                                            .reason = answer.reason,
-                                           .retryAfterSeconds = answer.retryAfterSeconds,
+                                           .retryAfter = std::chrono::seconds(answer.retryAfterSeconds),
                                            .close = close,
                                            .headMethod = headMethod});
     }
@@ -203,8 +229,8 @@
     out.append(" ").append(reasonPhrase(answer.status)).append(LineEnd);
     appendField(out, "Content-Type", "application/json");
     appendField(out, "Verbenadock-Outcome", outcome);
-    if (answer.retryAfterSeconds > 0) {
-        appendField(out, "Retry-After", std::to_string(answer.retryAfterSeconds));
+    if (answer.retryAfter > Duration(0)) {
+        appendField(out, "Retry-After", retryAfterText(answer));
     }
     appendFraming(out, BodyFraming{.kind = BodyFraming::Kind::Length, .length = body.size()});
     if (answer.close) {
--- a/src/proxy/headwriter.h
+++ b/src/proxy/headwriter.h
@@ -4,7 +4,9 @@
 #include "httpparser.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
+#include "verbenadock/base/time.h"
 #include "verbenadock/core/effect.h"
+#include "verbenadock/proxy/dialect.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +34,8 @@
     std::string_view requestId;
     std::string_view attemptId;
     std::int64_t deadlineMilliseconds = 0;
+    /// Empty when the upstream's name is not checked.
+    std::string_view instance;
 };
 
 /// Appends the head that an upstream gets: end-to-end fields of the caller's head and the attempt's own.
@@ -39,13 +43,18 @@
                        const RequestParser &parser,
                        std::string_view target,
                        const AttemptFields &fields,
+                       const Dialect &dialect,
                        BodyFraming framing);
 
 /// Appends the head that a caller gets for an upstream's answer.
-void appendResponseHead(std::string &out, const ResponseParser &parser, BodyFraming framing, bool close);
+void appendResponseHead(std::string &out,
+                        const ResponseParser &parser,
+                        const Dialect &dialect,
+                        BodyFraming framing,
+                        bool close);
 
 /// The fields of an upstream's answer that a caller gets.
-std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser);
+std::vector<std::pair<std::string, std::string>> endToEndFields(const ResponseParser &parser, const Dialect &dialect);
 
 std::string keyAnswerText(const KeyAnswer &answer, bool close, bool headMethod);
 
@@ -55,8 +64,10 @@
     unsigned status = 503;
     Core::Outcome outcome = Core::Outcome::NotRun;
     std::string_view reason;
-    /// Whole seconds; 0 for none.
-    std::int64_t retryAfterSeconds = 0;
+    /// Zero for none.
+    Duration retryAfter{0};
+    /// Otherwise the time is rounded up to whole seconds.
+    bool fractionalRetryAfter = false;
     bool close = false;
     /// The answer to HEAD has no body.
     bool headMethod = false;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -4,24 +4,94 @@
 #include "attempt.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Verbenadock::Proxy::internal {
 
 namespace {
 
 constexpr Duration SweepInterval = std::chrono::seconds(1);
+constexpr unsigned MisdirectedRequest = 421;
 constexpr std::size_t MaxRequestIdBytes = 128;
+// Longer deadlines than a service can have are as good as none.
+constexpr auto LongestCallerDeadline = std::chrono::hours(1);
 
 /// The caller's own id when it is usable; it ties the logs of both sides together.
-std::string requestIdText(const Exchange &exchange, const std::string &instance)
+std::string requestIdText(const Exchange &exchange, const EntryOptions &options)
 {
-    const auto given = singleField(exchange.parser->fields, "X-Request-Id");
+    const auto given = singleField(exchange.parser->fields, options.dialect.requestId);
     if (given && !given->empty() && given->size() <= MaxRequestIdBytes) {
         return std::string(*given);
     }
-    return instance + "-r" + std::to_string(exchange.id);
+    if (!options.dialect.assignsRequestIds) {
+        return {};
+    }
+    return options.instance + "-r" + std::to_string(exchange.id);
+}
+
+/// The caller's own deadline; a value that is no number of milliseconds counts as none.
+std::optional<Duration> timeLeftOf(const Exchange &exchange, const Dialect &dialect)
+{
+    const auto given = singleField(exchange.parser->fields, dialect.callerDeadline);
+    std::int64_t milliseconds = 0;
+    if (!given) {
+        return std::nullopt;
+    }
+    const auto *end = given->data() + given->size();
+    const auto [rest, error] = std::from_chars(given->data(), end, milliseconds);
+    const bool valid = error == std::errc() && rest == end && milliseconds >= 0
+                       && milliseconds <= std::chrono::milliseconds(LongestCallerDeadline).count();
+    return valid ? std::optional<Duration>(std::chrono::milliseconds(milliseconds)) : std::nullopt;
 }
 
+/// Fills in what a decision means for the caller.
+struct ReportOutcome
+{
+    RequestReport &report;
+
+    void operator()(const ForwardHeld &held) const
+    {
+        this->report.outcome = "answered";
+        this->report.status = held.attempt->answerStatus();
+    }
+
+    void operator()(const Streamed & /*streamed*/) const
+    {
+        this->report.outcome = "answered";
+        this->report.reason = "streamed";
+    }
+
+    void operator()(const Core::RespondLocally &local) const
+    {
+        this->report.outcome = Core::toString(local.outcome);
+        this->report.reason = Core::toString(local.refusal);
+        this->report.status = local.status;
+    }
+
+    void operator()(const Abort & /*abort*/) const
+    {
+        this->report.outcome = "aborted";
+    }
+
+    void operator()(const RefuseBody &refusal) const
+    {
+        this->report.outcome = "bad-request";
+        this->report.reason = toString(refusal.reason);
+        this->report.status = statusOf(refusal.reason);
+    }
+
+    void operator()(const CallerGone & /*gone*/) const
+    {
+        this->report.outcome = "caller-gone";
+    }
+
+    void operator()(const KeyAnswer &answer) const
+    {
+        this->report.outcome = "answered-by-key";
+        this->report.status = answer.answer.status;
+    }
+};
+
 BadRequest reasonOf(BodyState state)
 {
     switch (state) {
@@ -39,7 +109,7 @@
 
 } // namespace
 
-Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress)
+Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress, const Dialect &dialect)
 {
     const auto &request = exchange.request;
     Core::RequestArrived event{.at = exchange.arrivedAt,
@@ -49,7 +119,8 @@
                                .target = std::string(request.target),
                                .caller = request.caller.empty() ? peerAddress : std::string(request.caller),
                                .idempotencyKey = std::nullopt,
-                               .bodyBytes = request.bodyBytes};
+                               .bodyBytes = request.bodyBytes,
+                               .timeLeft = timeLeftOf(exchange, dialect)};
     if (request.idempotencyKey) {
         event.idempotencyKey = std::string(*request.idempotencyKey);
     }
@@ -63,7 +134,7 @@
     , reducer(this->options.reducer)
     , proxyMetrics(registry)
     , wheel(loop)
-    , upstreams(this->options.limits.maxIdlePerUpstream, this->proxyMetrics)
+    , upstreams(this->options.limits, this->proxyMetrics)
     , acceptor(loop.get_executor())
     , sweepTimer(this->wheel,
                  [this] {
@@ -134,22 +205,39 @@
     exchange->arrivedAt = monotonicNow();
     exchange->bodyReadyAt = exchange->arrivedAt;
     exchange->bodyReady = exchange->caller->bodyDone();
-    exchange->requestIdText = requestIdText(*exchange, this->options.instance);
+    exchange->requestIdText = requestIdText(*exchange, this->options);
     this->exchanges.emplace(exchange->id, exchange);
     if (!this->beginKeyed(*exchange)) {
-        this->apply(arrivalOf(*exchange, exchange->caller->peerAddress()));
+        this->apply(arrivalOf(*exchange, exchange->caller->peerAddress(), this->options.dialect));
     }
 }
 
 void Host::end(Exchange &exchange)
 {
     exchange.ended = true;
+    this->report(exchange);
     // The reducer lets work that must not be cut off go on after its caller is gone.
     if (!std::holds_alternative<CallerGone>(*exchange.decision) || exchange.attempts.empty()) {
         this->release(exchange);
     }
 }
 
+void Host::report(const Exchange &exchange) const
+{
+    if (!this->handlers.requestEnded) {
+        return;
+    }
+    RequestReport report{.id = exchange.requestIdText,
+                         .host = exchange.request.host,
+                         .target = std::string(exchange.request.target),
+                         .upstream = exchange.lastUpstream,
+                         .attempts = exchange.startedAttempts,
+                         .took = monotonicNow() - exchange.arrivedAt,
+                         .callerDeadline = timeLeftOf(exchange, this->options.dialect)};
+    std::visit(ReportOutcome{.report = report}, *exchange.decision);
+    this->handlers.requestEnded(report);
+}
+
 void Host::release(Exchange &exchange)
 {
     const auto kept = exchange.caller;
@@ -257,6 +345,8 @@
     if (draining) {
         this->drainLog.note(attempt.startOrder().endpoint, monotonicNow());
     }
+    const bool misdirected = status == MisdirectedRequest;
+    notRun = notRun || misdirected;
     const auto cause
         = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
     this->proxyMetrics.countAttempt(cause);
@@ -267,7 +357,8 @@
                                        .attempt = id,
                                        .status = status,
                                        .notRun = notRun,
-                                       .draining = draining});
+                                       .draining = draining,
+                                       .misdirected = misdirected});
     exchange = this->find(request);
     if (exchange) {
         if (streamed) {
@@ -330,6 +421,16 @@
     return this->options.limits;
 }
 
+void Host::setLimits(const Settings::EntryLimits &changed)
+{
+    this->options.limits = changed;
+}
+
+const Dialect &Host::dialect() const
+{
+    return this->options.dialect;
+}
+
 ProxyMetrics &Host::metrics()
 {
     return this->proxyMetrics;
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -23,7 +23,7 @@
 
 class Attempt;
 
-Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress);
+Core::RequestArrived arrivalOf(const Exchange &exchange, const std::string &peerAddress, const Dialect &dialect);
 
 /// Connects the reducer with the sockets: events go in, effects are carried out in order.
 class Host : public std::enable_shared_from_this<Host>
@@ -66,6 +66,9 @@
     KeyHost *keys();
 
     const Settings::EntryLimits &limits() const;
+    /// Limits of requests that begin from now on.
+    void setLimits(const Settings::EntryLimits &changed);
+    const Dialect &dialect() const;
     ProxyMetrics &metrics();
     TimerWheel &timers();
     UpstreamPool &pool();
@@ -94,6 +97,7 @@
     void carryOut(const Core::RespondLocally &effect);
     void carryOut(const Core::AbortCaller &effect);
     void carryOut(const Core::ReportEvidence &effect);
+    void carryOut(const Core::ReportLoad &effect);
     void carryOut(const Core::ReportStateChange &effect);
     void carryOut(const Core::StopAccepting &effect);
     void carryOut(const Core::Terminate &effect);
@@ -106,6 +110,7 @@
     Exchange *find(RequestId id) const;
     void spawn(const std::shared_ptr<Exchange> &exchange, const Core::StartAttempt &order);
     void giveUp(Exchange &exchange);
+    void report(const Exchange &exchange) const;
     void release(Exchange &exchange);
     void decide(Exchange &exchange, Decision decision);
     void forget(Exchange &exchange, AttemptId id);
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -116,9 +116,10 @@
 {
     this->proxyMetrics.callerConnectionsRefused.add();
     ErrorCode ignored;
-    socket.write_some(asio::buffer(localAnswerText(LocalAnswer{
-                          .status = 503, .reason = "too-many-connections", .retryAfterSeconds = 1, .close = true})),
-                      ignored);
+    socket.write_some(
+        asio::buffer(localAnswerText(LocalAnswer{
+            .status = 503, .reason = "too-many-connections", .retryAfter = std::chrono::seconds(1), .close = true})),
+        ignored);
     socket.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -25,6 +25,7 @@
         return;
     }
     ++found->second->startedAttempts;
+    found->second->lastUpstream = effect.upstream;
     if (found->second->bodyReady) {
         this->spawn(found->second, effect);
         return;
@@ -95,7 +96,18 @@
 
 void Host::carryOut(const Core::ReportEvidence &effect)
 {
-    this->evidencePool.add(effect);
+    if (this->handlers.evidence) {
+        this->handlers.evidence(effect);
+    } else {
+        this->evidencePool.add(effect);
+    }
+}
+
+void Host::carryOut(const Core::ReportLoad &effect)
+{
+    if (this->handlers.load) {
+        this->handlers.load(effect);
+    }
 }
 
 void Host::carryOut(const Core::ReportStateChange &effect)
--- a/src/proxy/hostkeys.cpp
+++ b/src/proxy/hostkeys.cpp
@@ -136,7 +136,7 @@
     capture.callerAddress = work.callerAddress;
     capture.done = std::move(done);
     this->exchanges.emplace(exchange->id, exchange);
-    this->apply(arrivalOf(*exchange, capture.callerAddress));
+    this->apply(arrivalOf(*exchange, capture.callerAddress, this->options.dialect));
 }
 
 void Host::finishCapture(RequestId id)
--- a/src/proxy/upstreampool.cpp
+++ b/src/proxy/upstreampool.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// An upstream may close idle connections at any time; short idle times keep that race rare.
-constexpr Duration IdleLimit = std::chrono::seconds(30);
-constexpr Duration ProvenAliveLimit = std::chrono::seconds(1);
 constexpr Duration ForgetPeerAfter = std::chrono::minutes(10);
 
 /// An idle connection must have nothing to read: neither the end of the stream nor bytes of a late answer.
@@ -34,8 +31,10 @@
     this->socket.close(ignored);
 }
 
-UpstreamPool::UpstreamPool(std::size_t mostIdle, ProxyMetrics &counters)
-    : idleLimit(mostIdle)
+UpstreamPool::UpstreamPool(const Settings::EntryLimits &entryLimits, ProxyMetrics &counters)
+    : idleLimit(entryLimits.maxIdlePerUpstream)
+    , provenAliveTime(entryLimits.provenAliveTime)
+    , idleTime(entryLimits.upstreamIdleTime)
     , metrics(counters)
 {
 }
@@ -66,7 +65,7 @@
         return nullptr;
     }
     while (!peer.idle.empty()) {
-        const bool proven = now - peer.idle.back()->lastAnswerAt <= ProvenAliveLimit;
+        const bool proven = now - peer.idle.back()->lastAnswerAt <= this->provenAliveTime;
         if (policy == Core::ConnectionPolicy::ProvenAlive && !proven) {
             return nullptr;
         }
@@ -115,7 +114,7 @@
         auto &peer = *entry->second;
         std::vector<std::unique_ptr<UpstreamConnection>> kept;
         for (auto &connection : peer.idle) {
-            if (now - connection->lastAnswerAt > IdleLimit) {
+            if (now - connection->lastAnswerAt > this->idleTime) {
                 this->close(std::move(connection), CloseReason::Expired);
             } else if (!isQuiet(*connection)) {
                 this->close(std::move(connection), CloseReason::IdleReadable);
--- a/src/proxy/upstreampool.h
+++ b/src/proxy/upstreampool.h
@@ -7,6 +7,7 @@
 #include "verbenadock/base/endpoint.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/core/effect.h"
+#include "verbenadock/settings/settings.h"
 
 #include <map>
 #include <memory>
@@ -46,7 +47,7 @@
 class UpstreamPool
 {
 public:
-    UpstreamPool(std::size_t mostIdle, ProxyMetrics &counters);
+    UpstreamPool(const Settings::EntryLimits &entryLimits, ProxyMetrics &counters);
 
     /// Returns nothing when the address is no IP address.
     std::shared_ptr<UpstreamPeer> peer(const Endpoint &endpoint);
@@ -69,6 +70,8 @@
     void close(std::unique_ptr<UpstreamConnection> connection, CloseReason reason);
 
     std::size_t idleLimit;
+    Duration provenAliveTime;
+    Duration idleTime;
     ProxyMetrics &metrics;
     std::map<Endpoint, std::shared_ptr<UpstreamPeer>> peers;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -37,6 +37,8 @@
     readCount(reader, "max_requests", limits.maxRequests);
     readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
     const Toml::Range<Duration> range{.least = ShortestTimeout, .most = internal::LongestDuration};
+    reader.readDuration("proven_alive_time", limits.provenAliveTime, range);
+    reader.readDuration("upstream_idle_time", limits.upstreamIdleTime, range);
     reader.readDuration("caller_idle_timeout", limits.callerIdleTimeout, range);
     reader.readDuration("header_timeout", limits.headerTimeout, range);
     reader.readDuration("caller_stall_timeout", limits.callerStallTimeout, range);
@@ -55,6 +57,18 @@
     reader.finish();
 }
 
+void readStore(TableReader &root, EntrySettings &settings)
+{
+    auto reader = root.readTable("store");
+    StoreSettings store;
+    reader.readEndpoint("endpoint", store.endpoint, Presence::Required);
+    reader.readEndpoints("seeds", store.seeds);
+    reader.readDuration(
+        "poll_interval", store.pollInterval, {.least = ShortestPollInterval, .most = LongestPollInterval});
+    reader.finish();
+    settings.store = store;
+}
+
 /// Reads a table that has nothing but an endpoint and a poll interval.
 void readPolled(TableReader &root, std::string_view table, Endpoint &endpoint, Duration &interval)
 {
@@ -101,9 +115,13 @@
         auto peers = root.readTable("peers", Presence::Required);
         peers.readEndpoint("listen", settings.peerListen, Presence::Required);
         peers.finish();
-        auto agent = root.readTable("agent", Presence::Required);
-        agent.readEndpoint("endpoint", settings.agent, Presence::Required);
-        agent.finish();
+        if (root.has("store")) {
+            readStore(root, settings);
+        } else {
+            auto agent = root.readTable("agent", Presence::Required);
+            agent.readEndpoint("endpoint", settings.agent, Presence::Required);
+            agent.finish();
+        }
         readLimits(root, settings.limits);
         readShutdown(root, settings);
         internal::checkDistinct(root,
--- /dev/null
+++ b/test/core/platformloadtest.cpp
@@ -0,0 +1,229 @@
+// Load patterns of the users' platform, each with the decision that answers it.
+#include "sessionbuilder.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Core;
+using namespace Verbenadock::Core::Test;
+
+namespace {
+
+/// Like the services that the directory makes: near upstreams first, pooled verdicts, one budget.
+Bundles::Service nearService(unsigned upstreams, unsigned slots)
+{
+    auto service = makeService(upstreams, slots);
+    service.prefersOwnDataCentre = true;
+    service.detection.poolDecides = true;
+    service.floorPercent = 40;
+    service.budgets = {.retryPercent = 15,
+                       .hedgePercent = 0,
+                       .retryReserve = 1,
+                       .retryReservePerSecond = 0,
+                       .tokenLimit = 2,
+                       .coversAllAttempts = true};
+    return service;
+}
+
+Reducer reducerFor(const Bundles::Service &service)
+{
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(makeConfiguration(service)));
+    return reducer;
+}
+
+/// Sends the number of requests one after the other, each answered at once, and counts where they went.
+std::map<std::string, int> spread(Reducer &reducer, int requests, std::uint64_t bodyBytes = 0)
+{
+    std::map<std::string, int> counts;
+    static RequestId next = 1000;
+    for (int number = 0; number < requests; ++number) {
+        auto event = arrival(++next, "POST", at(number));
+        event.bodyBytes = bodyBytes;
+        for (const auto &attempt : only<StartAttempt>(reducer.apply(event))) {
+            ++counts[attempt.upstream.upstream];
+            reducer.apply(AttemptCompleted{
+                .at = at(number), .request = attempt.request, .attempt = attempt.attempt, .status = 200});
+        }
+    }
+    return counts;
+}
+
+LoadChanged othersAt(const std::string &upstream, unsigned inFlight)
+{
+    return {.at = at(0),
+            .upstream = {.bundle = "nalezeno", .service = "katalog", .upstream = upstream},
+            .othersInFlight = inFlight};
+}
+
+HealthChanged verdict(const std::string &upstream, double share)
+{
+    return {.at = at(0),
+            .verdicts = {{.upstream = {.bundle = "nalezeno", .service = "katalog", .upstream = upstream},
+                          .sick = share <= 0,
+                          .share = share}}};
+}
+
+} // namespace
+
+// Pattern: many entries choose blindly among few upstreams. u0 and u2 are near, u1 and u3 far.
+TEST_CASE("a request goes to the near upstream with the fewest requests of all entries")
+{
+    auto reducer = reducerFor(nearService(4, 4));
+    reducer.apply(othersAt("u0", 3));
+    CHECK(spread(reducer, 20) == std::map<std::string, int>{{"u2", 20}});
+    reducer.apply(othersAt("u0", 0));
+    reducer.apply(othersAt("u2", 1));
+    CHECK(spread(reducer, 20) == std::map<std::string, int>{{"u0", 20}});
+}
+
+// Pattern: a data centre is full while another has room; large bodies are dear on the way there.
+TEST_CASE("requests leave a full data centre, large bodies later than small ones")
+{
+    auto reducer = reducerFor(nearService(4, 4));
+    reducer.apply(othersAt("u0", 6));
+    reducer.apply(othersAt("u2", 6));
+    const auto small = spread(reducer, 20);
+    CHECK(small.count("u0") + small.count("u2") == 0);
+    const auto large = spread(reducer, 20, 60'000);
+    CHECK(large.count("u1") + large.count("u3") == 0);
+}
+
+// Pattern: a part of the near upstreams fails.
+TEST_CASE("an upstream that the fleet believes sick gets nothing, and one on probation a part")
+{
+    auto reducer = reducerFor(nearService(8, 4));
+    reducer.apply(verdict("u0", 0));
+    CHECK(spread(reducer, 200).count("u0") == 0);
+    reducer.apply(verdict("u0", 0.2));
+    const auto counts = spread(reducer, 400);
+    REQUIRE(counts.count("u0") == 1);
+    CHECK(counts.at("u0") < 60);
+    reducer.apply(verdict("u0", 1));
+    CHECK(spread(reducer, 400).at("u0") > 60);
+}
+
+// Pattern: every upstream sheds a part of its work. The fleet's allowance of retries is 20% of a service's requests and
+// a fixed number; beyond it a request is rejected at once.
+TEST_CASE("retries after shed requests stay within the budget, and what is beyond is rejected at once")
+{
+    auto reducer = reducerFor(nearService(8, 4));
+    int further = 0;
+    int rejected = 0;
+    for (RequestId request = 1; request <= 200; ++request) {
+        const auto time = at(static_cast<double>(request) * 10);
+        auto attempts = only<StartAttempt>(reducer.apply(arrival(request, "POST", time)));
+        for (unsigned sent = 1; !attempts.empty(); ++sent) {
+            further += sent > 1 ? 1 : 0;
+            const auto effects = reducer.apply(AttemptCompleted{
+                .at = time, .request = request, .attempt = attempts.front().attempt, .status = 503, .notRun = true});
+            attempts = only<StartAttempt>(effects);
+            for (const auto &answer : only<RespondLocally>(effects)) {
+                ++rejected;
+                CHECK(answer.status == 503);
+                CHECK(answer.outcome == Outcome::NotRun);
+                CHECK(answer.retryAfter > Duration(0));
+            }
+        }
+    }
+    CHECK(rejected == 200);
+    CHECK(further <= 200 * 15 / 100 + 1);
+    CHECK(further >= 20);
+}
+
+// Seen on the first calm day: hedges went to more upstreams than the route allows.
+TEST_CASE("neither hedges nor retries reach more upstreams than the route allows")
+{
+    auto service = nearService(8, 4);
+    service.budgets.retryPercent = 100;
+    service.budgets.hedgePercent = 100;
+    auto configuration = makeConfiguration(service);
+    for (auto &route : configuration.bundles.front().routes) {
+        route.maxAttempts = 1;
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(configuration));
+    // Enough answers to know what is late.
+    RequestId request = 0;
+    for (int round = 0; round < 40; ++round) {
+        const auto started = only<StartAttempt>(reducer.apply(arrival(++request, "GET", at(round))));
+        reducer.apply(AttemptCompleted{
+            .at = at(round + 0.5), .request = request, .attempt = started.front().attempt, .status = 200});
+    }
+    auto effects = reducer.apply(arrival(++request, "GET", at(100)));
+    const auto first = only<StartAttempt>(effects).front();
+    while (reducer.nextDeadline() && *reducer.nextDeadline() < at(2000)) {
+        CHECK(only<StartAttempt>(reducer.apply(TimerExpired{.at = *reducer.nextDeadline()})).empty());
+    }
+    effects = reducer.apply(
+        AttemptFailed{.at = at(2000), .request = request, .attempt = first.attempt, .cause = Health::Cause::Reset});
+    CHECK(only<StartAttempt>(effects).empty());
+}
+
+TEST_CASE("the caller's deadline and the route's timeout both end a request, whichever is first")
+{
+    auto configuration = makeConfiguration(nearService(4, 4));
+    for (auto &route : configuration.bundles.front().routes) {
+        route.timeout = std::chrono::milliseconds(1500);
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(configuration));
+    auto event = arrival(1, "POST", at(0));
+    event.timeLeft = std::chrono::seconds(4);
+    CHECK(only<StartAttempt>(reducer.apply(event)).front().deadline == at(1500));
+    event.request = 2;
+    event.timeLeft = std::chrono::milliseconds(300);
+    CHECK(only<StartAttempt>(reducer.apply(event)).front().deadline == at(300));
+    event.request = 3;
+    event.timeLeft = Duration(0);
+    const auto refused = only<RespondLocally>(reducer.apply(event));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.front().outcome == Outcome::NotRun);
+}
+
+// Pattern: a share of a route moves to another service, part of which is sick.
+TEST_CASE("a weighted split keeps its shares while one part turns requests away")
+{
+    auto configuration = makeConfiguration(nearService(4, 4));
+    auto &bundle = configuration.bundles.front();
+    auto other = nearService(2, 4);
+    other.name = "empty";
+    other.upstreams.clear();
+    bundle.services.push_back(other);
+    for (auto &route : bundle.routes) {
+        route.split = {{.service = "katalog", .weight = 90}, {.service = "empty", .weight = 10}};
+        route.service.clear();
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(configuration));
+    int rejected = 0;
+    constexpr int Requests = 2000;
+    for (RequestId request = 1; request <= Requests; ++request) {
+        const auto effects = reducer.apply(arrival(request, "POST", at(0)));
+        rejected += static_cast<int>(only<RespondLocally>(effects).size());
+        for (const auto &attempt : only<StartAttempt>(effects)) {
+            reducer.apply(AttemptCompleted{.at = at(0), .request = request, .attempt = attempt.attempt, .status = 200});
+        }
+    }
+    CHECK(rejected > Requests * 7 / 100);
+    CHECK(rejected < Requests * 13 / 100);
+}
+
+// Pattern: an upstream ends and its address goes to a server of another service.
+TEST_CASE("a server that says it is another instance gets no more work and its request goes elsewhere")
+{
+    auto service = nearService(4, 4);
+    for (auto &upstream : service.upstreams) {
+        upstream.instance = "i-" + upstream.id;
+    }
+    auto reducer = reducerFor(service);
+    const auto first = only<StartAttempt>(reducer.apply(arrival(1, "POST", at(0)))).front();
+    CHECK(first.instance == "i-" + first.upstream.upstream);
+    const auto retried = only<StartAttempt>(reducer.apply(AttemptCompleted{
+        .at = at(1), .request = 1, .attempt = first.attempt, .status = 421, .notRun = true, .misdirected = true}));
+    REQUIRE(retried.size() == 1);
+    CHECK(retried.front().upstream != first.upstream);
+    CHECK(spread(reducer, 50).count(first.upstream.upstream) == 0);
+}
--- /dev/null
+++ b/test/health/pooledfailurestest.cpp
@@ -0,0 +1,106 @@
+#include "verbenadock/health/pooledfailures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Health;
+using namespace std::chrono_literals;
+
+namespace {
+
+const UpstreamKey Vydej1{.bundle = "platform", .service = "vydej", .upstream = "vydej-1"};
+const TimePoint Start{std::chrono::hours(1)};
+
+ObservedOutcome outcome(Cause cause, Duration after, const std::string &observer = "entry-1")
+{
+    return {.upstream = Vydej1, .observer = observer, .cause = cause, .at = Start + after};
+}
+
+/// Lets time pass up to the next deadline and returns what changed.
+std::vector<BeliefChange> waitForDeadline(PooledFailures &pooled)
+{
+    const auto next = pooled.nextDeadline();
+    REQUIRE(next);
+    return pooled.expire(*next);
+}
+
+} // namespace
+
+// Guards against a fleet in which each entry has to see the failure itself: with 36 entries and 4 requests a second to
+// an upstream, an entry meets it once in 9 s, when the failure is over.
+TEST_CASE("one failure seen by any entry takes an upstream out for a moment and a second one for seconds")
+{
+    PooledFailures pooled;
+    const auto first = pooled.observe(outcome(Cause::ServerError, 0s));
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().to == Belief::Suspect);
+    CHECK(first.front().share == 0);
+    CHECK(*pooled.nextDeadline() - Start < 1s);
+
+    const auto second = pooled.observe(outcome(Cause::Reset, 20ms, "entry-2"));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().to == Belief::Sick);
+    CHECK(second.front().observer == "entry-2");
+    CHECK(*pooled.nextDeadline() - Start >= 3s);
+}
+
+TEST_CASE("a single failure of a sound upstream costs it less than a second without work")
+{
+    PooledFailures pooled;
+    pooled.observe(outcome(Cause::ServerError, 0s));
+    const auto probation = waitForDeadline(pooled);
+    REQUIRE(probation.size() == 1);
+    CHECK(probation.front().to == Belief::Probation);
+    CHECK(probation.front().share > 0);
+    pooled.observe(outcome(Cause::Success, 900ms));
+    const auto sound = pooled.observe(outcome(Cause::Success, 950ms, "entry-3"));
+    REQUIRE(sound.size() == 1);
+    CHECK(sound.front().to == Belief::Sound);
+    CHECK(sound.front().share == 1);
+}
+
+TEST_CASE("a failure on probation takes an upstream out again")
+{
+    PooledFailures pooled;
+    pooled.observe(outcome(Cause::ServerError, 0s));
+    pooled.observe(outcome(Cause::ServerError, 1ms));
+    CHECK(waitForDeadline(pooled).front().to == Belief::Probation);
+    CHECK(pooled.observe(outcome(Cause::ServerError, 6s)).front().to == Belief::Sick);
+}
+
+// Without requests nobody can see a recovery, so that the upstream would be lost for good.
+TEST_CASE("an upstream that gets no request on probation is sound again after some seconds")
+{
+    PooledFailures pooled;
+    pooled.observe(outcome(Cause::ServerError, 0s));
+    waitForDeadline(pooled);
+    CHECK(waitForDeadline(pooled).front().to == Belief::Sound);
+    CHECK_FALSE(pooled.nextDeadline());
+}
+
+// Guards against a collapse that was seen on a day with half of katalog failing: late answers of full upstreams counted
+// as failures, which took sound upstreams out and filled the others.
+TEST_CASE("late answers, rejections and failed connects are no evidence for other entries")
+{
+    PooledFailures pooled;
+    for (const auto cause : {Cause::Timeout,
+                             Cause::Shed,
+                             Cause::Refused,
+                             Cause::ConnectTimeout,
+                             Cause::SilentConnection,
+                             Cause::Cancelled}) {
+        CHECK_FALSE(pooled.isWanted(Vydej1, cause));
+        CHECK(pooled.observe(outcome(cause, 0s)).empty());
+    }
+}
+
+// Successes are most of the fleet's outcomes; exchanging them all would cost more than failures do.
+TEST_CASE("successes are wanted only while an upstream is on probation")
+{
+    PooledFailures pooled;
+    CHECK_FALSE(pooled.isWanted(Vydej1, Cause::Success));
+    pooled.observe(outcome(Cause::ServerError, 0s));
+    CHECK_FALSE(pooled.isWanted(Vydej1, Cause::Success));
+    waitForDeadline(pooled);
+    CHECK(pooled.isWanted(Vydej1, Cause::Success));
+}
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -45,6 +45,7 @@
     entry.limits = options.limits;
     entry.reducer.dataCentre = "test";
     entry.instance = "test-1";
+    entry.dialect = options.dialect;
     Proxy::EntryHandlers handlers;
     handlers.terminated = [this](bool clean) {
         this->terminated = clean;
--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -19,6 +19,7 @@
 {
     Settings::EntryLimits limits;
     Bundles::Service service;
+    Proxy::Dialect dialect = {};
 };
 
 /// Options with one upstream per endpoint and timeouts that suit tests.
