Run the entry on the platform's store, with peers for news, evidence and load

Cause: no VM is set aside for control, and the platform's store replaces the log service; its records and headers have to be decoded once, into the project's own types, and neither the configuration nor an upstream's entry may go back, whichever source they come from.

Change: platform/ holds the one client of the store, the decoders and the dialect. LogClient reads and appends topics of the same store, and standin-log speaks the store's protocol (conditions, producers, reads that wait, newest records, trim, limits, lost answers); platformtest is as strict as before on the new pages. An entry with a [store] table follows the store without an agent: Discovery::Directory merges configuration and entries, two VMs of each data centre read and pass offsets on, the others fetch what they miss from them and read by themselves when they hear nobody. Failures go to all VMs, requests in flight to those of the data centre. Log lines on standard output are bounded and never wait. deploy/ has the role, its settings template and the mapped ready address.

--- /dev/null
+++ b/include/verbenadock/mesh/message.h
@@ -0,0 +1,82 @@
+#ifndef VERBENADOCK_MESH_MESSAGE_H
+#define VERBENADOCK_MESH_MESSAGE_H
+
+#include "verbenadock/base/time.h"
+#include "verbenadock/health/sample.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Verbenadock::Mesh {
+
+/// A VM says that it is there.
+struct Hello
+{
+    std::string vm;
+    std::string address;
+    std::string dataCentre;
+    /// Milliseconds since 1970.
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Hello &) const = default;
+};
+
+/// A VM stops; it needs no more messages.
+struct Goodbye
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Goodbye &) const = default;
+};
+
+/// The outcome of a request at an upstream.
+struct OutcomeSeen
+{
+    std::string vm;
+    std::string service;
+    std::string upstream;
+    Health::Cause cause = Health::Cause::ServerError;
+    /// Time from the outcome to the sending of this message.
+    Duration age{0};
+
+    auto operator<=>(const OutcomeSeen &) const = default;
+};
+
+/// A VM that reads the store says how far it has read. It is sent to the VMs of the own data centre only.
+struct StoreHeartbeat
+{
+    std::string vm;
+    /// Offsets after the newest records that it knows.
+    std::uint64_t configurationEnd = 0;
+    std::uint64_t upstreamsEnd = 0;
+
+    auto operator<=>(const StoreHeartbeat &) const = default;
+};
+
+/// How many requests a VM has at an upstream now. It is sent to the VMs of the own data centre only.
+struct LoadSeen
+{
+    std::string vm;
+    std::string service;
+    std::string upstream;
+    std::uint64_t inFlight = 0;
+
+    auto operator<=>(const LoadSeen &) const = default;
+};
+
+using Message = std::variant<Hello, Goodbye, OutcomeSeen, StoreHeartbeat, LoadSeen>;
+
+/// One datagram. Its numbers and texts have fixed places, because most of the fleet's own traffic is such messages.
+std::string encode(const Message &message);
+
+/// Nothing for bytes that are no message of this version.
+std::optional<Message> decode(std::string_view datagram);
+
+} // namespace Verbenadock::Mesh
+
+#endif
--- a/include/verbenadock/platform/logclient.h
+++ b/include/verbenadock/platform/logclient.h
@@ -2,8 +2,8 @@
 #define VERBENADOCK_PLATFORM_LOGCLIENT_H
 
 #include "verbenadock/base/endpoint.h"
-#include "verbenadock/base/error.h"
 #include "verbenadock/base/time.h"
+#include "verbenadock/platform/storeclient.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -14,34 +14,11 @@
 
 namespace Verbenadock::Platform {
 
-/// The log service or the VM list gave no usable answer. After an append the record may or may not be in the log.
-class PlatformError : public Error
-{
-public:
-    using Error::Error;
-};
-
-struct LogRecord
-{
-    std::uint64_t offset = 0;
-    std::string data;
+using LogRecord = StoredRecord;
 
-    auto operator<=>(const LogRecord &) const = default;
-};
-
-/// Records from an offset on.
-struct LogPage
-{
-    /// Oldest offset that the log still has.
-    std::uint64_t first = 0;
-    /// Offset that the next record will get.
-    std::uint64_t next = 0;
-    std::vector<LogRecord> records;
-
-    bool operator==(const LogPage &) const = default;
-};
+using LogPage = StoredPage;
 
-/// Client of one stream of the log service.
+/// Client of one of the system's own streams, which is a topic of the store.
 class LogClient
 {
 public:
@@ -50,13 +27,12 @@
     /// Returns the offset of the new record. Throws PlatformError.
     boost::asio::awaitable<std::uint64_t> append(std::string data) const;
 
-    /// Throws PlatformError.
+    /// Records that were deleted are left out, so that the first one may have a later offset. Throws PlatformError.
     boost::asio::awaitable<LogPage> read(std::uint64_t from, std::size_t limit) const;
 
 private:
-    Endpoint service;
+    StoreClient store;
     std::string stream;
-    Duration timeout;
 };
 
 } // namespace Verbenadock::Platform
--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -233,7 +233,7 @@
     Control::AgentEvent event = Control::LogUnavailable{};
     try {
         const auto page = co_await this->logClient.read(request.from, request.limit);
-        Control::LogRecordsRead read{.at = {}, .first = page.first, .next = page.next, .records = {}};
+        Control::LogRecordsRead read{.at = {}, .first = page.first, .next = page.end, .records = {}};
         for (const auto &record : page.records) {
             read.records.push_back({.offset = record.offset, .data = record.data});
         }
@@ -260,7 +260,7 @@
     Control::AgentEvent event = Control::EpochsUnavailable{};
     try {
         const auto page = co_await this->epochClient.read(request.from, request.limit);
-        Control::EpochRecordsRead read{.at = {}, .wall = {}, .first = page.first, .next = page.next, .records = {}};
+        Control::EpochRecordsRead read{.at = {}, .wall = {}, .first = page.first, .next = page.end, .records = {}};
         for (const auto &record : page.records) {
             read.records.push_back({.offset = record.offset, .data = record.data});
         }
--- a/src/ctl/configurationlog.cpp
+++ b/src/ctl/configurationlog.cpp
@@ -66,7 +66,7 @@
                 this->apply(record);
             }
         }
-        if (page.records.empty() || this->next >= page.next) {
+        if (page.records.empty() || this->next >= page.end) {
             this->fold.settle();
             return;
         }
--- /dev/null
+++ b/src/discovery/servicepolicy.h
@@ -0,0 +1,19 @@
+#ifndef VERBENADOCK_DISCOVERY_SERVICEPOLICY_H
+#define VERBENADOCK_DISCOVERY_SERVICEPOLICY_H
+
+#include "verbenadock/discovery/records.h"
+
+#include <vector>
+
+namespace Verbenadock::Discovery::internal {
+
+Bundles::Upstream upstreamOf(const UpstreamEntry &entry);
+
+/// The service with the parameters that suit upstreams that register themselves.
+Bundles::Service serviceOf(const ConfiguredService &service,
+                           const std::vector<Bundles::Route> &routes,
+                           std::vector<Bundles::Upstream> upstreams);
+
+} // namespace Verbenadock::Discovery::internal
+
+#endif
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -1,6 +1,7 @@
 #include "entryprocess.h"
 
 #include "statelines.h"
+#include "verbenadock/platform/decoding.h"
 #include "verbenadock/telemetry/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,11 @@
 
 constexpr auto ReportInterval = std::chrono::milliseconds(200);
 constexpr auto DrainRepeatInterval = std::chrono::seconds(1);
+// The log lags behind by this much when there are few lines.
+constexpr auto LogFlushInterval = std::chrono::milliseconds(500);
+// The settings file may change without a signal.
+constexpr auto SettingsCheckInterval = std::chrono::seconds(2);
+constexpr Duration IdleSlack = std::chrono::seconds(1);
 constexpr int UncleanExit = 1;
 
 std::uint64_t startMilliseconds()
@@ -40,11 +46,26 @@
     options.reducer = {
         .dataCentre = settings.process.dataCentre, .seed = randomSeed(), .requestLimit = settings.limits.maxRequests};
     options.instance = settings.process.vmId + "-" + std::to_string(start);
+    if (settings.store) {
+        options.dialect = Platform::platformDialect();
+        return options;
+    }
     options.keys
         = Proxy::KeyOptions{.self = {.vm = settings.process.vmId, .incarnation = start}, .listen = settings.peerListen};
     return options;
 }
 
+/// The operators' limits within those of the settings file. Idle callers are kept for longer than the operators say,
+/// since a caller may use its connection at the last moment.
+Settings::EntryLimits effectiveLimits(Settings::EntryLimits limits, const Discovery::RequestLimits &given)
+{
+    limits.maxHeaderBytes = given.maxHeaderBytes;
+    limits.maxBodyBytes = given.maxBodyBytes;
+    limits.headerTimeout = given.headerTimeout;
+    limits.callerIdleTimeout = given.idleTimeout + IdleSlack;
+    return limits;
+}
+
 Control::Hello helloOf(const Settings::EntrySettings &settings, std::uint64_t start)
 {
     Control::Hello hello;
@@ -58,67 +79,126 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(const Settings::EntrySettings &given, const std::vector<std::string> &bundles)
+EntryProcess::EntryProcess(const Settings::EntrySettings &given,
+                           const std::vector<std::string> &bundles,
+                           std::string file)
     : settings(given)
     , refusedBundles(this->registry.counter("verbenadock_refused_bundles_total", "Bundles that were not taken over."))
     , unexpectedMessages(
           this->registry.counter("verbenadock_unexpected_messages_total", "Messages that an entry does not expect."))
-    , signals(this->context, SIGTERM, SIGINT)
+    , droppedLines(this->registry.gauge("verbenadock_log_lines_dropped", "Log lines that nobody read in time."))
+    , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , reportTimer(this->context)
+    , settingsTimer(this->context)
+    , flushTimer(this->context)
+    , settingsFile(std::move(file))
 {
     const auto start = startMilliseconds();
     this->server = std::make_unique<Proxy::EntryServer>(
-        this->context,
-        optionsOf(given, start),
-        this->registry,
-        Proxy::EntryHandlers{.stateChanged =
-                                 [](const Core::StateChange &change) {
-                                     logChange(LogLevel::Info, stateLine(change));
-                                 },
-                             .terminated =
-                                 [this](bool clean) {
-                                     this->finish(clean ? 0 : UncleanExit);
-                                 },
-                             .epochWanted =
-                                 [this](Keys::EpochNumber epoch) {
-                                     this->link->send(Control::KeyEpochRequest{epoch});
-                                 }});
-    this->admin
-        = std::make_unique<Net::AdminServer>(this->context,
-                                             given.process.admin,
-                                             Net::AdminServer::Handlers{.ready =
-                                                                            [this] {
-                                                                                return this->server->ready();
-                                                                            },
-                                                                        .metrics =
-                                                                            [this] {
-                                                                                return this->registry.prometheusText();
-                                                                            },
-                                                                        .dump =
-                                                                            [this] {
-                                                                                return this->dump();
-                                                                            }});
+        this->context, optionsOf(given, start), this->registry, this->serverHandlers());
+    this->admin = std::make_unique<Net::AdminServer>(this->context, given.process.admin, this->adminHandlers());
     for (const auto &text : bundles) {
         this->store.takeText(text);
     }
     if (!bundles.empty()) {
         this->applyConfiguration();
     }
+    if (given.store) {
+        this->followStore(start);
+    } else {
+        this->followAgent(start);
+    }
+}
+
+Proxy::EntryHandlers EntryProcess::serverHandlers()
+{
+    Proxy::EntryHandlers handlers;
+    handlers.stateChanged = [](const Core::StateChange &change) {
+        logChange(LogLevel::Info, stateLine(change));
+    };
+    handlers.terminated = [this](bool clean) {
+        this->finish(clean ? 0 : UncleanExit);
+    };
+    handlers.epochWanted = [this](Keys::EpochNumber epoch) {
+        if (this->link) {
+            this->link->send(Control::KeyEpochRequest{epoch});
+        }
+    };
+    if (this->settings.store) {
+        handlers.evidence = [this](const Core::ReportEvidence &evidence) {
+            this->fleet->observe(evidence);
+        };
+        handlers.load = [this](const Core::ReportLoad &load) {
+            this->fleet->observe(load);
+        };
+        handlers.requestEnded = [](const Proxy::RequestReport &report) {
+            logChange(LogLevel::Info, requestLine(report));
+        };
+    }
+    return handlers;
+}
+
+Net::AdminServer::Handlers EntryProcess::adminHandlers()
+{
+    return {.ready =
+                [this] {
+                    return this->server->ready();
+                },
+            .metrics =
+                [this] {
+                    return this->registry.prometheusText();
+                },
+            .dump =
+                [this] {
+                    return this->dump();
+                },
+            .page =
+                [this](std::string_view target) {
+                    return this->fleet ? this->fleet->page(target) : std::nullopt;
+                }};
+}
+
+void EntryProcess::followAgent(std::uint64_t start)
+{
     this->link = std::make_unique<Control::AgentLink>(
-        this->context, given.agent, helloOf(given, start), [this](const Control::Message &message) {
+        this->context, this->settings.agent, helloOf(this->settings, start), [this](const Control::Message &message) {
             this->receive(message);
         });
+    this->scheduleReport();
+}
+
+void EntryProcess::followStore(std::uint64_t start)
+{
+    FleetLink::Handlers handlers;
+    handlers.configured
+        = [this](std::shared_ptr<const Core::Configuration> configuration, const Discovery::RequestLimits &limits) {
+              this->applyPlatform(std::move(configuration), limits);
+          };
+    handlers.loaded = [this](const Core::LoadChanged &event) {
+        this->server->apply(event);
+    };
+    handlers.judged = [this](const Core::HealthChanged &event) {
+        this->server->apply(event);
+    };
+    this->fleet
+        = std::make_shared<FleetLink>(this->context, this->settings, start, this->registry, std::move(handlers));
+    this->fleet->start();
 }
 
 int EntryProcess::run()
 {
     this->waitForSignal();
-    this->scheduleReport();
+    this->watchSettings();
+    this->scheduleFlush();
     logChange(LogLevel::Info,
               "entry_started listen=" + toString(this->server->endpoint())
                   + " admin=" + toString(this->admin->endpoint()));
     this->context.run();
+    if (this->fleet) {
+        this->fleet->stop();
+    }
     logChange(LogLevel::Info, "entry_ended status=" + std::to_string(this->exitStatus));
+    Telemetry::flushLog();
     return this->exitStatus;
 }
 
@@ -174,13 +254,80 @@
     this->server->apply(Core::ConfigurationChanged{.at = monotonicNow(), .configuration = this->store.configuration()});
 }
 
+void EntryProcess::applyPlatform(std::shared_ptr<const Core::Configuration> configuration,
+                                 const Discovery::RequestLimits &limits)
+{
+    if (this->requestLimits != limits) {
+        this->requestLimits = limits;
+        this->server->setLimits(effectiveLimits(this->settings.limits, limits));
+    }
+    this->server->apply(Core::ConfigurationChanged{.at = monotonicNow(), .configuration = std::move(configuration)});
+}
+
+void EntryProcess::scheduleFlush()
+{
+    this->flushTimer.expires_after(LogFlushInterval);
+    this->flushTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            Telemetry::flushLog();
+            this->droppedLines.set(static_cast<double>(Telemetry::droppedLogLines()));
+            this->scheduleFlush();
+        }
+    });
+}
+
+void EntryProcess::watchSettings()
+{
+    this->settingsTimer.expires_after(SettingsCheckInterval);
+    this->settingsTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            this->reload("file-changed");
+            this->watchSettings();
+        }
+    });
+}
+
+void EntryProcess::reload(std::string_view reason)
+{
+    const auto describe = [reason](const std::string &outcome) {
+        return "settings_reload reason=" + std::string(reason) + " outcome=" + outcome;
+    };
+    try {
+        auto text = Settings::readFile(this->settingsFile);
+        if (text == this->settingsText && reason != "signal") {
+            return;
+        }
+        const bool first = this->settingsText.empty();
+        this->settingsText = std::move(text);
+        if (first && reason != "signal") {
+            return;
+        }
+        const auto changed = Settings::parseEntrySettings(this->settingsText);
+        // Ports and names stay as they are until the next start; limits and times can change at any moment.
+        this->settings.limits = changed.limits;
+        this->settings.drainDelay = changed.drainDelay;
+        this->settings.shutdownLimit = changed.shutdownLimit;
+        this->server->setLimits(this->requestLimits ? effectiveLimits(changed.limits, *this->requestLimits)
+                                                    : changed.limits);
+        logChange(LogLevel::Info, describe("taken"));
+    } catch (const Settings::InvalidSettings &error) {
+        logChange(LogLevel::Error, describe("refused error=\"" + std::string(error.what()) + "\""));
+    }
+}
+
 std::string EntryProcess::dump() const
 {
     auto json = nlohmann::ordered_json::parse(this->server->dump());
     const auto digests = this->store.digests();
     // The reducer knows parsed bundles only; operators tell two contents of one version apart by the digest.
     for (auto &bundle : json["bundles"]) {
-        bundle["digest"] = digests.at(bundle["name"].get<std::string>());
+        const auto digest = digests.find(bundle["name"].get<std::string>());
+        if (digest != digests.end()) {
+            bundle["digest"] = digest->second;
+        }
+    }
+    if (this->fleet) {
+        json["fleet"] = nlohmann::ordered_json::parse(this->fleet->dump());
     }
     return json.dump();
 }
@@ -246,12 +393,19 @@
 
 void EntryProcess::signalReceived(int number)
 {
+    if (number == SIGHUP) {
+        this->reload("signal");
+        return;
+    }
     if (this->shutdownRequested) {
         logChange(LogLevel::Warning, "shutdown_forced signal=" + std::to_string(number));
         this->finish(UncleanExit);
         return;
     }
     this->shutdownRequested = true;
+    if (this->fleet) {
+        this->fleet->leave();
+    }
     logChange(LogLevel::Info, "shutdown_requested signal=" + std::to_string(number));
     this->server->apply(Core::ShutdownRequested{
         .at = monotonicNow(), .drainDelay = this->settings.drainDelay, .limit = this->settings.shutdownLimit});
--- /dev/null
+++ b/src/entry/fleetlink.cpp
@@ -0,0 +1,418 @@
+#include "fleetlink.h"
+
+#include "verbenadock/net/error.h"
+#include "verbenadock/telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Verbenadock::Entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using Telemetry::logChange;
+using Telemetry::LogLevel;
+using Json = nlohmann::json;
+
+constexpr Duration StoreTimeout = std::chrono::milliseconds(700);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(400);
+/// Between two tries to register in the store.
+constexpr Duration JoinPause = std::chrono::seconds(1);
+
+std::string memberValue(const Mesh::Hello &hello)
+{
+    return Json{{"address", hello.address}, {"data_centre", hello.dataCentre}, {"incarnation", hello.incarnation}}
+        .dump();
+}
+
+std::optional<Mesh::Hello> memberOf(const Platform::KeyedRecord &record)
+{
+    const auto json = record.value ? Json::parse(*record.value, nullptr, false) : Json();
+    if (!json.is_object() || !json.contains("address") || !json["address"].is_string() || !json.contains("data_centre")
+        || !json["data_centre"].is_string() || !json.contains("incarnation")
+        || !json["incarnation"].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return Mesh::Hello{.vm = record.key,
+                       .address = json["address"],
+                       .dataCentre = json["data_centre"],
+                       .incarnation = json["incarnation"]};
+}
+
+std::string beliefLine(const Health::BeliefChange &change)
+{
+    std::string line = "belief_changed service=" + change.upstream.service + " upstream=" + change.upstream.upstream;
+    line.append(" from=").append(Health::toString(change.from)).append(" to=").append(Health::toString(change.to));
+    line.append(" share=").append(std::to_string(change.share));
+    line.append(" cause=").append(change.cause ? Health::toString(*change.cause) : "time");
+    line.append(" observer=").append(change.observer.empty() ? "-" : change.observer);
+    return line;
+}
+
+Mesh::Hello helloOf(const Settings::EntrySettings &settings, std::uint64_t incarnation)
+{
+    return {.vm = settings.process.vmId,
+            .address = settings.peerListen.address,
+            .dataCentre = settings.process.dataCentre,
+            .incarnation = incarnation};
+}
+
+} // namespace
+
+FleetLink::FleetLink(asio::io_context &loop,
+                     const Settings::EntrySettings &given,
+                     std::uint64_t incarnation,
+                     Telemetry::MetricsRegistry &registry,
+                     Handlers toProcess)
+    : context(loop)
+    , settings(given)
+    , handlers(std::move(toProcess))
+    , members(helloOf(given, incarnation))
+    , follower(std::make_shared<StoreFollower>(loop, *given.store, registry, this->followerHandlers()))
+    , election(given.process.vmId)
+    , socket(loop)
+    , expiryTimer(loop)
+    , heartbeatTimer(loop)
+    , sent(registry.counter("verbenadock_mesh_sent_total", "Datagrams to other VMs."))
+    , received(registry.counter("verbenadock_mesh_received_total", "Datagrams from other VMs."))
+    , malformed(registry.counter("verbenadock_mesh_malformed_total", "Datagrams that were no message."))
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(given.peerListen.address, error);
+    if (!error) {
+        this->socket.open(address.is_v6() ? Udp::v6() : Udp::v4(), error);
+    }
+    if (!error) {
+        this->socket.bind(Udp::endpoint(address, given.peerListen.port), error);
+    }
+    if (!error) {
+        this->socket.non_blocking(true, error);
+    }
+    if (error) {
+        throw Net::NetError("cannot use the datagram port " + toString(given.peerListen) + ": " + error.message());
+    }
+}
+
+StoreFollower::Handlers FleetLink::followerHandlers()
+{
+    return {.changed =
+                [this] {
+                    this->pushConfiguration();
+                },
+            .others =
+                [this] {
+                    return this->others();
+                },
+            .reads =
+                [this] {
+                    return this->election.reads(monotonicNow());
+                },
+            .advanced =
+                [this] {
+                    this->sendHeartbeat();
+                }};
+}
+
+void FleetLink::start()
+{
+    this->receive();
+    this->scheduleHeartbeat();
+    this->follower->start();
+    asio::co_spawn(
+        this->context,
+        [self = this->shared_from_this()]() -> asio::awaitable<void> {
+            co_await self->introduce();
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> FleetLink::introduce()
+{
+    const Platform::StoreClient store(this->settings.store->endpoint, StoreTimeout);
+    while (!this->stopped) {
+        const bool joined = co_await this->join(store);
+        if (joined) {
+            co_return;
+        }
+        asio::steady_timer timer(this->context, JoinPause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<bool> FleetLink::join(const Platform::StoreClient &store)
+{
+    const std::string topic(Platform::MembersTopic);
+    try {
+        const auto &self = this->members.self();
+        co_await store.append(topic, Platform::joinKeyed(self.vm, memberValue(self)));
+        const auto newest = co_await store.newest(topic);
+        for (const auto &record : newest.records) {
+            const auto member = memberOf(record);
+            if (member) {
+                this->members.learn(*member);
+            }
+        }
+    } catch (const Platform::PlatformError &error) {
+        logChange(LogLevel::Warning, std::string("membership_join_failed reason=\"") + error.what() + "\"");
+        co_return false;
+    }
+    logChange(LogLevel::Info, "membership_joined vms=" + std::to_string(this->members.size()));
+    this->send(this->members.self());
+    co_return true;
+}
+
+std::vector<Endpoint> FleetLink::others() const
+{
+    std::vector<Endpoint> result;
+    for (const auto &address : this->members.addresses()) {
+        result.push_back({.address = address, .port = this->settings.process.admin.port});
+    }
+    for (const auto &seed : this->settings.store->seeds) {
+        // The settings name the seeds by another of their ports; all VMs use the same ports.
+        if (result.empty() && seed.address != this->settings.peerListen.address) {
+            result.push_back({.address = seed.address, .port = this->settings.process.admin.port});
+        }
+    }
+    return result;
+}
+
+void FleetLink::pushConfiguration()
+{
+    auto &directory = this->follower->directory();
+    if (const auto configuration = directory.configuration()) {
+        this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
+    }
+}
+
+void FleetLink::receive()
+{
+    this->socket.async_receive_from(
+        asio::buffer(this->datagram),
+        this->sender,
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+            if (self->stopped) {
+                return;
+            }
+            if (!error) {
+                self->received.add();
+                if (const auto message = Mesh::decode({self->datagram.data(), size})) {
+                    self->handle(*message);
+                } else {
+                    self->malformed.add();
+                }
+            }
+            self->receive();
+        });
+}
+
+void FleetLink::handle(const Mesh::Message &message)
+{
+    std::visit(
+        [this](const auto &specific) {
+            this->handle(specific);
+        },
+        message);
+}
+
+void FleetLink::handle(const Mesh::Hello &hello)
+{
+    if (this->members.learn(hello)) {
+        logChange(LogLevel::Info,
+                  "member_added vm=" + hello.vm + " address=" + hello.address
+                      + " incarnation=" + std::to_string(hello.incarnation));
+    }
+}
+
+void FleetLink::handle(const Mesh::Goodbye &goodbye)
+{
+    this->members.forget(goodbye);
+    logChange(LogLevel::Info, "member_removed vm=" + goodbye.vm);
+}
+
+void FleetLink::handle(const Mesh::OutcomeSeen &outcome)
+{
+    this->judge(
+        {.upstream
+         = {.bundle = std::string(Discovery::PlatformBundle), .service = outcome.service, .upstream = outcome.upstream},
+         .observer = outcome.vm,
+         .cause = outcome.cause,
+         .at = monotonicNow() - outcome.age});
+}
+
+void FleetLink::handle(const Mesh::StoreHeartbeat &heartbeat)
+{
+    const auto address = this->members.addressOf(heartbeat.vm);
+    if (!address) {
+        return;
+    }
+    this->election.note(heartbeat.vm, monotonicNow());
+    this->follower->learnFrom({.address = *address, .port = this->settings.process.admin.port},
+                              heartbeat.configurationEnd,
+                              heartbeat.upstreamsEnd);
+}
+
+void FleetLink::scheduleHeartbeat()
+{
+    this->heartbeatTimer.expires_after(HeartbeatInterval);
+    this->heartbeatTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->stopped) {
+            self->sendHeartbeat();
+            for (const auto &total : self->load.expire(monotonicNow())) {
+                self->pushLoad(total);
+            }
+            self->scheduleHeartbeat();
+        }
+    });
+}
+
+void FleetLink::sendHeartbeat()
+{
+    const auto now = monotonicNow();
+    if (!this->election.reads(now) || !this->follower->isFresh(now)) {
+        return;
+    }
+    auto &directory = this->follower->directory();
+    this->sendNear(Mesh::StoreHeartbeat{.vm = this->members.self().vm,
+                                        .configurationEnd = directory.nextConfigurationOffset(),
+                                        .upstreamsEnd = directory.nextUpstreamOffset().value_or(0)});
+}
+
+void FleetLink::observe(const Core::ReportLoad &changed)
+{
+    this->sendNear(Mesh::LoadSeen{.vm = this->members.self().vm,
+                                  .service = changed.upstream.service,
+                                  .upstream = changed.upstream.upstream,
+                                  .inFlight = changed.inFlight});
+}
+
+void FleetLink::handle(const Mesh::LoadSeen &seen)
+{
+    this->pushLoad(this->load.note(seen, monotonicNow()));
+}
+
+void FleetLink::pushLoad(const Mesh::UpstreamLoad &total)
+{
+    this->handlers.loaded(
+        {.at = monotonicNow(),
+         .upstream
+         = {.bundle = std::string(Discovery::PlatformBundle), .service = total.service, .upstream = total.upstream},
+         .othersInFlight = total.inFlight});
+}
+
+void FleetLink::sendNear(const Mesh::Message &message)
+{
+    const auto bytes = Mesh::encode(message);
+    for (const auto &address : this->members.nearAddresses()) {
+        this->sendTo(address, bytes);
+    }
+}
+
+void FleetLink::observe(const Core::ReportEvidence &evidence)
+{
+    if (!this->pooled.isWanted(evidence.upstream, evidence.sample.cause)) {
+        return;
+    }
+    const auto &key = evidence.upstream;
+    this->send(Mesh::OutcomeSeen{.vm = this->members.self().vm,
+                                 .service = key.service,
+                                 .upstream = key.upstream,
+                                 .cause = evidence.sample.cause,
+                                 .age = Duration(0)});
+    // The reducer must not be fed while it carries out the effects of the present event.
+    asio::post(this->context, [self = this->shared_from_this(), evidence] {
+        self->judge({.upstream = evidence.upstream,
+                     .observer = self->members.self().vm,
+                     .cause = evidence.sample.cause,
+                     .at = evidence.sample.at});
+    });
+}
+
+void FleetLink::judge(const Health::ObservedOutcome &outcome)
+{
+    this->report(this->pooled.observe(outcome));
+    this->scheduleExpiry();
+}
+
+void FleetLink::report(const std::vector<Health::BeliefChange> &changes)
+{
+    if (changes.empty()) {
+        return;
+    }
+    Core::HealthChanged event{.at = monotonicNow(), .verdicts = {}};
+    for (const auto &change : changes) {
+        event.verdicts.push_back({.upstream = change.upstream, .sick = change.share <= 0, .share = change.share});
+        logChange(LogLevel::Info, beliefLine(change));
+    }
+    this->handlers.judged(event);
+}
+
+void FleetLink::scheduleExpiry()
+{
+    const auto next = this->pooled.nextDeadline();
+    if (!next || this->stopped) {
+        return;
+    }
+    this->expiryTimer.expires_at(*next);
+    this->expiryTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->stopped) {
+            self->report(self->pooled.expire(monotonicNow()));
+            self->scheduleExpiry();
+        }
+    });
+}
+
+void FleetLink::send(const Mesh::Message &message)
+{
+    const auto bytes = Mesh::encode(message);
+    for (const auto &address : this->members.addresses()) {
+        this->sendTo(address, bytes);
+    }
+}
+
+void FleetLink::sendTo(const std::string &address, const std::string &bytes)
+{
+    boost::system::error_code error;
+    const auto parsed = asio::ip::make_address(address, error);
+    if (!error) {
+        this->socket.send_to(asio::buffer(bytes), Udp::endpoint(parsed, this->settings.peerListen.port), 0, error);
+    }
+    // A datagram that is lost here is lost like one on the way: others see failures of their own.
+    if (!error) {
+        this->sent.add();
+    }
+}
+
+void FleetLink::leave()
+{
+    this->send(Mesh::Goodbye{.vm = this->members.self().vm, .incarnation = this->members.self().incarnation});
+}
+
+void FleetLink::stop()
+{
+    this->stopped = true;
+    this->follower->stop();
+    this->expiryTimer.cancel();
+    this->heartbeatTimer.cancel();
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+std::optional<std::string> FleetLink::page(std::string_view target) const
+{
+    return this->follower->page(target);
+}
+
+std::string FleetLink::dump() const
+{
+    return Json{{"vms", this->members.size()}, {"addresses", this->members.addresses()}}.dump();
+}
+
+} // namespace Verbenadock::Entry
--- /dev/null
+++ b/src/entry/fleetlink.h
@@ -0,0 +1,110 @@
+#ifndef VERBENADOCK_ENTRY_FLEETLINK_H
+#define VERBENADOCK_ENTRY_FLEETLINK_H
+
+#include "storefollower.h"
+#include "verbenadock/core/effect.h"
+#include "verbenadock/core/event.h"
+#include "verbenadock/health/pooledfailures.h"
+#include "verbenadock/mesh/fleetload.h"
+#include "verbenadock/mesh/members.h"
+#include "verbenadock/mesh/readerelection.h"
+#include "verbenadock/settings/settings.h"
+#include "verbenadock/telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Verbenadock::Entry {
+
+/// What an entry without an agent does beside serving callers: it follows the store, and exchanges with the other VMs
+/// who is there and which requests failed.
+class FleetLink : public std::enable_shared_from_this<FleetLink>
+{
+public:
+    struct Handlers
+    {
+        std::function<void(std::shared_ptr<const Core::Configuration>, const Discovery::RequestLimits &)> configured;
+        std::function<void(const Core::HealthChanged &)> judged;
+        std::function<void(const Core::LoadChanged &)> loaded;
+    };
+
+    /// Binds the datagram port; throws Net::NetError when it cannot.
+    FleetLink(boost::asio::io_context &loop,
+              const Settings::EntrySettings &given,
+              std::uint64_t incarnation,
+              Telemetry::MetricsRegistry &registry,
+              Handlers toProcess);
+
+    void start();
+
+    /// Tells the others that this VM stops.
+    void leave();
+    void stop();
+
+    /// An attempt of this entry ended.
+    void observe(const Core::ReportEvidence &evidence);
+
+    /// The number of this entry's requests at an upstream changed.
+    void observe(const Core::ReportLoad &load);
+
+    /// The newest records of a topic, for another VM.
+    std::optional<std::string> page(std::string_view target) const;
+
+    std::string dump() const;
+
+private:
+    using Udp = boost::asio::ip::udp;
+
+    StoreFollower::Handlers followerHandlers();
+    boost::asio::awaitable<void> introduce();
+    boost::asio::awaitable<bool> join(const Platform::StoreClient &store);
+    std::vector<Endpoint> others() const;
+    void pushConfiguration();
+    void receive();
+    void handle(const Mesh::Message &message);
+    void handle(const Mesh::Hello &hello);
+    void handle(const Mesh::Goodbye &goodbye);
+    void handle(const Mesh::OutcomeSeen &outcome);
+    void handle(const Mesh::StoreHeartbeat &heartbeat);
+    void handle(const Mesh::LoadSeen &load);
+    void pushLoad(const Mesh::UpstreamLoad &load);
+    void sendNear(const Mesh::Message &message);
+    void sendHeartbeat();
+    void scheduleHeartbeat();
+    void judge(const Health::ObservedOutcome &outcome);
+    void report(const std::vector<Health::BeliefChange> &changes);
+    void scheduleExpiry();
+    void send(const Mesh::Message &message);
+    void sendTo(const std::string &address, const std::string &datagram);
+
+    boost::asio::io_context &context;
+    Settings::EntrySettings settings;
+    Handlers handlers;
+    Mesh::Members members;
+    std::shared_ptr<StoreFollower> follower;
+    Mesh::ReaderElection election;
+    Mesh::FleetLoad load;
+    Health::PooledFailures pooled;
+    Udp::socket socket;
+    Udp::endpoint sender;
+    std::array<char, 2048> datagram{};
+    boost::asio::steady_timer expiryTimer;
+    boost::asio::steady_timer heartbeatTimer;
+    bool stopped = false;
+    Telemetry::Counter &sent;
+    Telemetry::Counter &received;
+    Telemetry::Counter &malformed;
+};
+
+} // namespace Verbenadock::Entry
+
+#endif
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -62,7 +62,10 @@
     }
     Telemetry::setUpLogging(
         "verbenadock-entry", Telemetry::parseLogLevel(settings.process.logLevel), settings.process.logFile);
-    Entry::EntryProcess process(settings, bundles);
+    if (settings.process.logFile.empty()) {
+        Telemetry::boundStandardOutput();
+    }
+    Entry::EntryProcess process(settings, bundles, arguments.at("--config").asString());
     return process.run();
 }
 
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -22,6 +22,26 @@
 
 } // namespace
 
+std::string requestLine(const Proxy::RequestReport &report)
+{
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    const auto orDash = [](std::string_view text) {
+        return text.empty() ? std::string("-") : std::string(text);
+    };
+    std::string line = "request_ended id=" + orDash(report.id);
+    line.append(" host=").append(report.host).append(" target=").append(report.target);
+    line.append(" outcome=").append(report.outcome).append(" reason=").append(orDash(report.reason));
+    line.append(" status=").append(std::to_string(report.status));
+    line.append(" service=").append(orDash(report.upstream.service));
+    line.append(" upstream=").append(orDash(report.upstream.upstream));
+    line.append(" attempts=").append(std::to_string(report.attempts));
+    line.append(" ms=").append(milliseconds(report.took));
+    line.append(" deadline_ms=").append(report.callerDeadline ? milliseconds(*report.callerDeadline) : "-");
+    return line;
+}
+
 std::string stateLine(const Core::StateChange &change)
 {
     return std::visit(
--- a/src/entry/statelines.h
+++ b/src/entry/statelines.h
@@ -2,11 +2,15 @@
 #define VERBENADOCK_ENTRY_STATELINES_H
 
 #include "verbenadock/core/effect.h"
+#include "verbenadock/proxy/entryserver.h"
 
 #include <string>
 
 namespace Verbenadock::Entry {
 
+/// The log line of a request at its end.
+std::string requestLine(const Proxy::RequestReport &report);
+
 /// The log line of a state change.
 std::string stateLine(const Core::StateChange &change);
 
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -1,11 +1,17 @@
 #include "verbenadock/telemetry/logging.h"
 
+#include "verbenadock/telemetry/boundedoutput.h"
+
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <memory>
+#include <unistd.h>
 
 namespace Verbenadock::Telemetry {
 
@@ -29,6 +35,39 @@
     return text.data();
 }
 
+constexpr std::size_t KeptBytes = 256 * 1024;
+
+std::unique_ptr<BoundedOutput> &boundedOutput()
+{
+    static std::unique_ptr<BoundedOutput> output;
+    return output;
+}
+
+/// Formats like the library's own dispatch, and writes without waiting.
+class BoundedDispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        auto *logger = data->logMessage()->logger();
+        boundedOutput()->append(logger->logBuilder()->build(
+            data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog));
+    }
+};
+
+/// Texts of callers and records must not start a line of their own.
+std::string onOneLine(std::string line)
+{
+    std::replace_if(
+        line.begin(),
+        line.end(),
+        [](unsigned char character) {
+            return std::iscntrl(character) != 0;
+        },
+        '?');
+    return line;
+}
+
 void setEnabledLevels(el::Configurations &configuration, LogLevel lowest)
 {
     const auto enable = [&](el::Level level, LogLevel own) {
@@ -70,8 +109,28 @@
     el::Loggers::reconfigureLogger(LoggerName, configuration);
 }
 
-void logChange(LogLevel level, const std::string &line)
+void boundStandardOutput()
+{
+    boundedOutput() = std::make_unique<BoundedOutput>(STDOUT_FILENO, KeptBytes);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<BoundedDispatch>("BoundedDispatch");
+}
+
+void flushLog()
+{
+    if (boundedOutput()) {
+        boundedOutput()->flush();
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return boundedOutput() ? boundedOutput()->dropped() : 0;
+}
+
+void logChange(LogLevel level, const std::string &text)
 {
+    const auto line = onOneLine(text);
     switch (level) {
     case LogLevel::Debug:
         CLOG(DEBUG, LoggerName) << line;
--- /dev/null
+++ b/test/mesh/meshtest.cpp
@@ -0,0 +1,99 @@
+#include "verbenadock/mesh/members.h"
+#include "verbenadock/mesh/message.h"
+#include "verbenadock/mesh/readerelection.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Mesh;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{std::chrono::hours(1)};
+
+Hello hello(const std::string &vm, const std::string &dataCentre, std::uint64_t incarnation = 1)
+{
+    return {.vm = vm, .address = "10.0.0." + vm, .dataCentre = dataCentre, .incarnation = incarnation};
+}
+
+} // namespace
+
+TEST_CASE("every message is the same after its way through a datagram")
+{
+    const std::vector<Message> messages{hello("7", "morava-a"),
+                                        Goodbye{.vm = "7", .incarnation = 3},
+                                        OutcomeSeen{.vm = "7",
+                                                    .service = "vydej",
+                                                    .upstream = "i-1@5",
+                                                    .cause = Health::Cause::Reset,
+                                                    .age = std::chrono::milliseconds(4)},
+                                        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX}};
+    for (const auto &message : messages) {
+        CHECK(decode(encode(message)) == message);
+        // A message without its last field is no message.
+        auto shortened = encode(message);
+        shortened.pop_back();
+        CHECK_FALSE(decode(shortened));
+    }
+}
+
+// Any host that reaches the port can send anything.
+TEST_CASE("arbitrary datagrams never do harm")
+{
+    rc::check("decode() accepts any bytes", [](const std::string &bytes) {
+        static_cast<void>(decode(bytes));
+    });
+    rc::check("a changed byte of a message gives a message or nothing", [](std::uint8_t position, char byte) {
+        auto bytes = encode(OutcomeSeen{.vm = "v", .service = "s", .upstream = "u", .age = Duration(1)});
+        bytes[position % bytes.size()] = byte;
+        static_cast<void>(decode(bytes));
+    });
+}
+
+TEST_CASE("only the newest process of a VM is listed, and a late farewell of an earlier one changes nothing")
+{
+    Members members(hello("1", "a"));
+    CHECK(members.learn(hello("2", "b", 5)));
+    CHECK_FALSE(members.learn(hello("2", "b", 4)));
+    CHECK_FALSE(members.learn(hello("1", "a", 9)));
+    CHECK(members.learn(hello("3", "a")));
+    CHECK(members.addresses() == std::vector<std::string>{"10.0.0.3", "10.0.0.2"});
+    CHECK(members.nearAddresses() == std::vector<std::string>{"10.0.0.3"});
+    members.forget({.vm = "2", .incarnation = 4});
+    CHECK(members.size() == 3);
+    members.forget({.vm = "2", .incarnation = 5});
+    CHECK(members.size() == 2);
+}
+
+// Each call to the store has a price, and a data centre needs the records once.
+TEST_CASE("of twelve VMs that hear each other two read the store")
+{
+    std::vector<std::string> names;
+    std::vector<ReaderElection> elections;
+    for (int number = 1; number <= 12; ++number) {
+        names.push_back("front-morava-a-" + std::to_string(number));
+        elections.emplace_back(names.back());
+    }
+    for (int round = 0; round < 3; ++round) {
+        const auto now = Start + round * 400ms;
+        for (std::size_t sender = 0; sender < names.size(); ++sender) {
+            for (std::size_t receiver = 0; elections[sender].reads(now) && receiver < names.size(); ++receiver) {
+                if (receiver != sender) {
+                    elections[receiver].note(names[sender], now);
+                }
+            }
+        }
+    }
+    const auto reading = [&elections](TimePoint now) {
+        return std::count_if(elections.begin(), elections.end(), [now](const auto &election) {
+            return election.reads(now);
+        });
+    };
+    CHECK(reading(Start + 900ms) == 2);
+    // When the readers fall silent, every VM reads for itself in time for a change that has to be in force within 2 s.
+    CHECK(reading(Start + 2200ms) == 12);
+}
