Keep claims in the data centre for longer and try repeatable upstreams again sooner

Change: non-idempotent requests stay up to a load of 2 requests per slot, idempotent ones up to 1.25. Upstreams of services with mainly idempotent routes are tried again after 2 s.

--- a/include/verbenadock/health/pooledfailures.h
+++ b/include/verbenadock/health/pooledfailures.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,9 @@
 class PooledFailures
 {
 public:
+    /// Services whose requests can be repeated: a try at a sick upstream costs them little, so that it is tried sooner.
+    void setRepeatable(std::set<std::string> services);
+
     /// Whether the outcome tells other entries something. A failed connect may concern the path of one entry only.
     bool isWanted(const UpstreamKey &upstream, Cause cause) const;
 
@@ -81,8 +85,10 @@
         unsigned relapses = 0;
     };
 
+    Duration sickTime(const UpstreamKey &upstream, const State &state) const;
     BeliefChange move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now);
 
+    std::set<std::string> repeatable;
     std::map<UpstreamKey, State> upstreams;
 };
 
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -22,10 +22,12 @@
 constexpr double SimilarLoad = 0.25;
 /// With a preference for the own data centre, requests stay there while it has at least this share of the healthy slots
 /// that an even distribution over the data centres would give it; below, a part in proportion leaves.
-constexpr double EnoughOwnShare = 2.0 / 3;
+constexpr double EnoughOwnShare = 0.5;
 /// Load in requests per slot up to which a request stays in the data centre. Upstreams queue, and a wait for a part of
-/// the usual work costs less than the way to another data centre. A large body costs far more on that way.
-constexpr double NearLimit = 1.25;
+/// the usual work costs less than the way to another data centre. Answers to non-idempotent work are longer, and a
+/// large body costs far more on that way.
+constexpr double IdempotentNearLimit = 1.25;
+constexpr double NearLimit = 2;
 constexpr double LargeNearLimit = 2.5;
 /// Random draws before the pool is searched as a whole.
 constexpr int Draws = 6;
@@ -196,7 +198,8 @@
         }
     }
     if (near && far) {
-        const double limit = request.large ? LargeNearLimit : NearLimit;
+        const double usual = request.idempotent ? IdempotentNearLimit : NearLimit;
+        const double limit = request.large ? LargeNearLimit : usual;
         const bool nearHasRoom = load(this->upstreams[*near]) < limit;
         return nearHasRoom && (request.large || random.fraction() < this->ownShare(now)) ? near : far;
     }
--- a/src/entry/fleetlink.cpp
+++ b/src/entry/fleetlink.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Verbenadock::Entry {
@@ -56,6 +58,30 @@
     return line;
 }
 
+/// The service that gets most of a route's requests.
+const std::string &mainService(const Bundles::Route &route)
+{
+    const auto heaviest = std::ranges::max_element(route.split, {}, &Bundles::WeightedService::weight);
+    return heaviest == route.split.end() ? route.service : heaviest->service;
+}
+
+/// Services that get idempotent requests mainly, and no other route's main part.
+std::set<std::string> repeatableServices(const std::vector<Bundles::Route> &routes)
+{
+    std::set<std::string> services;
+    for (const auto &route : routes) {
+        if (route.idempotent) {
+            services.insert(mainService(route));
+        }
+    }
+    for (const auto &route : routes) {
+        if (!route.idempotent) {
+            services.erase(mainService(route));
+        }
+    }
+    return services;
+}
+
 Mesh::Hello helloOf(const Settings::EntrySettings &settings, std::uint64_t incarnation)
 {
     return {.vm = settings.process.vmId,
@@ -188,6 +214,7 @@
 {
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
+        this->pooled.setRepeatable(repeatableServices(directory.operatorConfiguration()->routes));
         this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
     }
 }
--- a/src/health/pooledfailures.cpp
+++ b/src/health/pooledfailures.cpp
@@ -1,6 +1,7 @@
 #include "verbenadock/health/pooledfailures.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbenadock::Health {
 
@@ -11,6 +12,9 @@
 // Episodes of partial failure last 5 to 9 s. A longer first wait would cost capacity, a shorter one failed requests.
 constexpr Duration FirstSickTime = std::chrono::milliseconds(5000);
 constexpr Duration NextSickTime = std::chrono::milliseconds(4000);
+// A failed try costs a service with repeatable requests one further attempt, and the capacity of a recovered upstream
+// is worth more.
+constexpr Duration RepeatableSickTime = std::chrono::milliseconds(2000);
 // An upstream that gets no requests on probation is taken as sound after this time.
 constexpr Duration ProbationTime = std::chrono::seconds(5);
 // An upstream that fails most requests succeeds twice in a row in 2 of 100 cases.
@@ -66,6 +70,19 @@
     return known != this->upstreams.end() && known->second.belief == Belief::Probation;
 }
 
+void PooledFailures::setRepeatable(std::set<std::string> services)
+{
+    this->repeatable = std::move(services);
+}
+
+Duration PooledFailures::sickTime(const UpstreamKey &upstream, const State &state) const
+{
+    if (this->repeatable.contains(upstream.service)) {
+        return RepeatableSickTime;
+    }
+    return state.relapses == 0 ? FirstSickTime : NextSickTime;
+}
+
 BeliefChange PooledFailures::move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now)
 {
     BeliefChange change{.upstream = upstream, .from = state.belief, .to = to};
@@ -79,7 +96,7 @@
         change.share = 0;
         break;
     case Belief::Sick:
-        state.until = now + (state.relapses == 0 ? FirstSickTime : NextSickTime);
+        state.until = now + this->sickTime(upstream, state);
         ++state.relapses;
         change.share = 0;
         break;
--- a/test/health/pooledfailurestest.cpp
+++ b/test/health/pooledfailurestest.cpp
@@ -104,3 +104,17 @@
     waitForDeadline(pooled);
     CHECK(pooled.isWanted(Vydej1, Cause::Success));
 }
+
+// Pattern: most copies of a service of idempotent requests fail by turns on a day of high load. Those that have
+// recovered are needed at once, and a failed try is only sent again.
+TEST_CASE("an upstream whose requests can be repeated is tried again sooner")
+{
+    const auto sickTime = [](bool repeatable) {
+        PooledFailures pooled;
+        pooled.setRepeatable(repeatable ? std::set<std::string>{"vydej"} : std::set<std::string>{});
+        pooled.observe(outcome(Cause::ServerError, 0s));
+        pooled.observe(outcome(Cause::ServerError, 0s));
+        return *pooled.nextDeadline() - Start;
+    };
+    CHECK(sickTime(true) <= sickTime(false) / 2);
+}
