--- a/src/entry/storefollower.cpp
+++ b/src/entry/storefollower.cpp
@@ -28,6 +28,9 @@
 constexpr Duration FreshLimit = std::chrono::milliseconds(2700);
 /// Pause after a failed call; other VMs are asked meanwhile.
 constexpr Duration RetryPause = std::chrono::milliseconds(400);
+/// Upstreams often register one after the other; a pause after a record lets the next call return several. It is short
+/// against the 2 s after which a change has to be in force.
+constexpr Duration BatchPause = std::chrono::milliseconds(250);
 /// A store that does not answer for this long is reported as lost. A single lost answer is no outage.
 constexpr Duration LostAfter = std::chrono::seconds(1);
 
@@ -121,10 +124,13 @@
             co_await this->pause(this->settings.pollInterval);
             continue;
         }
+        const auto before = this->nextOffset(topic);
         const bool success = co_await this->readNext(topic);
         if (!success) {
             co_await this->askOther(topic);
             co_await this->pause(RetryPause);
+        } else if (this->nextOffset(topic) != before) {
+            co_await this->pause(BatchPause);
         }
     }
 }
--- a/src/mesh/fleetload.cpp
+++ b/src/mesh/fleetload.cpp
@@ -29,7 +29,7 @@
     } else {
         shares[load.vm] = {.inFlight = static_cast<unsigned>(load.inFlight), .at = now};
     }
-    const auto total = totalOf(key, shares);
+    auto total = totalOf(key, shares);
     if (shares.empty()) {
         this->upstreams.erase(key);
     }
