--- a/include/verbenadock/platform/storeclient.h
+++ b/include/verbenadock/platform/storeclient.h
@@ -82,11 +82,11 @@
 };
 
 /// Topics of the store that the operators and the upstreams write.
-inline constexpr std::string_view ConfigurationTopic = "keyed.op";
-inline constexpr std::string_view ConfigurationKey = "config";
-inline constexpr std::string_view UpstreamsTopic = "keyed.servers";
+extern const std::string_view ConfigurationTopic;
+extern const std::string_view ConfigurationKey;
+extern const std::string_view UpstreamsTopic;
 /// Topic of this system: the key is the VM's id, the value its address.
-inline constexpr std::string_view MembersTopic = "keyed.members";
+extern const std::string_view MembersTopic;
 
 /// Splits a record of a keyed topic. Nothing when its bytes do not hold a key.
 std::optional<KeyedRecord> splitKeyed(const StoredRecord &record);
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -45,7 +45,8 @@
 TEST_CASE("the defaults that the entry's sample shows are the real ones")
 {
     std::string uncommented = sample("entry.toml");
-    for (const std::string key : {"level", "max_", "caller_", "header_", "drain_", "limit"}) {
+    for (const std::string key :
+         {"level", "max_", "proven_", "upstream_idle", "caller_", "header_", "drain_", "limit"}) {
         for (auto at = uncommented.find("\n# " + key); at != std::string::npos; at = uncommented.find("\n# " + key)) {
             uncommented.erase(at + 1, 2);
         }
@@ -54,6 +55,22 @@
     CHECK(parseEntrySettings(uncommented) == parseEntrySettings(sample("entry.toml")));
 }
 
+// Guards against an entry that starts with neither source of its configuration, or with half of one.
+TEST_CASE("an entry follows either an agent or the store")
+{
+    const std::string common = ValidEntry.substr(0, ValidEntry.find("[agent]"));
+    const auto settings = parseEntrySettings(
+        common + "[store]\nendpoint = \"10.0.0.1:7\"\nseeds = [\"10.0.0.2:8\"]\npoll_interval = \"1 s\"\n");
+    REQUIRE(settings.store);
+    CHECK(*settings.store
+          == StoreSettings{.endpoint = {"10.0.0.1", 7}, .seeds = {{"10.0.0.2", 8}}, .pollInterval = 1s});
+    CHECK_FALSE(parseEntrySettings(ValidEntry).store);
+    CHECK(mistakesOf(common).find("agent") != std::string::npos);
+    CHECK(mistakesOf(common + "[store]\n").find("store.endpoint") != std::string::npos);
+    CHECK(mistakesOf(common + "[store]\nendpoint = \"10.0.0.1:7\"\nendpiont = 1\n").find("endpiont")
+          != std::string::npos);
+}
+
 // Guards against an operator who has to fix one mistake per restart.
 TEST_CASE("every mistake is reported at once with its line and key")
 {
