Share the retry allowance, try sick upstreams with lookups, and hedge by the target latency

Change: the platform's allowance is shared by all entries, which tell each other of each attempt they take from it. Idempotent requests are hedged at 55% of the route's target latency at the latest. A suspect or sick upstream first gets single idempotent requests. A refused connection no longer counts against the attempts of a route.

--- a/include/verbenadock/bundle/bundle.h
+++ b/include/verbenadock/bundle/bundle.h
@@ -75,6 +75,10 @@
     double tokenLimit = 50;
     /// One budget covers every further request to an upstream: retries, hedges, and retries after a shed request.
     bool coversAllAttempts = false;
+    /// Further attempts that all entries together may make within the window, beside the percentage of each. Entries
+    /// tell each other of them; zero for none.
+    unsigned fleetReserve = 0;
+    Duration fleetWindow = std::chrono::seconds(10);
 
     auto operator<=>(const Budgets &) const = default;
 };
@@ -134,6 +138,8 @@
     Duration timeout{0};
     /// Upstreams to which one request may be sent; zero for no limit of the route's own.
     unsigned maxAttempts = 0;
+    /// Time within which an answer is of full use to the caller; zero when the operators name none.
+    Duration targetLatency{0};
     /// Shares the requests out among several services; `service` is empty then.
     std::vector<WeightedService> split = {};
 
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -129,6 +129,15 @@
     auto operator<=>(const ReportLoad &) const = default;
 };
 
+/// An attempt was taken from the reserve that all entries share; they have to be told.
+struct ReportReserveUse
+{
+    std::string bundle;
+    std::string service;
+
+    auto operator<=>(const ReportReserveUse &) const = default;
+};
+
 /// An upstream moved to another stage; the host writes one log line.
 struct HealthStateChanged
 {
@@ -179,6 +188,7 @@
                             AbortCaller,
                             ReportEvidence,
                             ReportLoad,
+                            ReportReserveUse,
                             ReportStateChange,
                             StopAccepting,
                             Terminate>;
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -116,7 +116,7 @@
 {
     UpstreamKey upstream;
     bool sick = false;
-    /// Share of the usual work that an upstream that is not sick gets.
+    /// Share of the usual work that an upstream that is not sick gets. Zero admits trials with idempotent requests.
     double share = 1;
 
     auto operator<=>(const HealthVerdict &) const = default;
@@ -141,6 +141,16 @@
     auto operator<=>(const LoadChanged &) const = default;
 };
 
+/// Another entry took an attempt from the reserve that all entries share.
+struct ReserveUsed
+{
+    TimePoint at;
+    std::string bundle;
+    std::string service;
+
+    auto operator<=>(const ReserveUsed &) const = default;
+};
+
 /// All upstreams that leave: by address when the VM list reports them, by endpoint (ADDRESS:PORT) when they announced
 /// their drain to any entry.
 struct LeavingChanged
@@ -180,6 +190,7 @@
                            HealthChanged,
                            LeavingChanged,
                            LoadChanged,
+                           ReserveUsed,
                            TimerExpired,
                            ShutdownRequested>;
 
--- a/include/verbenadock/discovery/directory.h
+++ b/include/verbenadock/discovery/directory.h
@@ -99,6 +99,8 @@
 class Directory
 {
 public:
+    explicit Directory(RetryAllowance granted = {});
+
     std::vector<DirectoryChange> apply(const DirectoryEvent &event);
 
     /// Whether configuration() differs from the one returned before.
@@ -135,6 +137,7 @@
     void remove(Known &known, const std::string &key, std::uint64_t offset, TimePoint now);
     void note(DirectoryChange::Kind kind, const std::string &subject, std::uint64_t offset, std::string reason = {});
 
+    RetryAllowance allowance;
     std::map<std::string, Known> upstreams;
     std::optional<std::uint64_t> upstreamsEnd;
     std::optional<OperatorConfiguration> operators;
--- a/include/verbenadock/discovery/records.h
+++ b/include/verbenadock/discovery/records.h
@@ -53,6 +53,16 @@
     auto operator<=>(const RequestLimits &) const = default;
 };
 
+/// What the platform grants the fleet beside a share of each service's requests.
+struct RetryAllowance
+{
+    /// Further attempts for each service within the window; zero for none.
+    unsigned attempts = 0;
+    Duration window = std::chrono::seconds(10);
+
+    auto operator<=>(const RetryAllowance &) const = default;
+};
+
 /// The operators' whole configuration in one version.
 struct OperatorConfiguration
 {
--- a/include/verbenadock/health/pooledfailures.h
+++ b/include/verbenadock/health/pooledfailures.h
@@ -34,7 +34,9 @@
     Suspect,
     /// Gets no work.
     Sick,
-    /// Gets a part of its work, which shows whether it has recovered.
+    /// Gets single idempotent requests, whose failure costs a further attempt only.
+    Trial,
+    /// Gets a part of its work, because no idempotent request has shown whether it has recovered.
     Probation,
 };
 
@@ -46,7 +48,7 @@
     UpstreamKey upstream;
     Belief from = Belief::Sound;
     Belief to = Belief::Sound;
-    /// Share of the usual work.
+    /// Share of the usual work, without trials.
     double share = 1;
     /// The outcome that decided, and who saw it; empty when time did.
     std::optional<Cause> cause;
@@ -56,7 +58,7 @@
 };
 
 /// Judges upstreams on what all entries see, so that a failing one is found within one or two of the fleet's requests
-/// to it. Successes are only exchanged while an upstream is on probation, because they would be most of the traffic.
+/// to it. Successes are only exchanged while an upstream is tried, because they would be most of the traffic.
 ///
 /// Usage: observe() each outcome for which isWanted(); expire() at nextDeadline(); act on the changes.
 class PooledFailures
@@ -78,14 +80,14 @@
     struct State
     {
         Belief belief = Belief::Sound;
-        /// End of Suspect, Sick and Probation.
+        /// End of every belief but Sound.
         TimePoint until{};
         unsigned successes = 0;
-        /// Times that the upstream became sick without having been sound.
-        unsigned relapses = 0;
+        /// Whether the upstream failed more than once since it was sound.
+        bool confirmed = false;
     };
 
-    Duration sickTime(const UpstreamKey &upstream, const State &state) const;
+    bool isRepeatable(const UpstreamKey &upstream) const;
     BeliefChange move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now);
 
     std::set<std::string> repeatable;
--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -84,7 +84,7 @@
 {
     std::string upstream;
     bool sick = false;
-    /// Share of the usual work that an upstream that is not sick gets.
+    /// Share of the usual work that an upstream that is not sick gets. Zero admits trials with idempotent requests.
     double share = 1;
 
     auto operator<=>(const PooledVerdict &) const = default;
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -71,7 +71,16 @@
     auto operator<=>(const LoadSeen &) const = default;
 };
 
-using Message = std::variant<Hello, Goodbye, OutcomeSeen, StoreHeartbeat, LoadSeen>;
+/// A VM took an attempt from the reserve that all VMs share.
+struct ReserveUse
+{
+    std::string vm;
+    std::string service;
+
+    auto operator<=>(const ReserveUse &) const = default;
+};
+
+using Message = std::variant<Hello, Goodbye, OutcomeSeen, StoreHeartbeat, LoadSeen, ReserveUse>;
 
 /// One datagram. Its numbers and texts have fixed places, because most of the fleet's own traffic is such messages.
 std::string encode(const Message &message);
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -84,6 +84,7 @@
     std::function<void(const Core::ReportEvidence &)> evidence = {};
     /// The number of this entry's requests at an upstream changed.
     std::function<void(const Core::ReportLoad &)> load = {};
+    std::function<void(const Core::ReportReserveUse &)> reserveUsed = {};
     /// A request is over.
     std::function<void(const RequestReport &)> requestEnded = {};
 };
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -67,6 +67,9 @@
     std::vector<Endpoint> seeds;
     /// Time between two checks whether this VM has to read the store itself.
     Duration pollInterval = std::chrono::milliseconds(200);
+    /// Further attempts that the platform grants a service within the window, beside a share of its requests.
+    unsigned retryAllowance = 0;
+    Duration retryWindow = std::chrono::seconds(10);
 
     auto operator<=>(const StoreSettings &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -104,6 +104,7 @@
     request.large = !event.bodyBytes || *event.bodyBytes >= LargeBody;
     request.replayable = event.bodyBytes && *event.bodyBytes <= service.service.replayBytes;
     request.maxAttempts = target->maxAttempts;
+    request.targetLatency = target->targetLatency;
     const auto configured = target->timeout > Duration(0) ? target->timeout : service.service.timeouts.total;
     request.deadline = event.at + std::min(configured, event.timeLeft.value_or(configured));
     if (request.deadline <= event.at) {
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -165,6 +165,7 @@
     auto &request = this->requests.at(slot);
     const bool proven = provesNotRun(event);
     attempt.provenNotRun = proven;
+    attempt.unsent = proven;
     attempt.staleConnection = event.cause == Cause::SilentConnection;
     request.bodySpent = request.bodySpent || (!request.replayable && !proven);
     if (event.cause == Cause::Refused || event.cause == Cause::ConnectTimeout) {
@@ -178,14 +179,23 @@
     }
 }
 
-bool Engine::mayRetry(const Request &request, bool proven) const
+bool Engine::takeAttempt(ServiceState &service, std::size_t kept)
 {
-    auto limit = proven && !request.mayHaveRun() ? AttemptsWithoutWork : AttemptsAfterWork;
-    if (request.maxAttempts > 0) {
-        limit = std::min<std::size_t>(limit, request.maxAttempts);
+    if (service.retries.take(this->now)) {
+        return true;
     }
-    return (request.idempotent || !request.mayHaveRun()) && !request.bodySpent && !request.callerGone
-           && request.attempts.size() < limit && this->now < request.deadline;
+    if (!service.reserve.take(kept, this->now)) {
+        return false;
+    }
+    this->effects.emplace_back(ReportReserveUse{.bundle = service.bundle, .service = service.service.name});
+    return true;
+}
+
+bool Engine::mayRetry(const Request &request, bool proven) const
+{
+    const auto limit = proven && !request.mayHaveRun() ? AttemptsWithoutWork : AttemptsAfterWork;
+    return request.mayReachAnother() && (request.idempotent || !request.mayHaveRun()) && !request.bodySpent
+           && !request.callerGone && request.attempts.size() < limit && this->now < request.deadline;
 }
 
 bool Engine::retryInsteadOfAnswer(std::uint32_t slot)
@@ -200,7 +210,7 @@
     }
     // The upstream's answer is given up only for an attempt that starts now.
     const auto upstream = service.pool.pick(request, this->now, this->random);
-    if (!upstream || !service.retries.take(this->now)) {
+    if (!upstream || !this->takeAttempt(service)) {
         return false;
     }
     this->startAttempt(slot, *upstream, false);
@@ -218,7 +228,7 @@
     auto &service = this->serviceOf(request);
     const bool wasShed = !request.attempts.empty() && request.attempts.back().shed;
     const bool isFree = proven && !(wasShed && service.service.budgets.coversAllAttempts);
-    const bool allowed = this->mayRetry(request, proven) && (isFree || service.retries.take(this->now));
+    const bool allowed = this->mayRetry(request, proven) && (isFree || this->takeAttempt(service));
     if (allowed) {
         this->schedule(slot);
     } else {
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -84,6 +84,7 @@
         state.retries = AttemptBudget(retrySettings(service.budgets));
         state.hedges = AttemptBudget(hedgeSettings(service.budgets));
     }
+    state.reserve.configure(service.budgets.fleetReserve, service.budgets.fleetWindow);
     state.detector->setLeaving(state.pool.leavingIds(this->now));
     this->evaluate(state);
     state.pool.refreshAdmissions(*state.detector, this->now);
@@ -136,7 +137,8 @@
                                .idempotent = route.idempotent,
                                .priority = route.priority,
                                .timeout = route.timeout,
-                               .maxAttempts = route.maxAttempts};
+                               .maxAttempts = route.maxAttempts,
+                               .targetLatency = route.targetLatency};
             if (this->resolveServices(bundle.name, route, target)) {
                 resolved.push_back(ResolvedRoute{.route = route, .target = target});
             }
@@ -223,6 +225,14 @@
     }
 }
 
+void Engine::on(const ReserveUsed &event)
+{
+    const auto place = this->servicePlaces.find({event.bundle, event.service});
+    if (place != this->servicePlaces.end()) {
+        this->services[place->second]->reserve.noteOther(this->now);
+    }
+}
+
 void Engine::on(const LeavingChanged &event)
 {
     this->leavingAt = this->now;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -3,6 +3,7 @@
 
 #include "budgets.h"
 #include "callerlimits.h"
+#include "fleetreserve.h"
 #include "random.h"
 #include "requestqueue.h"
 #include "requesttable.h"
@@ -39,6 +40,7 @@
     std::optional<TimePoint> detectorDeadline;
     AttemptBudget retries;
     AttemptBudget hedges;
+    FleetReserve reserve;
     LatencyTracker latency;
     RequestQueue queue;
     std::size_t openRequests = 0;
@@ -75,6 +77,7 @@
     void on(const HealthChanged &event);
     void on(const LeavingChanged &event);
     void on(const LoadChanged &event);
+    void on(const ReserveUsed &event);
     void on(const TimerExpired &event);
     void on(const ShutdownRequested &event);
 
@@ -95,6 +98,9 @@
     static ConnectionPolicy connectionPolicy(const Request &request);
     void startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge);
     void hedge(std::uint32_t slot);
+    /// Wait before a second attempt; zero for none.
+    static Duration hedgeDelay(const Request &request, const ServiceState &service);
+    void noteOverdue(ServiceState &service, std::uint32_t upstream);
     void updateTimer(std::uint32_t slot);
 
     // attempts.cpp
@@ -110,6 +116,8 @@
     void forward(std::uint32_t slot, AttemptId attempt);
     bool retryInsteadOfAnswer(std::uint32_t slot);
     void retryOrConclude(std::uint32_t slot, bool proven);
+    /// Takes a further attempt from the service's budgets, and leaves so many in the reserve of all entries.
+    bool takeAttempt(ServiceState &service, std::size_t kept = 0);
     bool mayRetry(const Request &request, bool proven) const;
     void noteDraining(ServiceState &service, std::uint32_t upstream);
 
--- a/src/core/requesttable.cpp
+++ b/src/core/requesttable.cpp
@@ -54,6 +54,19 @@
     }
 }
 
+std::size_t Request::sentAttempts() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
+            return !attempt.unsent;
+        }));
+}
+
+bool Request::mayReachAnother() const
+{
+    return this->maxAttempts == 0 || this->sentAttempts() < this->maxAttempts;
+}
+
 bool Request::mayHaveRun() const
 {
     return std::any_of(this->attempts.begin(), this->attempts.end(), [](const Attempt &attempt) {
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -29,6 +29,8 @@
     bool provenNotRun = false;
     /// The upstream answered that it did not run the request.
     bool shed = false;
+    /// Ended before anything was sent.
+    bool unsent = false;
     /// Counted as overdue by the detector.
     bool overdue = false;
     /// Failed because a pooled connection had gone silent or was closed, which says nothing about the upstream.
@@ -45,6 +47,8 @@
     bool idempotent = false;
     /// Upstreams to which the request may be sent; zero for no limit of the route's own.
     unsigned maxAttempts = 0;
+    /// Time within which an answer is of full use; zero when it is not known.
+    Duration targetLatency{0};
     /// The body is so long that the way to another data centre is dear.
     bool large = false;
     /// The body can be sent again after a part of it was written.
@@ -74,6 +78,10 @@
     void readmitStaleConnections();
     /// Whether any attempt, active ones included, may have run the request.
     bool mayHaveRun() const;
+    /// Attempts that reached an upstream, or may have.
+    std::size_t sentAttempts() const;
+    /// Whether the route allows one more upstream.
+    bool mayReachAnother() const;
 };
 
 /// Requests in slots that are reused, so that other tables can refer to them by index.
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -37,6 +37,8 @@
     Duration timeout{0};
     /// Zero for no limit of the route's own.
     unsigned maxAttempts = 0;
+    /// Zero when none is configured.
+    Duration targetLatency{0};
 
     auto operator<=>(const RouteTarget &) const = default;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -10,6 +10,10 @@
 /// placed when the ones before are restricted to other upstreams, which is rare.
 constexpr int DispatchMisses = 8;
 
+/// Share of a route's target latency after which an idempotent request is hedged. The rest is enough for a usual
+/// answer: the targets of both deployments are about three times the usual time.
+constexpr double HedgeShareOfTarget = 0.55;
+
 } // namespace
 
 void Engine::schedule(std::uint32_t slot)
@@ -124,7 +128,7 @@
         .instance = target.instance,
     });
     // The time of a long upload depends on the caller, so that it says nothing about the upstream.
-    const auto delay = service.latency.hedgeDelay();
+    const auto delay = hedgeDelay(request, service);
     request.overdueAt.reset();
     if (!hedge && request.replayable && delay > Duration(0)) {
         request.overdueAt = this->now + delay;
@@ -132,6 +136,17 @@
     this->updateTimer(slot);
 }
 
+Duration Engine::hedgeDelay(const Request &request, const ServiceState &service)
+{
+    const auto late = service.latency.hedgeDelay();
+    if (!request.idempotent || request.targetLatency <= Duration(0)) {
+        return late;
+    }
+    // An entry of many sees too few requests of a service to learn its latency, and the second attempt has to fit in.
+    const auto early = std::chrono::duration_cast<Duration>(request.targetLatency * HedgeShareOfTarget);
+    return late > Duration(0) ? std::min(late, early) : early;
+}
+
 void Engine::hedge(std::uint32_t slot)
 {
     auto &request = this->requests.at(slot);
@@ -144,26 +159,38 @@
     if (late == request.attempts.end()) {
         return;
     }
-    late->overdue = true;
-    const auto &upstream = service.pool.at(late->upstream);
-    if (upstream.configured) {
-        service.detector->recordOverdue(upstream.key.upstream, this->now);
-        this->evaluate(service);
+    const auto usual = service.latency.hedgeDelay();
+    const auto waited = this->now - late->startedAt;
+    if (usual > waited) {
+        request.overdueAt = late->startedAt + usual;
+        this->updateTimer(slot);
+    } else if (usual > Duration(0) && !late->overdue) {
+        late->overdue = true;
+        this->noteOverdue(service, late->upstream);
     }
     // Under load a hedge would only take the slot of a request that waits.
-    if (!request.idempotent || !service.queue.empty()) {
-        return;
-    }
-    if (request.maxAttempts > 0 && request.attempts.size() >= request.maxAttempts) {
+    const bool hedged = request.activeAttempts() > 1;
+    if (!request.idempotent || hedged || !service.queue.empty() || !request.mayReachAnother()) {
         return;
     }
     const auto other = service.pool.pick(request, this->now, this->random);
-    const bool sharesBudget = service.service.budgets.coversAllAttempts;
-    if (other && service.hedges.take(this->now) && (!sharesBudget || service.retries.take(this->now))) {
+    const auto &budgets = service.service.budgets;
+    // The other half is left for requests that have failed already.
+    const auto kept = budgets.fleetReserve / 2;
+    if (other && service.hedges.take(this->now) && (!budgets.coversAllAttempts || this->takeAttempt(service, kept))) {
         this->startAttempt(slot, *other, true);
     }
 }
 
+void Engine::noteOverdue(ServiceState &service, std::uint32_t upstream)
+{
+    const auto &state = service.pool.at(upstream);
+    if (state.configured) {
+        service.detector->recordOverdue(state.key.upstream, this->now);
+        this->evaluate(service);
+    }
+}
+
 void Engine::updateTimer(std::uint32_t slot)
 {
     const auto &request = this->requests.at(slot);
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -198,6 +198,12 @@
                                                   Field{"upstream", &LoadChanged::upstream},
                                                   Field{"others_in_flight", &LoadChanged::othersInFlight}};
 template<>
+inline constexpr std::string_view NameOf<ReserveUsed> = "ReserveUsed";
+template<>
+inline constexpr std::tuple FieldsOf<ReserveUsed>{Field{"at", &ReserveUsed::at},
+                                                  Field{"bundle", &ReserveUsed::bundle},
+                                                  Field{"service", &ReserveUsed::service}};
+template<>
 inline constexpr std::string_view NameOf<TimerExpired> = "TimerExpired";
 template<>
 inline constexpr std::tuple FieldsOf<TimerExpired>{Field{"at", &TimerExpired::at}};
@@ -258,6 +264,11 @@
 inline constexpr std::tuple FieldsOf<ReportLoad>{Field{"upstream", &ReportLoad::upstream},
                                                  Field{"in_flight", &ReportLoad::inFlight}};
 template<>
+inline constexpr std::string_view NameOf<ReportReserveUse> = "ReportReserveUse";
+template<>
+inline constexpr std::tuple FieldsOf<ReportReserveUse>{Field{"bundle", &ReportReserveUse::bundle},
+                                                       Field{"service", &ReportReserveUse::service}};
+template<>
 inline constexpr std::string_view NameOf<ReportStateChange> = "ReportStateChange";
 template<>
 inline constexpr std::tuple FieldsOf<ReportStateChange>{Field{"change", &ReportStateChange::change}};
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -42,6 +42,18 @@
     return (upstream.inFlight + upstream.othersInFlight) / capacity(upstream);
 }
 
+/// A trial never takes a request that failed elsewhere already, since it may have no further attempt.
+bool isTrialRequest(const Request &request)
+{
+    return request.idempotent && request.attempts.empty();
+}
+
+/// A trial takes one request at a time.
+bool mayTry(const UpstreamState &upstream, const Request &request)
+{
+    return isTrialRequest(request) && upstream.inFlight + upstream.othersInFlight == 0;
+}
+
 bool inService(const UpstreamState &upstream, TimePoint now)
 {
     return upstream.configured && !upstream.leaving && upstream.drainingUntil <= now && upstream.admission.allowed;
@@ -111,7 +123,7 @@
     if (!inService(upstream, now) || upstream.backOffUntil > now) {
         return false;
     }
-    if (upstream.admission.trialOnly && (!request.idempotent || upstream.inFlight > 0)) {
+    if (upstream.admission.trialOnly && !mayTry(upstream, request)) {
         return false;
     }
     return upstream.inFlight < upstream.slots && upstream.inFlight + 1 <= capacity(upstream);
@@ -192,6 +204,10 @@
         if (!this->usable(upstream, request, now) || request.tried(index) || !admitted) {
             continue;
         }
+        if (upstream.admission.trialOnly && upstream.ownDataCentre) {
+            // Trials first, since the answer decides for the requests that cannot be sent again.
+            return index;
+        }
         auto &best = upstream.ownDataCentre ? near : far;
         if (!best || load(upstream) < load(this->upstreams[*best])) {
             best = index;
@@ -228,7 +244,7 @@
 {
     return std::any_of(this->active.begin(), this->active.end(), [&](std::uint32_t index) {
         const auto &upstream = this->upstreams[index];
-        const bool allowed = !upstream.admission.trialOnly || request.idempotent;
+        const bool allowed = !upstream.admission.trialOnly || isTrialRequest(request);
         return inService(upstream, now) && allowed && !request.tried(index);
     });
 }
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -44,6 +44,11 @@
     return "unknown";
 }
 
+Directory::Directory(RetryAllowance granted)
+    : allowance(granted)
+{
+}
+
 std::vector<DirectoryChange> Directory::apply(const DirectoryEvent &event)
 {
     std::visit(
@@ -214,7 +219,8 @@
         }
     }
     for (const auto &service : this->operators->services) {
-        bundle.services.push_back(internal::serviceOf(service, bundle.routes, std::move(byService[service.name])));
+        bundle.services.push_back(
+            internal::serviceOf(service, this->allowance, bundle.routes, std::move(byService[service.name])));
     }
     auto result = std::make_shared<Core::Configuration>();
     result->revision = ++this->revision;
--- a/src/discovery/servicepolicy.cpp
+++ b/src/discovery/servicepolicy.cpp
@@ -17,9 +17,11 @@
 // The fleet may send 20% of a service's requests again; a part is left for requests that several entries miscount.
 constexpr double RetryPercent = 15;
 constexpr double HedgePercent = 3;
-// The fleet may send about 60 more in 10 s; 36 to 44 entries share them.
-constexpr double RetryReserve = 1;
-constexpr double RetryReservePerSecond = 0.05;
+// The platform grants a fixed number beside the percentage. A part is left for attempts that entries report late.
+constexpr double UsedAllowance = 0.75;
+// The reserve that all entries share takes the place of one for each.
+constexpr double RetryReserve = 0;
+constexpr double RetryReservePerSecond = 0;
 constexpr double TokenLimit = 2;
 // The entries' pooled evidence decides; an entry by itself only acts on what it alone sees, such as a cut path.
 constexpr Bundles::Detection PooledDetection{.samplesBetweenFalseAlarms = 5000,
@@ -54,6 +56,7 @@
 }
 
 Bundles::Service serviceOf(const ConfiguredService &configured,
+                           const RetryAllowance &allowance,
                            const std::vector<Bundles::Route> &routes,
                            std::vector<Bundles::Upstream> upstreams)
 {
@@ -75,7 +78,9 @@
                        .retryReserve = RetryReserve,
                        .retryReservePerSecond = RetryReservePerSecond,
                        .tokenLimit = TokenLimit,
-                       .coversAllAttempts = true};
+                       .coversAllAttempts = true,
+                       .fleetReserve = static_cast<unsigned>(allowance.attempts * UsedAllowance),
+                       .fleetWindow = allowance.window};
     service.holdBackBytes = HoldBackBytes;
     service.replayBytes = ReplayBytes;
     service.prefersOwnDataCentre = true;
--- a/src/discovery/servicepolicy.h
+++ b/src/discovery/servicepolicy.h
@@ -11,6 +11,7 @@
 
 /// The service with the parameters that suit upstreams that register themselves.
 Bundles::Service serviceOf(const ConfiguredService &service,
+                           const RetryAllowance &allowance,
                            const std::vector<Bundles::Route> &routes,
                            std::vector<Bundles::Upstream> upstreams);
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -131,6 +131,9 @@
         handlers.load = [this](const Core::ReportLoad &load) {
             this->fleet->observe(load);
         };
+        handlers.reserveUsed = [this](const Core::ReportReserveUse &use) {
+            this->fleet->observe(use);
+        };
         handlers.requestEnded = [](const Proxy::RequestReport &report) {
             logChange(LogLevel::Info, requestLine(report));
         };
@@ -177,6 +180,9 @@
     handlers.loaded = [this](const Core::LoadChanged &event) {
         this->server->apply(event);
     };
+    handlers.reserveUsed = [this](const Core::ReserveUsed &event) {
+        this->server->apply(event);
+    };
     handlers.judged = [this](const Core::HealthChanged &event) {
         this->server->apply(event);
     };
--- a/src/entry/fleetlink.cpp
+++ b/src/entry/fleetlink.cpp
@@ -326,6 +326,17 @@
     this->pushLoad(this->load.note(seen, monotonicNow()));
 }
 
+void FleetLink::observe(const Core::ReportReserveUse &use)
+{
+    this->send(Mesh::ReserveUse{.vm = this->members.self().vm, .service = use.service});
+}
+
+void FleetLink::handle(const Mesh::ReserveUse &use)
+{
+    this->handlers.reserveUsed(
+        {.at = monotonicNow(), .bundle = std::string(Discovery::PlatformBundle), .service = use.service});
+}
+
 void FleetLink::pushLoad(const Mesh::UpstreamLoad &total)
 {
     this->handlers.loaded(
@@ -376,7 +387,9 @@
     }
     Core::HealthChanged event{.at = monotonicNow(), .verdicts = {}};
     for (const auto &change : changes) {
-        event.verdicts.push_back({.upstream = change.upstream, .sick = change.share <= 0, .share = change.share});
+        event.verdicts.push_back({.upstream = change.upstream,
+                                  .sick = change.to == Health::Belief::Suspect || change.to == Health::Belief::Sick,
+                                  .share = change.share});
         logChange(LogLevel::Info, beliefLine(change));
     }
     this->handlers.judged(event);
--- a/src/entry/fleetlink.h
+++ b/src/entry/fleetlink.h
@@ -35,6 +35,7 @@
         std::function<void(std::shared_ptr<const Core::Configuration>, const Discovery::RequestLimits &)> configured;
         std::function<void(const Core::HealthChanged &)> judged;
         std::function<void(const Core::LoadChanged &)> loaded;
+        std::function<void(const Core::ReserveUsed &)> reserveUsed;
     };
 
     /// Binds the datagram port; throws Net::NetError when it cannot.
@@ -56,6 +57,9 @@
     /// The number of this entry's requests at an upstream changed.
     void observe(const Core::ReportLoad &load);
 
+    /// This entry took an attempt from the reserve that all VMs share.
+    void observe(const Core::ReportReserveUse &use);
+
     /// The newest records of a topic, for another VM.
     std::optional<std::string> page(std::string_view target) const;
 
@@ -76,6 +80,7 @@
     void handle(const Mesh::OutcomeSeen &outcome);
     void handle(const Mesh::StoreHeartbeat &heartbeat);
     void handle(const Mesh::LoadSeen &load);
+    void handle(const Mesh::ReserveUse &use);
     void pushLoad(const Mesh::UpstreamLoad &load);
     void sendNear(const Mesh::Message &message);
     void sendHeartbeat();
--- a/src/entry/storefollower.cpp
+++ b/src/entry/storefollower.cpp
@@ -67,6 +67,7 @@
     , settings(given)
     , handlers(std::move(toOwner))
     , store(given.endpoint, AnswerTimeout)
+    , known(Discovery::RetryAllowance{.attempts = given.retryAllowance, .window = given.retryWindow})
     , deadlineTimer(loop)
     , random(std::random_device{}())
     , calls(registry.counter("verbenadock_store_calls_total", "Calls to the platform's store."))
--- a/src/health/member.h
+++ b/src/health/member.h
@@ -52,6 +52,12 @@
     unsigned relapses = 0;
     unsigned trialSuccesses = 0;
 
+    /// Whether the verdict admits trials only.
+    bool pooledTrial() const
+    {
+        return this->state == HealthState::Healthy && this->pooledShare <= 0;
+    }
+
     bool sick() const
     {
         return this->state == HealthState::Ejected || this->state == HealthState::HeldByFloor;
@@ -61,7 +67,7 @@
     bool inUse() const
     {
         const bool outOfUse = this->state == HealthState::Ejected || this->state == HealthState::Trial;
-        return !this->leaving && !outOfUse;
+        return !this->leaving && !outOfUse && !this->pooledTrial();
     }
 };
 
--- a/src/health/pooledfailures.cpp
+++ b/src/health/pooledfailures.cpp
@@ -9,12 +9,16 @@
 
 // A first failure is about as likely one of the few that sound upstreams have as the start of an episode.
 constexpr Duration SuspectTime = std::chrono::milliseconds(800);
-// Episodes of partial failure last 5 to 9 s. A longer first wait would cost capacity, a shorter one failed requests.
-constexpr Duration FirstSickTime = std::chrono::milliseconds(5000);
-constexpr Duration NextSickTime = std::chrono::milliseconds(4000);
+// On eight runs of a calm day half of the upstreams still failed 5 s after the last failure, and two thirds of those
+// another 5 s later. Trials cost little, so that they may start before most upstreams have recovered.
+constexpr Duration SickTime = std::chrono::milliseconds(4000);
 // A failed try costs a service with repeatable requests one further attempt, and the capacity of a recovered upstream
 // is worth more.
 constexpr Duration RepeatableSickTime = std::chrono::milliseconds(2000);
+// After this time without two successful trials the service has too few idempotent requests, and others must do. An
+// upstream that failed several times waits longer, since a failed non-idempotent request is lost.
+constexpr Duration SuspectTrialTime = std::chrono::milliseconds(1200);
+constexpr Duration SickTrialTime = std::chrono::milliseconds(4000);
 // An upstream that gets no requests on probation is taken as sound after this time.
 constexpr Duration ProbationTime = std::chrono::seconds(5);
 // An upstream that fails most requests succeeds twice in a row in 2 of 100 cases.
@@ -44,6 +48,22 @@
     return false;
 }
 
+/// What time alone leads to.
+Belief nextBelief(Belief belief)
+{
+    switch (belief) {
+    case Belief::Suspect:
+    case Belief::Sick:
+        return Belief::Trial;
+    case Belief::Trial:
+        return Belief::Probation;
+    case Belief::Sound:
+    case Belief::Probation:
+        break;
+    }
+    return Belief::Sound;
+}
+
 } // namespace
 
 std::string_view toString(Belief belief)
@@ -55,6 +75,8 @@
         return "suspect";
     case Belief::Sick:
         return "sick";
+    case Belief::Trial:
+        return "trial";
     case Belief::Probation:
         return "probation";
     }
@@ -67,7 +89,8 @@
         return isSharedFailure(cause);
     }
     const auto known = this->upstreams.find(upstream);
-    return known != this->upstreams.end() && known->second.belief == Belief::Probation;
+    return known != this->upstreams.end()
+           && (known->second.belief == Belief::Trial || known->second.belief == Belief::Probation);
 }
 
 void PooledFailures::setRepeatable(std::set<std::string> services)
@@ -75,12 +98,9 @@
     this->repeatable = std::move(services);
 }
 
-Duration PooledFailures::sickTime(const UpstreamKey &upstream, const State &state) const
+bool PooledFailures::isRepeatable(const UpstreamKey &upstream) const
 {
-    if (this->repeatable.contains(upstream.service)) {
-        return RepeatableSickTime;
-    }
-    return state.relapses == 0 ? FirstSickTime : NextSickTime;
+    return this->repeatable.contains(upstream.service);
 }
 
 BeliefChange PooledFailures::move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now)
@@ -89,21 +109,25 @@
     state.belief = to;
     switch (to) {
     case Belief::Sound:
-        state.relapses = 0;
+        state.confirmed = false;
         break;
     case Belief::Suspect:
         state.until = now + SuspectTime;
         change.share = 0;
         break;
     case Belief::Sick:
-        state.until = now + this->sickTime(upstream, state);
-        ++state.relapses;
+        state.until = now + (this->isRepeatable(upstream) ? RepeatableSickTime : SickTime);
+        state.confirmed = true;
+        change.share = 0;
+        break;
+    case Belief::Trial:
+        state.until = now + (state.confirmed ? SickTrialTime : SuspectTrialTime);
+        state.successes = 0;
         change.share = 0;
         break;
     case Belief::Probation:
         state.until = now + ProbationTime;
-        state.successes = 0;
-        change.share = FirstShare;
+        change.share = state.successes == 0 ? FirstShare : NextShare;
         break;
     }
     return change;
@@ -118,9 +142,11 @@
     BeliefChange change{.upstream = outcome.upstream, .from = state.belief, .to = state.belief};
     if (outcome.cause == Cause::Success) {
         ++state.successes;
-        change = state.successes >= SuccessesNeeded ? this->move(outcome.upstream, state, Belief::Sound, outcome.at)
-                                                    : change;
-        change.share = change.to == Belief::Sound ? 1 : NextShare;
+        if (state.successes >= SuccessesNeeded) {
+            change = this->move(outcome.upstream, state, Belief::Sound, outcome.at);
+        } else {
+            change.share = state.belief == Belief::Trial ? 0 : NextShare;
+        }
     } else if (state.belief == Belief::Sick) {
         // The request was sent before the verdict.
         return {};
@@ -139,8 +165,7 @@
     for (auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
         auto &[key, state] = *entry;
         if (state.belief != Belief::Sound && state.until <= now) {
-            const auto next = state.belief == Belief::Probation ? Belief::Sound : Belief::Probation;
-            changes.push_back(this->move(key, state, next, now));
+            changes.push_back(this->move(key, state, nextBelief(state.belief), now));
         }
         entry = state.belief == Belief::Sound ? this->upstreams.erase(entry) : std::next(entry);
     }
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -382,7 +382,7 @@
     }
     switch (member->state) {
     case HealthState::Healthy:
-        return {.share = member->pooledShare};
+        return {.trialOnly = member->pooledTrial(), .share = member->pooledShare};
     case HealthState::HeldByFloor:
         return {.share = this->state->settings.poolDecides ? HeldShare : 1};
     case HealthState::Ejected:
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 // Rises with each change of the format, so that VMs of two releases ignore each other's messages.
-constexpr int FormatVersion = 2;
+constexpr int FormatVersion = 3;
 constexpr std::size_t LongestText = 128;
 constexpr std::uint64_t MostInFlight = 1'000'000;
 constexpr auto LongestAge = std::chrono::minutes(1);
@@ -23,6 +23,7 @@
     OutcomeSeen = 3,
     StoreHeartbeat = 4,
     LoadSeen = 5,
+    ReserveUse = 6,
 };
 
 Json fields(const Hello &hello)
@@ -63,6 +64,11 @@
         {FormatVersion, static_cast<int>(Kind::LoadSeen), load.vm, load.service, load.upstream, load.inFlight});
 }
 
+Json fields(const ReserveUse &use)
+{
+    return Json::array({FormatVersion, static_cast<int>(Kind::ReserveUse), use.vm, use.service});
+}
+
 /// Reads the fields in turn; a field of another type makes the whole message invalid.
 class FieldReader
 {
@@ -112,7 +118,7 @@
         return std::nullopt;
     }
     std::optional<Message> message;
-    switch (static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::LoadSeen)))) {
+    switch (static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::ReserveUse)))) {
     case Kind::Hello: {
         Hello hello;
         hello.vm = reader.text();
@@ -158,6 +164,13 @@
         message = load;
         break;
     }
+    case Kind::ReserveUse: {
+        ReserveUse use;
+        use.vm = reader.text();
+        use.service = reader.text();
+        message = use;
+        break;
+    }
     }
     return reader.finished() ? message : std::nullopt;
 }
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -98,6 +98,7 @@
     void carryOut(const Core::AbortCaller &effect);
     void carryOut(const Core::ReportEvidence &effect);
     void carryOut(const Core::ReportLoad &effect);
+    void carryOut(const Core::ReportReserveUse &effect);
     void carryOut(const Core::ReportStateChange &effect);
     void carryOut(const Core::StopAccepting &effect);
     void carryOut(const Core::Terminate &effect);
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -110,6 +110,13 @@
     }
 }
 
+void Host::carryOut(const Core::ReportReserveUse &effect)
+{
+    if (this->handlers.reserveUsed) {
+        this->handlers.reserveUsed(effect);
+    }
+}
+
 void Host::carryOut(const Core::ReportStateChange &effect)
 {
     if (this->handlers.stateChanged) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -17,6 +17,10 @@
 constexpr Duration LongestPollInterval = std::chrono::minutes(1);
 constexpr std::size_t Gibibyte = 1 << 30;
 constexpr std::uint64_t MostConnections = 1'000'000;
+constexpr double MostRetries = 1e6;
+// In seconds.
+constexpr double ShortestRetryWindow = 0.1;
+constexpr double LongestRetryWindow = 3600;
 
 void readCount(TableReader &reader, std::string_view key, std::size_t &target, std::uint64_t least = 1)
 {
@@ -65,6 +69,15 @@
     reader.readEndpoints("seeds", store.seeds);
     reader.readDuration(
         "poll_interval", store.pollInterval, {.least = ShortestPollInterval, .most = LongestPollInterval});
+    // Both are numbers, since the platform may fill in fractions.
+    double allowance = 0;
+    if (reader.readNumber("retry_allowance", allowance, {.least = 0, .most = MostRetries})) {
+        store.retryAllowance = static_cast<unsigned>(allowance);
+    }
+    double seconds = 0;
+    if (reader.readNumber("retry_window_s", seconds, {.least = ShortestRetryWindow, .most = LongestRetryWindow})) {
+        store.retryWindow = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
     reader.finish();
     settings.store = store;
 }
--- a/test/core/platformloadtest.cpp
+++ b/test/core/platformloadtest.cpp
@@ -105,6 +105,22 @@
     CHECK(spread(reducer, 400).at("u0") > 60);
 }
 
+// Pattern: an upstream of a service of claims was sick, and a few of the service's requests are lookups.
+TEST_CASE("a trial upstream gets the next lookup and no claim")
+{
+    auto reducer = reducerFor(nearService(8, 4));
+    auto tried = verdict("u0", 0);
+    tried.verdicts.front().sick = false;
+    reducer.apply(tried);
+    CHECK(spread(reducer, 200).count("u0") == 0);
+    const auto lookup = only<StartAttempt>(reducer.apply(arrival(1, "GET", at(300))));
+    REQUIRE(lookup.size() == 1);
+    CHECK(lookup.front().upstream.upstream == "u0");
+    const auto second = only<StartAttempt>(reducer.apply(arrival(2, "GET", at(301))));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().upstream.upstream != "u0");
+}
+
 // Pattern: every upstream sheds a part of its work. The fleet's allowance of retries is 20% of a service's requests and
 // a fixed number; beyond it a request is rejected at once.
 TEST_CASE("retries after shed requests stay within the budget, and what is beyond is rejected at once")
@@ -249,3 +265,47 @@
     CHECK(retried.front().upstream != first.upstream);
     CHECK(spread(reducer, 50).count(first.upstream.upstream) == 0);
 }
+
+// Pattern: an upstream hangs or its path is cut, and each of many entries sees too few lookups to know how long they
+// usually take. The target latency tells when a second attempt can still be of use.
+TEST_CASE("a lookup without an answer is sent again while the target latency leaves time for a second attempt")
+{
+    auto service = nearService(8, 4);
+    service.budgets.hedgePercent = 3;
+    auto configuration = makeConfiguration(service);
+    for (auto &route : configuration.bundles.front().routes) {
+        route.targetLatency = std::chrono::milliseconds(800);
+        route.maxAttempts = 2;
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(configuration));
+    const auto first = only<StartAttempt>(reducer.apply(arrival(1, "GET", at(0))));
+    REQUIRE(first.size() == 1);
+    const auto due = reducer.nextDeadline();
+    REQUIRE(due);
+    CHECK(*due <= at(500));
+    const auto second = only<StartAttempt>(reducer.apply(TimerExpired{.at = *due}));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().upstream != first.front().upstream);
+}
+
+// Pattern: stopped upstreams refuse connections while others work. Such an attempt reached no upstream.
+TEST_CASE("a refused connection leaves the attempts that the route allows")
+{
+    auto configuration = makeConfiguration(nearService(8, 4));
+    for (auto &route : configuration.bundles.front().routes) {
+        route.maxAttempts = 2;
+    }
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    reducer.apply(configure(configuration));
+    auto attempts = only<StartAttempt>(reducer.apply(arrival(1, "POST", at(0))));
+    for (int refused = 0; refused < 3; ++refused) {
+        REQUIRE(attempts.size() == 1);
+        attempts = only<StartAttempt>(reducer.apply(AttemptFailed{.at = at(refused),
+                                                                  .request = 1,
+                                                                  .attempt = attempts.front().attempt,
+                                                                  .cause = Health::Cause::Refused,
+                                                                  .nothingWritten = true}));
+    }
+    CHECK(attempts.size() == 1);
+}
