Bound the share of upstreams without work, and advise callers within the time they have

Callers were told to return after 1 s also when they give up after a third of 3 s, and all at the same moment. The shared allowance of attempts was used to 75%.

Change: at most two in five upstreams of a service are without work; beyond that the least suspicious ones get a part of it. The advice is at most 30% of the caller's remaining time and spread. Entries use 17% of their requests and 85% of the allowance.

--- a/include/verbenadock/health/pooledfailures.h
+++ b/include/verbenadock/health/pooledfailures.h
@@ -6,6 +6,7 @@
 #include "verbenadock/health/sample.h"
 
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,6 +69,10 @@
     /// after a first failure, sooner after others, and back in use after one success.
     void setRepeatable(std::set<std::string> services);
 
+    /// Number of upstreams of each service. It bounds how many are without work at the same time; the least suspicious
+    /// ones then get work again.
+    void setSizes(std::map<std::string, std::size_t> services);
+
     /// Whether the outcome tells other entries something. A failed connect may concern the path of one entry only.
     bool isWanted(const UpstreamKey &upstream, Cause cause) const;
 
@@ -81,7 +86,8 @@
     struct State
     {
         Belief belief = Belief::Sound;
-        /// End of every belief but Sound.
+        /// Start and end of every belief but Sound.
+        TimePoint since{};
         TimePoint until{};
         unsigned successes = 0;
         /// Whether the upstream failed more than once since it was sound.
@@ -89,9 +95,12 @@
     };
 
     bool isRepeatable(const UpstreamKey &upstream) const;
+    /// Gives work to the least suspicious upstreams of services with too many that have none.
+    void relieve(const std::string &service, TimePoint now, std::vector<BeliefChange> &changes);
     BeliefChange move(const UpstreamKey &upstream, State &state, Belief to, TimePoint now);
 
     std::set<std::string> repeatable;
+    std::map<std::string, std::size_t> sizes;
     std::map<UpstreamKey, State> upstreams;
 };
 
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -14,11 +14,26 @@
 /// Bodies from this size on are kept in the data centre; it is far above a claim and far below an upload.
 constexpr std::uint64_t LargeBody = 16 * 1024;
 
-/// Advice to callers whose request was not run.
-constexpr Duration RetryAfter = std::chrono::seconds(1);
+/// Advice to callers whose request was not run: the longest wait, and its share of the time that the caller has left. A
+/// caller that waits longer than a third of that time gives up, and it needs time for the request itself.
+constexpr Duration LongestRetryAfter = std::chrono::seconds(1);
+constexpr double RetryAfterShare = 0.3;
+/// Callers that were refused at the same moment return spread over this part of the wait.
+constexpr double RetryAfterSpread = 0.4;
 
 } // namespace
 
+Duration Engine::retryAfter(std::optional<Duration> timeLeft)
+{
+    if (!timeLeft) {
+        return LongestRetryAfter;
+    }
+    const auto useful = std::chrono::duration_cast<Duration>(*timeLeft * RetryAfterShare);
+    const auto spread = 1 - RetryAfterSpread * this->random.fraction();
+    const auto wait = std::chrono::duration_cast<Duration>(std::min(LongestRetryAfter, useful) * spread);
+    return std::max(Duration(1), wait);
+}
+
 void Engine::refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter)
 {
     this->effects.emplace_back(RespondLocally{.request = request,
@@ -31,11 +46,11 @@
 std::optional<RouteTarget> Engine::admit(const RequestArrived &event)
 {
     if (!this->configuration) {
-        this->refuse(event.request, ServiceUnavailable, Refusal::NotConfigured, RetryAfter);
+        this->refuse(event.request, ServiceUnavailable, Refusal::NotConfigured, this->retryAfter(event.timeLeft));
         return std::nullopt;
     }
     if (this->shutdown && this->shutdown->stoppedAccepting) {
-        this->refuse(event.request, ServiceUnavailable, Refusal::ShuttingDown, RetryAfter);
+        this->refuse(event.request, ServiceUnavailable, Refusal::ShuttingDown, this->retryAfter(event.timeLeft));
         return std::nullopt;
     }
     auto target = this->routes->find(event.host, event.method, event.target);
@@ -44,7 +59,7 @@
         return std::nullopt;
     }
     if (this->requests.size() >= this->settings.requestLimit) {
-        this->refuse(event.request, ServiceUnavailable, Refusal::NoCapacity, RetryAfter);
+        this->refuse(event.request, ServiceUnavailable, Refusal::NoCapacity, this->retryAfter(event.timeLeft));
         return std::nullopt;
     }
     if (target->split) {
@@ -106,6 +121,9 @@
     request.maxAttempts = target->maxAttempts;
     request.targetLatency = target->targetLatency;
     const auto configured = target->timeout > Duration(0) ? target->timeout : service.service.timeouts.total;
+    if (event.timeLeft) {
+        request.callerDeadline = event.at + *event.timeLeft;
+    }
     request.deadline = event.at + std::min(configured, event.timeLeft.value_or(configured));
     if (request.deadline <= event.at) {
         this->conclude(slot, Refusal::DeadlineExceeded);
@@ -130,7 +148,8 @@
                                                   .refusal = request.idempotent ? refusal : Refusal::OutcomeUnknown,
                                                   .retryAfter = Duration(0)});
     } else {
-        this->refuse(request.id, ServiceUnavailable, refusal, RetryAfter);
+        const auto left = request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt;
+        this->refuse(request.id, ServiceUnavailable, refusal, this->retryAfter(left));
     }
     this->close(slot);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -85,6 +85,8 @@
     std::optional<RouteTarget> admit(const RequestArrived &event);
     /// Chooses one service of a split by its weight.
     std::uint32_t drawPart(const std::vector<SplitPart> &parts);
+    /// Advice to a caller with this much time left.
+    Duration retryAfter(std::optional<Duration> timeLeft);
     void refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter = Duration(0));
     void conclude(std::uint32_t slot, Refusal refusal);
     void close(std::uint32_t slot);
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -55,6 +55,8 @@
     bool replayable = true;
     Bundles::Priority priority = Bundles::Priority::Normal;
     TimePoint deadline{};
+    /// When the caller stops waiting, if it says so.
+    std::optional<TimePoint> callerDeadline;
     std::vector<Attempt> attempts;
     std::optional<QueuePosition> queued;
     /// When a queued request is given up.
--- a/src/discovery/servicepolicy.cpp
+++ b/src/discovery/servicepolicy.cpp
@@ -15,10 +15,10 @@
 constexpr std::size_t HoldBackBytes = 128 * 1024;
 constexpr std::size_t ReplayBytes = 1024 * 1024;
 // The fleet may send 20% of a service's requests again; a part is left for requests that several entries miscount.
-constexpr double RetryPercent = 15;
+constexpr double RetryPercent = 17;
 constexpr double HedgePercent = 3;
 // The platform grants a fixed number beside the percentage. A part is left for attempts that entries report late.
-constexpr double UsedAllowance = 0.75;
+constexpr double UsedAllowance = 0.85;
 // The reserve that all entries share takes the place of one for each.
 constexpr double RetryReserve = 0;
 constexpr double RetryReservePerSecond = 0;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -82,6 +83,17 @@
     return services;
 }
 
+std::map<std::string, std::size_t> sizesOf(const Core::Configuration &configuration)
+{
+    std::map<std::string, std::size_t> sizes;
+    for (const auto &bundle : configuration.bundles) {
+        for (const auto &service : bundle.services) {
+            sizes[service.name] = service.upstreams.size();
+        }
+    }
+    return sizes;
+}
+
 Mesh::Hello helloOf(const Settings::EntrySettings &settings, std::uint64_t incarnation)
 {
     return {.vm = settings.process.vmId,
@@ -215,6 +227,7 @@
 {
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
+        this->pooled.setSizes(sizesOf(*configuration));
         this->pooled.setRepeatable(repeatableServices(directory.operatorConfiguration()->routes));
         this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
     }
--- a/src/health/pooledfailures.cpp
+++ b/src/health/pooledfailures.cpp
@@ -1,6 +1,7 @@
 #include "verbenadock/health/pooledfailures.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Verbenadock::Health {
@@ -25,6 +26,9 @@
 constexpr unsigned SuccessesNeeded = 2;
 // A success is also seen at one in five upstreams that still fail; a request that fails there is sent again.
 constexpr unsigned RepeatableSuccessesNeeded = 1;
+// Work that the others cannot take is lost as surely as work that fails. The heaviest load of both deployments is 43%
+// of the slots.
+constexpr double LargestIdleShare = 0.4;
 constexpr double FirstShare = 0.2;
 constexpr double NextShare = 0.5;
 
@@ -50,6 +54,27 @@
     return false;
 }
 
+bool isIdle(Belief belief)
+{
+    return belief == Belief::Suspect || belief == Belief::Sick || belief == Belief::Trial;
+}
+
+/// Less suspicious upstreams come first; of equal ones, those that have been idle for longer.
+int suspicion(Belief belief)
+{
+    switch (belief) {
+    case Belief::Suspect:
+        return 0;
+    case Belief::Trial:
+        return 1;
+    case Belief::Sick:
+    case Belief::Sound:
+    case Belief::Probation:
+        break;
+    }
+    return 2;
+}
+
 /// What time alone leads to.
 Belief nextBelief(Belief belief)
 {
@@ -95,6 +120,39 @@
            && (known->second.belief == Belief::Trial || known->second.belief == Belief::Probation);
 }
 
+void PooledFailures::setSizes(std::map<std::string, std::size_t> services)
+{
+    this->sizes = std::move(services);
+}
+
+void PooledFailures::relieve(const std::string &service, TimePoint now, std::vector<BeliefChange> &changes)
+{
+    const auto size = this->sizes.find(service);
+    if (size == this->sizes.end()) {
+        return;
+    }
+    std::vector<std::pair<const UpstreamKey *, State *>> idle;
+    for (auto &[key, state] : this->upstreams) {
+        if (key.service == service && isIdle(state.belief)) {
+            idle.emplace_back(&key, &state);
+        }
+    }
+    const auto most = static_cast<std::size_t>(std::ceil(static_cast<double>(size->second) * LargestIdleShare));
+    if (idle.size() <= most) {
+        return;
+    }
+    std::ranges::sort(idle, [](const auto &left, const auto &right) {
+        const auto order = [](const State &state) {
+            return std::pair(suspicion(state.belief), state.since);
+        };
+        return order(*left.second) < order(*right.second);
+    });
+    idle.resize(idle.size() - most);
+    for (const auto &[key, state] : idle) {
+        changes.push_back(this->move(*key, *state, Belief::Probation, now));
+    }
+}
+
 void PooledFailures::setRepeatable(std::set<std::string> services)
 {
     this->repeatable = std::move(services);
@@ -109,6 +167,7 @@
 {
     BeliefChange change{.upstream = upstream, .from = state.belief, .to = to};
     state.belief = to;
+    state.since = now;
     switch (to) {
     case Belief::Sound:
         state.confirmed = false;
@@ -160,7 +219,9 @@
     }
     change.cause = outcome.cause;
     change.observer = outcome.observer;
-    return {change};
+    std::vector<BeliefChange> changes{change};
+    this->relieve(outcome.upstream.service, outcome.at, changes);
+    return changes;
 }
 
 std::vector<BeliefChange> PooledFailures::expire(TimePoint now)
--- a/test/core/platformloadtest.cpp
+++ b/test/core/platformloadtest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace Verbenadock;
 using namespace Verbenadock::Core;
@@ -329,3 +330,20 @@
     REQUIRE(due);
     CHECK(only<StartAttempt>(reducer.apply(TimerExpired{.at = *due})).empty());
 }
+
+// Pattern: many callers are refused at the same moment. One that waits longer than a third of its time gives up.
+TEST_CASE("a refused caller is told to return while it has time left, and not all at the same moment")
+{
+    Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = 7, .requestLimit = 1000});
+    std::set<Duration> waits;
+    for (RequestId request = 1; request <= 10; ++request) {
+        auto event = arrival(request, "POST", at(0));
+        event.timeLeft = std::chrono::seconds(3);
+        const auto answers = only<RespondLocally>(reducer.apply(event));
+        REQUIRE(answers.size() == 1);
+        CHECK(answers.front().retryAfter > Duration(0));
+        CHECK(answers.front().retryAfter <= std::chrono::seconds(1));
+        waits.insert(answers.front().retryAfter);
+    }
+    CHECK(waits.size() > 5);
+}
--- a/test/health/pooledfailurestest.cpp
+++ b/test/health/pooledfailurestest.cpp
@@ -124,6 +124,36 @@
     CHECK_FALSE(pooled.nextDeadline());
 }
 
+// Pattern: answers are lost, upstreams are replaced and others are slow at the same time, on a day of high load. Nine
+// of 19 upstreams were believed sick and four more waited for trials, so that the rest queued and answered late.
+TEST_CASE("at most two in five upstreams of a service are without work, the others get it back by suspicion")
+{
+    PooledFailures pooled;
+    pooled.setSizes({{"vydej", 10}});
+    std::set<std::string> idle;
+    const auto fail = [&pooled, &idle](int number, Duration after) {
+        auto seen = outcome(Cause::ServerError, after);
+        seen.upstream.upstream = "vydej-" + std::to_string(number);
+        for (const auto &change : pooled.observe(seen)) {
+            if (change.share > 0) {
+                idle.erase(change.upstream.upstream);
+            } else {
+                idle.insert(change.upstream.upstream);
+            }
+        }
+    };
+    for (int number = 1; number <= 4; ++number) {
+        fail(number, std::chrono::milliseconds(number));
+    }
+    fail(1, 10ms);
+    fail(2, 11ms);
+    CHECK(idle.size() == 4);
+    fail(5, 20ms);
+    CHECK(idle == std::set<std::string>{"vydej-1", "vydej-2", "vydej-4", "vydej-5"});
+    fail(6, 30ms);
+    CHECK(idle == std::set<std::string>{"vydej-1", "vydej-2", "vydej-5", "vydej-6"});
+}
+
 // Guards against a collapse that was seen on a day with half of katalog failing: late answers of full upstreams counted
 // as failures, which took sound upstreams out and filled the others.
 TEST_CASE("late answers, rejections and failed connects are no evidence for other entries")
