Let more upstreams recover without work while a service is calm

Change: the bound follows the load of the own data centre's slots, from 25% to 60% of the upstreams; ServiceLoad measures it from what the VMs tell each other.

--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -3,6 +3,7 @@
 
 #include "verbenadock/core/effect.h"
 #include "verbenadock/core/event.h"
+#include "verbenadock/fleet/serviceload.h"
 #include "verbenadock/fleet/storefollower.h"
 #include "verbenadock/health/pooledfailures.h"
 #include "verbenadock/mesh/fleetload.h"
@@ -85,6 +86,8 @@
     void sendNear(const Mesh::Message &message);
     void sendHeartbeat();
     void scheduleHeartbeat();
+    /// Drops the requests of silent VMs and judges by the load of the moment.
+    void refreshLoad();
     void judge(const Health::ObservedOutcome &outcome);
     void report(const std::vector<Health::BeliefChange> &changes);
     void scheduleExpiry();
@@ -98,6 +101,7 @@
     std::shared_ptr<StoreFollower> follower;
     Mesh::ReaderElection election;
     Mesh::FleetLoad load;
+    ServiceLoad serviceLoad;
     Health::PooledFailures pooled;
     Udp::socket socket;
     Udp::endpoint sender;
--- /dev/null
+++ b/include/verbenadock/fleet/serviceload.h
@@ -0,0 +1,38 @@
+#ifndef VERBENADOCK_FLEET_SERVICELOAD_H
+#define VERBENADOCK_FLEET_SERVICELOAD_H
+
+#include "verbenadock/core/event.h"
+#include "verbenadock/mesh/fleetload.h"
+
+#include <map>
+#include <string>
+
+namespace Verbenadock::Fleet {
+
+/// How busy the upstreams of this data centre are: requests in flight per slot of each service, smoothed over some
+/// seconds.
+///
+/// Usage: configure() with each configuration, note() each report of this VM, sample() at regular times.
+class ServiceLoad
+{
+public:
+    explicit ServiceLoad(std::string dataCentre);
+
+    void configure(const Core::Configuration &configuration);
+
+    /// The number of this VM's requests at an upstream changed.
+    void note(const std::string &service, const std::string &upstream, unsigned inFlight);
+
+    /// The smoothed load of each service with slots in this data centre.
+    std::map<std::string, double> sample(const Mesh::FleetLoad &others);
+
+private:
+    std::string ownDataCentre;
+    std::map<std::string, unsigned> slots;
+    std::map<std::string, std::map<std::string, unsigned>> own;
+    std::map<std::string, double> smoothed;
+};
+
+} // namespace Verbenadock::Fleet
+
+#endif
--- a/include/verbenadock/health/pooledfailures.h
+++ b/include/verbenadock/health/pooledfailures.h
@@ -73,6 +73,9 @@
     /// ones then get work again.
     void setSizes(std::map<std::string, std::size_t> services);
 
+    /// Requests in flight per slot of the service's upstreams; the fewer, the more upstreams may be without work.
+    void setLoad(const std::string &service, double load);
+
     /// Whether the outcome tells other entries something. A failed connect may concern the path of one entry only.
     bool isWanted(const UpstreamKey &upstream, Cause cause) const;
 
@@ -94,6 +97,7 @@
         bool confirmed = false;
     };
 
+    std::size_t mostIdle(const std::string &service) const;
     bool isRepeatable(const UpstreamKey &upstream) const;
     /// Gives work to the least suspicious upstreams of services with too many that have none.
     void relieve(const std::string &service, TimePoint now, std::vector<BeliefChange> &changes);
@@ -101,6 +105,7 @@
 
     std::set<std::string> repeatable;
     std::map<std::string, std::size_t> sizes;
+    std::map<std::string, double> loads;
     std::map<UpstreamKey, State> upstreams;
 };
 
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -115,6 +115,7 @@
     , members(helloOf(given, incarnation))
     , follower(std::make_shared<StoreFollower>(loop, *given.store, registry, this->followerHandlers()))
     , election(given.process.vmId)
+    , serviceLoad(given.process.dataCentre)
     , socket(loop)
     , expiryTimer(loop)
     , heartbeatTimer(loop)
@@ -227,6 +228,7 @@
 {
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
+        this->serviceLoad.configure(*configuration);
         this->pooled.setSizes(sizesOf(*configuration));
         this->pooled.setRepeatable(repeatableServices(directory.operatorConfiguration()->routes));
         this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
@@ -308,14 +310,22 @@
     this->heartbeatTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (!error && !self->stopped) {
             self->sendHeartbeat();
-            for (const auto &total : self->load.expire(monotonicNow())) {
-                self->pushLoad(total);
-            }
+            self->refreshLoad();
             self->scheduleHeartbeat();
         }
     });
 }
 
+void FleetLink::refreshLoad()
+{
+    for (const auto &total : this->load.expire(monotonicNow())) {
+        this->pushLoad(total);
+    }
+    for (const auto &[service, serviceLoadNow] : this->serviceLoad.sample(this->load)) {
+        this->pooled.setLoad(service, serviceLoadNow);
+    }
+}
+
 void FleetLink::sendHeartbeat()
 {
     const auto now = monotonicNow();
@@ -331,6 +341,7 @@
 
 void FleetLink::observe(const Core::ReportLoad &changed)
 {
+    this->serviceLoad.note(changed.upstream.service, changed.upstream.upstream, changed.inFlight);
     this->sendNear(Mesh::LoadSeen{.vm = this->members.self().vm,
                                   .service = changed.upstream.service,
                                   .upstream = changed.upstream.upstream,
--- a/src/health/pooledfailures.cpp
+++ b/src/health/pooledfailures.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace Verbenadock::Health {
@@ -26,9 +27,13 @@
 constexpr unsigned SuccessesNeeded = 2;
 // A success is also seen at one in five upstreams that still fail; a request that fails there is sent again.
 constexpr unsigned RepeatableSuccessesNeeded = 1;
-// Work that the others cannot take is lost as surely as work that fails. The heaviest load of both deployments is 43%
-// of the slots.
-constexpr double LargestIdleShare = 0.4;
+// Work that the others cannot take is lost as surely as work that fails. Above this load requests queue often enough to
+// be late: with four slots one in three waits, with two slots one in two.
+constexpr double TargetLoad = 0.65;
+constexpr double SmallestIdleShare = 0.25;
+constexpr double LargestIdleShare = 0.6;
+// The load of a service of which nothing is known yet: about that of a busy day.
+constexpr double UnknownLoad = 0.4;
 constexpr double FirstShare = 0.2;
 constexpr double NextShare = 0.5;
 
@@ -125,19 +130,32 @@
     this->sizes = std::move(services);
 }
 
-void PooledFailures::relieve(const std::string &service, TimePoint now, std::vector<BeliefChange> &changes)
+void PooledFailures::setLoad(const std::string &service, double load)
+{
+    this->loads[service] = load;
+}
+
+std::size_t PooledFailures::mostIdle(const std::string &service) const
 {
     const auto size = this->sizes.find(service);
     if (size == this->sizes.end()) {
-        return;
+        return std::numeric_limits<std::size_t>::max();
     }
+    const auto known = this->loads.find(service);
+    const auto load = known == this->loads.end() ? UnknownLoad : known->second;
+    const auto share = std::clamp(1 - load / TargetLoad, SmallestIdleShare, LargestIdleShare);
+    return static_cast<std::size_t>(std::ceil(static_cast<double>(size->second) * share));
+}
+
+void PooledFailures::relieve(const std::string &service, TimePoint now, std::vector<BeliefChange> &changes)
+{
     std::vector<std::pair<const UpstreamKey *, State *>> idle;
     for (auto &[key, state] : this->upstreams) {
         if (key.service == service && isIdle(state.belief)) {
             idle.emplace_back(&key, &state);
         }
     }
-    const auto most = static_cast<std::size_t>(std::ceil(static_cast<double>(size->second) * LargestIdleShare));
+    const auto most = this->mostIdle(service);
     if (idle.size() <= most) {
         return;
     }
--- a/src/mesh/fleetload.cpp
+++ b/src/mesh/fleetload.cpp
@@ -36,6 +36,17 @@
     return total;
 }
 
+unsigned FleetLoad::inFlight(const std::string &service) const
+{
+    unsigned sum = 0;
+    for (auto entry = this->upstreams.lower_bound({service, {}});
+         entry != this->upstreams.end() && entry->first.first == service;
+         ++entry) {
+        sum += totalOf(entry->first, entry->second).inFlight;
+    }
+    return sum;
+}
+
 std::vector<UpstreamLoad> FleetLoad::expire(TimePoint now)
 {
     std::vector<UpstreamLoad> changed;
--- /dev/null
+++ b/test/fleet/serviceloadtest.cpp
@@ -0,0 +1,60 @@
+#include "verbenadock/fleet/serviceload.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Fleet;
+
+namespace {
+
+const TimePoint Now{std::chrono::hours(1)};
+
+Core::Configuration twoDataCentres()
+{
+    Bundles::Service service;
+    service.name = "vydej";
+    for (const std::string name : {"near-1", "near-2", "far-1"}) {
+        Bundles::Upstream upstream;
+        upstream.id = name;
+        upstream.slots = 4;
+        upstream.dataCentre = name.starts_with("near") ? "a" : "b";
+        service.upstreams.push_back(upstream);
+    }
+    Bundles::Bundle bundle;
+    bundle.services.push_back(service);
+    Core::Configuration configuration;
+    configuration.bundles.push_back(bundle);
+    return configuration;
+}
+
+} // namespace
+
+TEST_CASE("the load counts the requests of all VMs over the slots of the own data centre")
+{
+    ServiceLoad load("a");
+    load.configure(twoDataCentres());
+    Mesh::FleetLoad others;
+    others.note({.vm = "front-2", .service = "vydej", .upstream = "near-1", .inFlight = 3}, Now);
+    load.note("vydej", "near-2", 1);
+    CHECK(load.sample(others).at("vydej") == Approx(0.5));
+}
+
+TEST_CASE("a moment without requests lowers the load only a little")
+{
+    ServiceLoad load("a");
+    load.configure(twoDataCentres());
+    const Mesh::FleetLoad others;
+    load.note("vydej", "near-1", 4);
+    load.sample(others);
+    load.note("vydej", "near-1", 0);
+    const auto after = load.sample(others).at("vydej");
+    CHECK(after > 0.35);
+    CHECK(after < 0.5);
+}
+
+TEST_CASE("a service without slots in the data centre has no load there")
+{
+    ServiceLoad load("c");
+    load.configure(twoDataCentres());
+    CHECK(load.sample(Mesh::FleetLoad()).empty());
+}
