Run entries with the platform's store as processes in the integration tests

Change: StoreFleet starts the store's stand-in, upstreams that speak the platform's headers and expect their instance, entries, and a fault proxy on every path.

--- /dev/null
+++ b/test/harness/storefleet.h
@@ -0,0 +1,81 @@
+#ifndef VERBENADOCK_TEST_HARNESS_STOREFLEET_H
+#define VERBENADOCK_TEST_HARNESS_STOREFLEET_H
+
+#include "harness/fleet.h"
+
+#include <map>
+#include <set>
+
+namespace Verbenadock::Test {
+
+struct StoreFleetSpec
+{
+    /// The upstreams register themselves in the store; `extra` is unused.
+    std::vector<ServiceSpec> services = {{.name = "katalog"}, {.name = "vydej"}};
+    std::vector<std::string> dataCentres = {"a", "b", "c"};
+    unsigned vms = 3;
+    /// Starting behaviour of all upstreams (common/behaviour.h of the stand-ins).
+    Json behaviour = Json::object();
+};
+
+/// A fleet without agents on loopback: entries, the platform's store, upstreams, and a fault proxy between them. Routes
+/// of the proxy are named after the upstream, or store-VM for a VM's way to the store.
+///
+/// Requests go to HOST with the service as the first part of the path; GET requests may be repeated, POST requests not.
+///
+/// Usage: `StoreFleet fleet(PROGRAM_DIR, {}); fleet.start(); fleet.call(0, fleet.claim("id-1"));`
+class StoreFleet
+{
+public:
+    StoreFleet(std::filesystem::path programDirectory, StoreFleetSpec given);
+    ~StoreFleet();
+
+    /// Starts everything with configuration version 1 and waits until all entries are ready.
+    void start();
+
+    void startEntry(std::size_t vm);
+    /// Whether the entry runs and says that it is ready.
+    bool isReady(std::size_t vm) const;
+    void waitUntilReady(std::size_t vm) const;
+
+    /// Publishes a version with the path prefix /vN/ for vydej beside the services' own prefixes.
+    void configure(std::uint64_t version);
+    /// Writes an upstream's entry as ready or draining.
+    void registerUpstream(const FleetUpstream &upstream, bool draining = false);
+    void removeUpstream(const FleetUpstream &upstream);
+
+    /// A request that may be repeated, and one that may not; both get the id and a deadline.
+    static Net::HttpRequest lookup(const std::string &id);
+    static Net::HttpRequest claim(const std::string &id, const std::string &pathPrefix = "/vydej/");
+    /// Throws when the entry gives no answer.
+    Net::HttpResponse call(std::size_t vm, const Net::HttpRequest &request) const;
+
+    void setUpstreams(const Json &behaviour, const std::vector<std::string> &ids = {}) const;
+    Json executions() const;
+    void setStore(const Json &faults) const;
+    void setRoutes(const Json &faults, const std::vector<std::string> &names) const;
+    void silenceRoutes(const std::vector<std::string> &names) const;
+
+    Json entryDump(std::size_t vm) const;
+    std::filesystem::path entryLog(std::size_t vm) const;
+
+    std::vector<FleetVm> vms;
+    std::vector<FleetUpstream> upstreams;
+
+private:
+    void startPlatform();
+    void append(const std::string &topic, const std::string &key, const std::string &value) const;
+    std::unique_ptr<Process> startProgram(const std::string &program, const std::vector<std::string> &arguments);
+    Endpoint control(std::uint16_t port) const;
+
+    std::filesystem::path programs;
+    StoreFleetSpec spec;
+    TemporaryDirectory directory;
+    AddressBlock addresses;
+    std::string platformAddress;
+    std::vector<std::unique_ptr<Process>> platform;
+};
+
+} // namespace Verbenadock::Test
+
+#endif
--- a/test/standins/common/behaviour.h
+++ b/test/standins/common/behaviour.h
@@ -30,6 +30,8 @@
     /// Ignores X-Deadline-Ms.
     bool ignoreDeadline = false;
     bool echoAttemptId = true;
+    /// Speaks the headers of the users' platform and rejects requests that expect another instance.
+    bool platform = false;
 
     /// Gray modes. With flapMs they are on and off by turns of this length.
     std::int64_t flapMs = 0;
@@ -67,6 +69,7 @@
                                    shedRate,
                                    ignoreDeadline,
                                    echoAttemptId,
+                                   platform,
                                    flapMs,
                                    onlyTargets,
                                    failRate,
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -40,9 +40,28 @@
     return number;
 }
 
-TimePoint deadlineOf(const Request &request, bool ignored)
+/// Names of the headers that a server reads and writes.
+struct HeaderNames
 {
-    const auto text = header(request, "X-Deadline-Ms");
+    const char *requestId;
+    const char *deadline;
+    const char *notRun;
+};
+
+constexpr HeaderNames ProductHeaders{.requestId = "X-Request-Id", .deadline = "X-Deadline-Ms", .notRun = "X-Not-Run"};
+constexpr HeaderNames PlatformHeaders{.requestId = "Verbenadock-Request-Id",
+                                      .deadline = "Verbenadock-Deadline-Ms",
+                                      .notRun = "Verbenadock-Not-Executed"};
+
+const HeaderNames &headersOf(const Behaviour &behaviour)
+{
+    return behaviour.platform ? PlatformHeaders : ProductHeaders;
+}
+
+TimePoint deadlineOf(const Request &request, const Behaviour &behaviour)
+{
+    const bool ignored = behaviour.ignoreDeadline;
+    const auto text = header(request, headersOf(behaviour).deadline);
     std::int64_t milliseconds = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
     if (ignored || text.empty() || result.ec != std::errc()) {
@@ -140,9 +159,12 @@
 
 asio::awaitable<void> UpstreamServer::work(ConnectionPointer connection, Request request)
 {
-    const auto deadline = deadlineOf(request, this->behaviour.ignoreDeadline);
+    const auto deadline = deadlineOf(request, this->behaviour);
     const bool full = this->busy >= this->behaviour.slots && this->queue.size() >= this->behaviour.queueLimit;
-    if (this->behaviour.refuseWork) {
+    const auto expected = header(request, "Verbenadock-Expect-Instance");
+    if (this->behaviour.platform && !expected.empty() && expected != this->id) {
+        co_await connection->write(this->notRun(request, "other-instance", http::status::misdirected_request));
+    } else if (this->behaviour.refuseWork) {
         co_await connection->write(this->notRun(request, "draining"));
     } else if (full || this->happens(this->behaviour.shedRate)) {
         ++this->shed;
@@ -177,9 +199,7 @@
     const bool fails = gray && this->happens(this->behaviour.failRate);
     execution.outcome = fails ? "failed" : "completed";
     auto response = fails ? this->head(http::status::internal_server_error) : this->success(request, execution);
-    if (this->behaviour.echoAttemptId) {
-        response.set("X-Attempt-Id", execution.attemptId);
-    }
+    this->mark(response, request);
     if (gray && this->behaviour.lateMs > 0) {
         co_await connection->pause(std::chrono::milliseconds(this->behaviour.lateMs));
     }
@@ -266,13 +286,21 @@
     return response;
 }
 
-Response UpstreamServer::notRun(const Request &request, const std::string &reason)
+void UpstreamServer::mark(Response &response, const Request &request) const
 {
-    auto response = this->head(http::status::service_unavailable);
-    if (this->behaviour.echoAttemptId) {
+    if (this->behaviour.platform) {
+        response.set(PlatformHeaders.requestId, header(request, PlatformHeaders.requestId));
+        response.set("Verbenadock-Server-Seal", this->id + "." + hashOf(response.body()));
+    } else if (this->behaviour.echoAttemptId) {
         response.set("X-Attempt-Id", header(request, "X-Attempt-Id"));
     }
-    response.set("X-Not-Run", "true");
+}
+
+Response UpstreamServer::notRun(const Request &request, const std::string &reason, http::status status)
+{
+    auto response = this->head(status);
+    this->mark(response, request);
+    response.set(headersOf(this->behaviour).notRun, "true");
     response.body() = reason + "\n";
     return response;
 }
@@ -301,7 +329,7 @@
 {
     ++this->executions;
     return this->log.emplace_back(Execution{.upstream = this->id,
-                                            .requestId = header(request, "X-Request-Id"),
+                                            .requestId = header(request, headersOf(this->behaviour).requestId),
                                             .attemptId = header(request, "X-Attempt-Id"),
                                             .workId = header(request, "X-Work-Id"),
                                             .method = request.method_string(),
--- a/test/standins/common/upstreamserver.h
+++ b/test/standins/common/upstreamserver.h
@@ -54,7 +54,11 @@
     asio::awaitable<bool> acquireSlot(ConnectionPointer connection, TimePoint deadline);
     void releaseSlot();
 
-    Response notRun(const Request &request, const std::string &reason);
+    Response notRun(const Request &request,
+                    const std::string &reason,
+                    http::status status = http::status::service_unavailable);
+    /// Lets the answer tell which request it belongs to.
+    void mark(Response &response, const Request &request) const;
     Response head(http::status status) const;
     Response success(const Request &request, const Execution &execution) const;
     Execution &record(const Request &request);
