Add a soak that runs real entries under random faults and checks the promises

Cause: the promises were proved one fault at a time on this path; faults that come in series and overlap were not.

Change: verbenadock-soak starts a StoreFleet and callers with open connections, and kills, pauses, stops, cuts, silences and delays from outside, breaks the store, lets upstreams leave and publishes versions. It judges at most once, not run, whole answers, unasked work, leaving upstreams, versions that go back, cut requests and recovery. CTest runs seed 1 for 15 s.

--- a/cmake/verbenadock.cmake
+++ b/cmake/verbenadock.cmake
@@ -96,3 +96,12 @@
     add_test(NAME integration COMMAND test_integration)
     set_tests_properties(integration PROPERTIES RUN_SERIAL ON TIMEOUT 900)
 endfunction()
+
+# Compiles test/soak into the program verbenadock-soak, which starts real processes under random faults.
+function(verbenadock_soak)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/test/soak/*.cpp)
+    add_executable(verbenadock-soak ${sources})
+    target_link_libraries(verbenadock-soak PRIVATE verbenadock_test_harness docopt)
+    add_test(NAME soak COMMAND verbenadock-soak --seed=1 --seconds=15)
+    set_tests_properties(soak PROPERTIES RUN_SERIAL ON TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/test/soak/callers.cpp
@@ -0,0 +1,171 @@
+#include "soak/callers.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <map>
+#include <memory>
+
+namespace Verbenadock::Soak {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto CallLimit = std::chrono::seconds(6);
+constexpr auto Pause = std::chrono::milliseconds(5);
+
+/// One open connection of a caller.
+class Connection
+{
+public:
+    explicit Connection(const Endpoint &endpoint)
+        : stream(this->context)
+    {
+        const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+        boost::system::error_code error;
+        this->stream.expires_after(CallLimit);
+        this->stream.async_connect(address, [&error](boost::system::error_code result) {
+            error = result;
+        });
+        this->settle();
+        if (error) {
+            throw boost::system::system_error(error);
+        }
+    }
+
+    /// Returns the whole answer; throws when the connection ends before.
+    http::response<http::string_body> exchange(const Net::HttpRequest &request, bool &written)
+    {
+        http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+        for (const auto &[name, value] : request.headers) {
+            message.set(name, value);
+        }
+        message.body() = request.body;
+        message.prepare_payload();
+        http::response<http::string_body> answer;
+        boost::system::error_code error;
+        this->stream.expires_after(CallLimit);
+        http::async_write(this->stream, message, [&](boost::system::error_code result, std::size_t) {
+            error = result;
+            written = !result;
+            if (!result) {
+                http::async_read(
+                    this->stream, this->buffer, answer, [&error](boost::system::error_code ending, std::size_t) {
+                        error = ending;
+                    });
+            }
+        });
+        this->settle();
+        if (error) {
+            throw boost::system::system_error(error);
+        }
+        return answer;
+    }
+
+private:
+    void settle()
+    {
+        this->context.restart();
+        this->context.run();
+    }
+
+    asio::io_context context;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+bool isOwn(const http::response<http::string_body> &answer, const std::string &id)
+{
+    const auto body = Test::Json::parse(answer.body(), nullptr, false);
+    return answer["Verbenadock-Request-Id"] == id && body.is_object() && body.value("requestId", "") == id;
+}
+
+} // namespace
+
+Callers::Callers(const Test::StoreFleet &served,
+                 std::size_t count,
+                 std::uint64_t seed,
+                 const std::atomic<std::uint64_t> &newest)
+    : fleet(served)
+    , newestVersion(newest)
+{
+    for (std::size_t number = 0; number < count; ++number) {
+        this->threads.emplace_back([this, number, seed] {
+            this->run(number, seed);
+        });
+    }
+}
+
+Callers::~Callers()
+{
+    this->stop();
+}
+
+void Callers::stop()
+{
+    this->stopping = true;
+    for (auto &thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+std::vector<CallRecord> Callers::records()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->done;
+}
+
+Net::HttpRequest Callers::nextRequest(std::mt19937_64 &random, CallRecord &record) const
+{
+    const auto draw = std::uniform_int_distribution<int>(0, 9)(random);
+    record.claim = draw < 6;
+    if (draw == 0) {
+        record.version = this->newestVersion;
+        return Test::StoreFleet::claim(record.id, "/v" + std::to_string(record.version) + "/");
+    }
+    return record.claim ? Test::StoreFleet::claim(record.id) : Test::StoreFleet::lookup(record.id);
+}
+
+void Callers::run(std::size_t number, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 1000 + number);
+    std::map<std::size_t, std::unique_ptr<Connection>> open;
+    for (int count = 0; !this->stopping; ++count) {
+        CallRecord record{.id = "c" + std::to_string(number) + "-" + std::to_string(count)};
+        record.vm = std::uniform_int_distribution<std::size_t>(0, this->fleet.vms.size() - 1)(random);
+        const auto request = this->nextRequest(random, record);
+        record.sentAt = monotonicNow();
+        auto &connection = open[record.vm];
+        try {
+            if (!connection) {
+                connection = std::make_unique<Connection>(this->fleet.vms[record.vm].entryListen());
+            }
+            const auto answer = connection->exchange(request, record.written);
+            record.status = answer.result_int();
+            record.own = record.status != 200 || isOwn(answer, record.id);
+            if (!answer.keep_alive()) {
+                connection.reset();
+            }
+        } catch (const boost::system::system_error &) {
+            // The record says that there was no answer; the judge decides whether that is allowed.
+            connection.reset();
+        }
+        record.endedAt = monotonicNow();
+        {
+            const std::lock_guard lock(this->mutex);
+            this->done.push_back(record);
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
+} // namespace Verbenadock::Soak
--- /dev/null
+++ b/test/soak/faults.cpp
@@ -0,0 +1,241 @@
+#include "soak/faults.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace Verbenadock::Soak {
+
+namespace {
+
+using Test::FleetUpstream;
+using Test::Json;
+
+constexpr auto ShortestGapMs = 100;
+constexpr auto LongestGapMs = 700;
+constexpr auto ShortestFaultMs = 200;
+constexpr auto LongestFaultMs = 3000;
+/// SIGKILL follows 6 s after SIGTERM on the platform.
+constexpr auto StopLimit = std::chrono::seconds(6);
+constexpr auto LeaveTime = std::chrono::seconds(5);
+
+std::int64_t unixMicroseconds()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+Faults::Faults(Test::StoreFleet &served, std::uint64_t seed, std::atomic<std::uint64_t> &newest, RunRecord &record)
+    : fleet(served)
+    , newestVersion(newest)
+    , run(record)
+    , random(seed)
+{
+}
+
+std::size_t Faults::pick(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+}
+
+Duration Faults::length()
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(ShortestFaultMs, LongestFaultMs)(this->random));
+}
+
+void Faults::step()
+{
+    const auto now = monotonicNow();
+    for (std::size_t index = 0; index < this->pending.size();) {
+        if (this->pending[index].at > now) {
+            ++index;
+            continue;
+        }
+        const auto undo = std::move(this->pending[index].undo);
+        this->pending.erase(this->pending.begin() + static_cast<std::ptrdiff_t>(index));
+        undo();
+    }
+    if (now >= this->nextStart) {
+        this->nextStart = now
+                          + std::chrono::milliseconds(
+                              std::uniform_int_distribution<int>(ShortestGapMs, LongestGapMs)(this->random));
+        this->start();
+    }
+}
+
+void Faults::restore()
+{
+    while (!this->pending.empty()) {
+        const auto undo = std::move(this->pending.back().undo);
+        this->pending.pop_back();
+        undo();
+    }
+    for (std::size_t vm = 0; vm < this->fleet.vms.size(); ++vm) {
+        this->fleet.waitUntilReady(vm);
+    }
+}
+
+void Faults::disturb(const std::string &subject, const std::string &kind, Duration length, std::function<void()> undo)
+{
+    const auto position = this->run.disturbances.size();
+    this->run.disturbances.push_back({.subject = subject, .kind = kind, .from = monotonicNow()});
+    ++this->busy[subject];
+    this->pending.push_back({.at = monotonicNow() + length, .undo = [this, subject, position, undo = std::move(undo)] {
+                                 undo();
+                                 this->run.disturbances[position].until = monotonicNow();
+                                 --this->busy[subject];
+                             }});
+}
+
+bool Faults::isBusy(std::size_t vm) const
+{
+    const auto known = this->busy.find(this->fleet.vms[vm].id);
+    return known != this->busy.end() && known->second > 0;
+}
+
+void Faults::start()
+{
+    const auto vm = this->pick(this->fleet.vms.size());
+    const auto &upstream = this->fleet.upstreams[this->pick(this->fleet.upstreams.size())];
+    const bool upstreamBusy = this->busy[upstream.id] > 0;
+    switch (this->pick(10)) {
+    case 0:
+        return this->isBusy(vm) ? void() : this->kill(vm);
+    case 1:
+        return this->isBusy(vm) ? void() : this->pause(vm);
+    case 2:
+    case 3:
+        return this->isBusy(vm) ? void() : this->stop(vm);
+    case 4:
+        return upstreamBusy ? void() : this->cutUpstream(upstream);
+    case 5:
+        return this->busy["store-" + this->fleet.vms[vm].id] > 0 ? void() : this->cutStore(vm);
+    case 6:
+        return upstreamBusy ? void() : this->sickenUpstream(upstream);
+    case 7:
+        return upstreamBusy ? void() : this->leave(upstream);
+    case 8:
+        return this->busy["store"] > 0 ? void() : this->breakStore();
+    default:
+        // The operators cannot publish while the store is away.
+        return this->busy["store"] > 0 ? void() : this->configure();
+    }
+}
+
+void Faults::kill(std::size_t vm)
+{
+    this->fleet.vms[vm].entry->signal(SIGKILL);
+    this->disturb(this->fleet.vms[vm].id, "kill", this->length(), [this, vm] {
+        this->fleet.startEntry(vm);
+    });
+}
+
+void Faults::pause(std::size_t vm)
+{
+    this->fleet.vms[vm].entry->signal(SIGSTOP);
+    this->disturb(this->fleet.vms[vm].id, "pause", this->length(), [this, vm] {
+        this->fleet.vms[vm].entry->signal(SIGCONT);
+    });
+}
+
+void Faults::stop(std::size_t vm)
+{
+    this->fleet.vms[vm].entry->signal(SIGTERM);
+    this->disturb(this->fleet.vms[vm].id, "stop", StopLimit, [this, vm] {
+        const auto status = this->fleet.vms[vm].entry->waitForExit(Duration(0));
+        if (status != 0) {
+            this->run.badStops.push_back("stop of " + this->fleet.vms[vm].id + ": "
+                                         + (status ? "status " + std::to_string(*status) : "still running"));
+        }
+        this->fleet.startEntry(vm);
+    });
+}
+
+void Faults::cutUpstream(const FleetUpstream &upstream)
+{
+    static const std::vector<std::pair<std::string, Json>> Ways = {{"cut-to-upstream", {{"cutToTarget", true}}},
+                                                                   {"cut-to-entry", {{"cutToClient", true}}},
+                                                                   {"refused", {{"refuse", true}}},
+                                                                   {"delayed", {{"delayMs", 150}}}};
+    const auto &[kind, faults] = Ways[this->pick(Ways.size())];
+    this->fleet.setRoutes(faults, {upstream.id});
+    if (this->pick(3) == 0) {
+        this->fleet.silenceRoutes({upstream.id});
+    }
+    this->disturb(upstream.id, kind, this->length(), [this, id = upstream.id] {
+        this->fleet.setRoutes({{"cutToTarget", false}, {"cutToClient", false}, {"refuse", false}, {"delayMs", 0}},
+                              {id});
+    });
+}
+
+void Faults::cutStore(std::size_t vm)
+{
+    const auto route = "store-" + this->fleet.vms[vm].id;
+    const bool silent = this->pick(2) == 0;
+    this->fleet.setRoutes(silent ? Json{{"freeze", true}} : Json{{"refuse", true}}, {route});
+    this->disturb(route, "store-cut", this->length(), [this, route] {
+        this->fleet.setRoutes({{"freeze", false}, {"refuse", false}}, {route});
+    });
+}
+
+void Faults::sickenUpstream(const FleetUpstream &upstream)
+{
+    static const std::vector<Json> Ways = {{{"failRate", 0.8}},
+                                           {{"truncateRate", 0.5}},
+                                           {{"shedRate", 0.7}},
+                                           {{"hangRate", 0.5}},
+                                           {{"slowFactor", 20}},
+                                           {{"crossRate", 0.5}}};
+    this->fleet.setUpstreams(Ways[this->pick(Ways.size())], {upstream.id});
+    this->disturb(upstream.id, "sick", this->length(), [this, id = upstream.id] {
+        this->fleet.setUpstreams({{"failRate", 0},
+                                  {"truncateRate", 0},
+                                  {"shedRate", 0},
+                                  {"hangRate", 0},
+                                  {"slowFactor", 1},
+                                  {"crossRate", 0}},
+                                 {id});
+    });
+}
+
+void Faults::leave(const FleetUpstream &upstream)
+{
+    if (this->busy["store"] > 0) {
+        return;
+    }
+    if (this->pick(2) == 0) {
+        this->fleet.registerUpstream(upstream, true);
+    } else {
+        this->fleet.removeUpstream(upstream);
+    }
+    const auto position = this->run.leavings.size();
+    this->run.leavings.push_back({.upstream = upstream.id, .at = monotonicNow(), .atUnixUs = unixMicroseconds()});
+    // An upstream that leaves is planned work: it excuses nothing, so that it is no disturbance.
+    ++this->busy[upstream.id];
+    this->pending.push_back({.at = monotonicNow() + LeaveTime, .undo = [this, upstream, position] {
+                                 this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}});
+                                 this->run.leavings[position].untilUnixUs = unixMicroseconds();
+                                 this->fleet.registerUpstream(upstream);
+                                 --this->busy[upstream.id];
+                             }});
+}
+
+void Faults::breakStore()
+{
+    static const std::vector<Json> Ways
+        = {{{"outage", "error"}}, {{"outage", "hang"}}, {{"outage", "refuse"}}, {{"delayMs", 250}}, {{"retain", 3}}};
+    this->fleet.setStore(Ways[this->pick(Ways.size())]);
+    this->disturb("store", "store", this->length(), [this] {
+        this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}, {"retain", 1000000}});
+    });
+}
+
+void Faults::configure()
+{
+    this->fleet.configure(this->newestVersion + 1);
+    ++this->newestVersion;
+}
+
+} // namespace Verbenadock::Soak
--- /dev/null
+++ b/test/soak/faults.h
@@ -0,0 +1,66 @@
+#ifndef VERBENADOCK_SOAK_FAULTS_H
+#define VERBENADOCK_SOAK_FAULTS_H
+
+#include "harness/storefleet.h"
+#include "soak/record.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Verbenadock::Soak {
+
+/// Injects random faults from outside the processes, several at the same time, and undoes them.
+///
+/// Usage: step() at short intervals, then restore(); the run's disturbances, leavings and stops are then complete.
+class Faults
+{
+public:
+    Faults(Test::StoreFleet &served, std::uint64_t seed, std::atomic<std::uint64_t> &newest, RunRecord &record);
+
+    /// Starts a fault now and then, and ends those whose time is over.
+    void step();
+
+    /// Ends all faults and waits until every entry is ready.
+    void restore();
+
+private:
+    struct Pending
+    {
+        TimePoint at;
+        std::function<void()> undo;
+    };
+
+    void start();
+    bool isBusy(std::size_t vm) const;
+    void disturb(const std::string &subject, const std::string &kind, Duration length, std::function<void()> undo);
+    void kill(std::size_t vm);
+    void pause(std::size_t vm);
+    void stop(std::size_t vm);
+    void cutUpstream(const Test::FleetUpstream &upstream);
+    void cutStore(std::size_t vm);
+    void sickenUpstream(const Test::FleetUpstream &upstream);
+    void leave(const Test::FleetUpstream &upstream);
+    void breakStore();
+    void configure();
+
+    std::size_t pick(std::size_t count);
+    Duration length();
+
+    Test::StoreFleet &fleet;
+    std::atomic<std::uint64_t> &newestVersion;
+    RunRecord &run;
+    std::mt19937_64 random;
+    TimePoint nextStart{};
+    std::vector<Pending> pending;
+    /// Subjects with a fault under way.
+    std::map<std::string, int> busy;
+};
+
+} // namespace Verbenadock::Soak
+
+#endif
--- /dev/null
+++ b/test/soak/judge.cpp
@@ -0,0 +1,125 @@
+#include "soak/judge.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Verbenadock::Soak {
+
+namespace {
+
+using Test::Json;
+
+/// Bounds of the platform, in microseconds and as durations.
+constexpr std::int64_t LeaveLimitUs = 2'000'000;
+/// Beside the bound, the time that a request may need from its caller to the upstream on a busy machine.
+constexpr std::int64_t LeaveSlackUs = 500'000;
+/// A disturbance that ended this long ago no longer excuses anything.
+constexpr Duration CalmAfter = std::chrono::seconds(3);
+
+std::map<std::string, int> runsById(const Json &executions)
+{
+    std::map<std::string, int> runs;
+    for (const auto &execution : executions) {
+        ++runs[execution.at("requestId").get<std::string>()];
+    }
+    return runs;
+}
+
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool isCalm(const RunRecord &run, TimePoint from, TimePoint until, const std::string &except = {})
+{
+    return std::ranges::none_of(run.disturbances, [&](const Disturbance &disturbance) {
+        const bool over = disturbance.until != TimePoint::max() && disturbance.until + CalmAfter < from;
+        return disturbance.kind != except && !over && disturbance.from <= until;
+    });
+}
+
+void judgeCall(const CallRecord &call, int runs, std::vector<std::string> &broken)
+{
+    const auto text = call.id + " (status " + std::to_string(call.status) + ", ran " + std::to_string(runs) + " times)";
+    if (call.claim && runs > 1) {
+        broken.push_back("at most once: " + text);
+    }
+    if (promisesNotRun(call.status) && runs > 0) {
+        broken.push_back("not run: " + text);
+    }
+    if (call.status == 200 && (runs == 0 || !call.own)) {
+        broken.push_back("whole answer: " + text);
+    }
+}
+
+void judgeLeavings(const RunRecord &run, const Json &executions, std::vector<std::string> &broken)
+{
+    for (const auto &leaving : run.leavings) {
+        for (const auto &execution : executions) {
+            const auto started = execution.at("startedUs").get<std::int64_t>();
+            const bool late = execution.at("upstream") == leaving.upstream
+                              && started > leaving.atUnixUs + LeaveLimitUs + LeaveSlackUs
+                              && started < leaving.untilUnixUs;
+            const auto until = leaving.at + std::chrono::microseconds(started - leaving.atUnixUs);
+            if (late && isCalm(run, leaving.at, until)) {
+                broken.push_back("leaving: " + execution.at("requestId").get<std::string>() + " at " + leaving.upstream
+                                 + " after " + std::to_string((started - leaving.atUnixUs) / 1000) + " ms");
+            }
+        }
+    }
+}
+
+/// Within the life of one process, an entry that served a version must not refuse it later.
+void judgeVersions(const RunRecord &run, std::vector<std::string> &broken)
+{
+    std::map<std::size_t, std::map<std::uint64_t, TimePoint>> served;
+    auto calls = run.calls;
+    std::ranges::sort(calls, {}, &CallRecord::endedAt);
+    for (const auto &call : calls) {
+        if (call.version == 0) {
+            continue;
+        }
+        auto &versions = served[call.vm];
+        const auto known = versions.find(call.version);
+        if (call.status == 404 && known != versions.end() && call.sentAt > known->second
+            && versions.rbegin()->first == call.version && isCalm(run, known->second, call.endedAt)) {
+            broken.push_back("configuration went back: " + call.id);
+        }
+        if (call.status == 200) {
+            versions.try_emplace(call.version, call.endedAt);
+        }
+    }
+}
+
+/// A stop of an entry cuts no request, unless something else was wrong at the time.
+void judgeStops(const RunRecord &run, std::vector<std::string> &broken)
+{
+    for (const auto &call : run.calls) {
+        const bool cut = call.status == 0 && call.written;
+        if (cut && isCalm(run, call.sentAt, call.endedAt, "stop")) {
+            broken.push_back("no answer: " + call.id);
+        }
+    }
+    broken.insert(broken.end(), run.badStops.begin(), run.badStops.end());
+}
+
+} // namespace
+
+std::vector<std::string> brokenPromises(const RunRecord &run, const Json &executions)
+{
+    std::vector<std::string> broken;
+    auto runs = runsById(executions);
+    for (const auto &call : run.calls) {
+        judgeCall(call, runs[call.id], broken);
+        runs.erase(call.id);
+    }
+    for (const auto &[id, count] : runs) {
+        broken.push_back("unasked: " + id + " ran " + std::to_string(count) + " times");
+    }
+    judgeLeavings(run, executions, broken);
+    judgeVersions(run, broken);
+    judgeStops(run, broken);
+    return broken;
+}
+
+} // namespace Verbenadock::Soak
--- /dev/null
+++ b/test/soak/judge.h
@@ -0,0 +1,17 @@
+#ifndef VERBENADOCK_SOAK_JUDGE_H
+#define VERBENADOCK_SOAK_JUDGE_H
+
+#include "harness/environment.h"
+#include "soak/record.h"
+
+#include <string>
+#include <vector>
+
+namespace Verbenadock::Soak {
+
+/// One sentence for each promise that was broken. The executions are those of the stand-in for upstreams.
+std::vector<std::string> brokenPromises(const RunRecord &run, const Test::Json &executions);
+
+} // namespace Verbenadock::Soak
+
+#endif
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,118 @@
+#include "soak/callers.h"
+#include "soak/faults.h"
+#include "soak/judge.h"
+#include "verbenadock/base/error.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <exception>
+#include <iostream>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Soak;
+
+namespace {
+
+constexpr char Usage[]
+    = R"(Runs real entries, the platform's store and upstreams under random faults, and checks the promises.
+
+Usage:
+  verbenadock-soak [--seed=N] [--seconds=N] [--vms=N] [--callers=N] [--keep]
+  verbenadock-soak (--help | --version)
+
+Options:
+  --seed=N     Seed of all random choices [default: 1].
+  --seconds=N  Time in which faults start [default: 20].
+  --vms=N      Entries [default: 5].
+  --callers=N  Callers, each with open connections [default: 10].
+  --keep       Keep the logs of the processes.
+
+Prints one name=value a line and one line for each broken promise. Exits with 0 when all held, with 1 when one was broken
+and with 2 when the run could not be made.
+)";
+
+constexpr auto Step = std::chrono::milliseconds(20);
+/// After the last fault, callers have to be served again within this time.
+constexpr auto RecoveryLimit = std::chrono::seconds(15);
+
+/// Waits until every entry answers a claim on the newest version.
+std::vector<std::string> judgeRecovery(const Test::StoreFleet &fleet, std::uint64_t version, RunRecord &run)
+{
+    std::vector<std::string> broken;
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        const auto until = monotonicNow() + RecoveryLimit;
+        unsigned status = 0;
+        for (int number = 0; status != 200 && monotonicNow() < until; ++number) {
+            CallRecord record{
+                .id = "recovery-" + std::to_string(vm) + "-" + std::to_string(number), .vm = vm, .claim = true};
+            record.sentAt = monotonicNow();
+            try {
+                status
+                    = fleet.call(vm, Test::StoreFleet::claim(record.id, "/v" + std::to_string(version) + "/")).status;
+            } catch (const Error &) {
+                // No answer counts as not served yet.
+                status = 0;
+            }
+            record.endedAt = monotonicNow();
+            record.status = status;
+            run.calls.push_back(record);
+        }
+        if (status != 200) {
+            broken.push_back("recovery: " + fleet.vms[vm].id + " does not serve version " + std::to_string(version));
+        }
+    }
+    return broken;
+}
+
+int runSoak(std::map<std::string, docopt::value> &arguments)
+{
+    const auto seed = static_cast<std::uint64_t>(arguments["--seed"].asLong());
+    if (arguments["--keep"].asBool()) {
+        Test::keepTemporaryFiles();
+    }
+    Test::StoreFleet fleet(std::filesystem::canonical("/proc/self/exe").parent_path(),
+                           {.services = {{.name = "katalog", .upstreams = 6}, {.name = "vydej", .upstreams = 8}},
+                            .vms = static_cast<unsigned>(arguments["--vms"].asLong())});
+    fleet.start();
+    std::atomic<std::uint64_t> newest = 1;
+    RunRecord run;
+    Faults faults(fleet, seed, newest, run);
+    Callers callers(fleet, static_cast<std::size_t>(arguments["--callers"].asLong()), seed, newest);
+    const auto until = monotonicNow() + std::chrono::seconds(arguments["--seconds"].asLong());
+    while (monotonicNow() < until) {
+        faults.step();
+        std::this_thread::sleep_for(Step);
+    }
+    faults.restore();
+    callers.stop();
+    run.calls = callers.records();
+    auto broken = judgeRecovery(fleet, newest, run);
+    const auto promises = brokenPromises(run, fleet.executions());
+    broken.insert(broken.end(), promises.begin(), promises.end());
+
+    const auto served = std::ranges::count(run.calls, 200U, &CallRecord::status);
+    std::cout << "seed=" << seed << "\ncalls=" << run.calls.size() << "\nserved=" << served
+              << "\ndisturbances=" << run.disturbances.size() << "\nleavings=" << run.leavings.size()
+              << "\nversions=" << newest << "\nbroken=" << broken.size() << '\n';
+    for (const auto &line : broken) {
+        std::cout << "BROKEN " << line << '\n';
+    }
+    if (!broken.empty()) {
+        Test::keepTemporaryFiles();
+    }
+    return broken.empty() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, VERBENADOCK_VERSION, false);
+        return runSoak(arguments);
+    } catch (const std::exception &error) {
+        std::cerr << "the soak could not be run: " << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/test/soak/record.h
@@ -0,0 +1,70 @@
+#ifndef VERBENADOCK_SOAK_RECORD_H
+#define VERBENADOCK_SOAK_RECORD_H
+
+#include "verbenadock/base/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Verbenadock::Soak {
+
+/// What a caller saw of one request.
+struct CallRecord
+{
+    std::string id;
+    std::size_t vm = 0;
+    bool claim = false;
+    /// Version of the configuration whose own prefix the request used; zero for a prefix of all versions.
+    std::uint64_t version = 0;
+    TimePoint sentAt;
+    TimePoint endedAt;
+    /// Zero when the connection ended without an answer.
+    unsigned status = 0;
+    /// The request was written, as far as the caller can tell.
+    bool written = false;
+    /// Whether the answer repeats the request's id in head and body.
+    bool own = true;
+
+    auto operator<=>(const CallRecord &) const = default;
+};
+
+/// A time in which something disturbed a VM, an upstream or the store; open until it ends.
+struct Disturbance
+{
+    /// Id of the VM or the upstream, "store", or empty for all.
+    std::string subject;
+    std::string kind;
+    TimePoint from;
+    TimePoint until = TimePoint::max();
+
+    auto operator<=>(const Disturbance &) const = default;
+};
+
+/// An upstream whose leaving the store has confirmed.
+struct Leaving
+{
+    std::string upstream;
+    TimePoint at;
+    /// Microseconds since 1970.
+    std::int64_t atUnixUs = 0;
+    /// When it registered again.
+    std::int64_t untilUnixUs = INT64_MAX;
+
+    auto operator<=>(const Leaving &) const = default;
+};
+
+/// Everything that a run leaves behind to be judged.
+struct RunRecord
+{
+    std::vector<CallRecord> calls;
+    std::vector<Disturbance> disturbances;
+    std::vector<Leaving> leavings;
+    /// Entries that were told to stop and did not end with status 0 in time, without another cause.
+    std::vector<std::string> badStops;
+};
+
+} // namespace Verbenadock::Soak
+
+#endif
