Stay with upstreams that answered lately while they have little to do

Change: of near upstreams with at most half of their slots in use, an entry takes the one that answered it last; one request in ten goes to the least loaded one, so that upstreams that join are found.

--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -45,10 +45,12 @@
     this->touch(service);
     const auto latency = attempt.headLatency > Duration(0) ? attempt.headLatency : this->now - attempt.startedAt;
     if (cause == Cause::Success) {
-        service.pool.noteSuccess(attempt.upstream);
+        service.pool.noteSuccess(attempt.upstream, this->now);
         if (request.replayable) {
             service.latency.add(latency);
         }
+    } else if (cause != Cause::Cancelled) {
+        service.pool.noteFailure(attempt.upstream);
     }
     // The lateness of an overdue attempt was counted already.
     if (!(attempt.overdue && cause == Cause::Success)) {
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -29,6 +29,11 @@
 constexpr double IdempotentNearLimit = 1.25;
 constexpr double NearLimit = 2;
 constexpr double LargeNearLimit = 2.5;
+/// Load up to which upstreams count as equally free: half of the slots.
+constexpr double LittleLoad = 0.5;
+/// Share of the requests that go to the least loaded upstream whatever answered last, so that upstreams that join get
+/// work and recovered ones are found.
+constexpr double ExploredShare = 0.1;
 /// Random draws before the pool is searched as a whole.
 constexpr int Draws = 6;
 
@@ -54,6 +59,18 @@
     return isTrialRequest(request) && upstream.inFlight + upstream.othersInFlight == 0;
 }
 
+/// Of upstreams with little to do, the one that answered last: it has an open connection, and it is the least likely
+/// one to fail when this entry does not hear from the others.
+bool isPreferred(const UpstreamState &candidate, const UpstreamState &best, bool explores)
+{
+    const double left = std::max(load(candidate), LittleLoad);
+    const double right = std::max(load(best), LittleLoad);
+    if (left != right || explores) {
+        return load(candidate) < load(best);
+    }
+    return candidate.lastSuccessAt > best.lastSuccessAt;
+}
+
 bool inService(const UpstreamState &upstream, TimePoint now)
 {
     return upstream.configured && !upstream.leaving && upstream.drainingUntil <= now && upstream.admission.allowed;
@@ -193,6 +210,7 @@
 {
     const auto count = static_cast<std::uint32_t>(this->active.size());
     const auto offset = random.below(count);
+    const bool explores = random.fraction() < ExploredShare;
     std::optional<std::uint32_t> near;
     std::optional<std::uint32_t> far;
     for (std::uint32_t step = 0; step < count; ++step) {
@@ -209,7 +227,7 @@
             return index;
         }
         auto &best = upstream.ownDataCentre ? near : far;
-        if (!best || load(upstream) < load(this->upstreams[*best])) {
+        if (!best || isPreferred(upstream, this->upstreams[*best], explores)) {
             best = index;
         }
     }
@@ -280,9 +298,15 @@
     }
 }
 
-void UpstreamPool::noteSuccess(std::uint32_t upstream)
+void UpstreamPool::noteFailure(std::uint32_t upstream)
+{
+    this->upstreams[upstream].lastSuccessAt = TimePoint{};
+}
+
+void UpstreamPool::noteSuccess(std::uint32_t upstream, TimePoint now)
 {
     auto &state = this->upstreams[upstream];
+    state.lastSuccessAt = now;
     state.backOff = Duration(0);
     state.concurrency = std::min<double>(state.slots, state.concurrency + 1 / state.concurrency);
 }
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -38,6 +38,8 @@
     /// Requests of the other entries of the data centre, as far as they are known.
     unsigned othersInFlight = 0;
     Health::Admission admission;
+    /// The last success of this entry, unless a failure followed.
+    TimePoint lastSuccessAt{};
 };
 
 /// The upstreams of one service, with the choice among them.
@@ -65,7 +67,8 @@
     void finish(std::uint32_t upstream);
 
     void noteOthers(const std::string &upstream, unsigned inFlight);
-    void noteSuccess(std::uint32_t upstream);
+    void noteSuccess(std::uint32_t upstream, TimePoint now);
+    void noteFailure(std::uint32_t upstream);
     void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
     void noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random);
     /// Returns true when the upstream was not known to drain.
@@ -92,7 +95,8 @@
 private:
     /// The better of the first two usable upstreams from the offset on.
     std::optional<std::uint32_t> search(const Request &request, TimePoint now, std::uint32_t offset) const;
-    /// The least loaded upstream of the own data centre while it has room, otherwise one of another.
+    /// An upstream of the own data centre while one has room, otherwise one of another. Of those that have little to
+    /// do, the one that answered this entry last.
     std::optional<std::uint32_t> pickNear(const Request &request, TimePoint now, Random &random) const;
     /// Share of the requests that the healthy slots of the own data centre can take; above 1 for all.
     double ownShare(TimePoint now) const;
