--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -118,75 +118,96 @@
     bool valid = true;
 };
 
+void read(FieldReader &reader, Hello &hello)
+{
+    hello.vm = reader.text();
+    hello.address = reader.text();
+    hello.dataCentre = reader.text();
+    hello.incarnation = reader.number(UINT64_MAX);
+}
+
+void read(FieldReader &reader, Goodbye &goodbye)
+{
+    goodbye.vm = reader.text();
+    goodbye.incarnation = reader.number(UINT64_MAX);
+}
+
+void read(FieldReader &reader, OutcomeSeen &outcome)
+{
+    outcome.vm = reader.text();
+    outcome.service = reader.text();
+    outcome.upstream = reader.text();
+    outcome.cause = static_cast<Health::Cause>(reader.number(static_cast<std::uint64_t>(Health::Cause::Cancelled)));
+    outcome.age = Duration(static_cast<Duration::rep>(
+        reader.number(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(LongestAge).count()))));
+}
+
+void read(FieldReader &reader, StoreHeartbeat &heartbeat)
+{
+    heartbeat.vm = reader.text();
+    heartbeat.configurationEnd = reader.number(UINT64_MAX);
+    heartbeat.upstreamsEnd = reader.number(UINT64_MAX);
+    heartbeat.fresh = reader.number(1) == 1;
+}
+
+void read(FieldReader &reader, LoadSeen &load)
+{
+    load.vm = reader.text();
+    load.service = reader.text();
+    load.upstream = reader.text();
+    load.inFlight = reader.number(MostInFlight);
+}
+
+void read(FieldReader &reader, ReserveUse &use)
+{
+    use.vm = reader.text();
+    use.service = reader.text();
+}
+
+void read(FieldReader &reader, DataCentreLoad &load)
+{
+    load.dataCentre = reader.text();
+    load.service = reader.text();
+    load.percent = reader.number(MostInFlight);
+}
+
+template<typename Type>
+Message readAs(FieldReader &reader)
+{
+    Type specific;
+    read(reader, specific);
+    return specific;
+}
+
+std::optional<Message> readKind(FieldReader &reader, Kind kind)
+{
+    switch (kind) {
+    case Kind::Hello:
+        return readAs<Hello>(reader);
+    case Kind::Goodbye:
+        return readAs<Goodbye>(reader);
+    case Kind::OutcomeSeen:
+        return readAs<OutcomeSeen>(reader);
+    case Kind::StoreHeartbeat:
+        return readAs<StoreHeartbeat>(reader);
+    case Kind::LoadSeen:
+        return readAs<LoadSeen>(reader);
+    case Kind::ReserveUse:
+        return readAs<ReserveUse>(reader);
+    case Kind::DataCentreLoad:
+        return readAs<DataCentreLoad>(reader);
+    }
+    return std::nullopt;
+}
+
 std::optional<Message> readFields(const Json &json)
 {
     FieldReader reader(json);
     if (reader.number(FormatVersion) != FormatVersion) {
         return std::nullopt;
     }
-    std::optional<Message> message;
-    switch (static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::DataCentreLoad)))) {
-    case Kind::Hello: {
-        Hello hello;
-        hello.vm = reader.text();
-        hello.address = reader.text();
-        hello.dataCentre = reader.text();
-        hello.incarnation = reader.number(UINT64_MAX);
-        message = hello;
-        break;
-    }
-    case Kind::Goodbye: {
-        Goodbye goodbye;
-        goodbye.vm = reader.text();
-        goodbye.incarnation = reader.number(UINT64_MAX);
-        message = goodbye;
-        break;
-    }
-    case Kind::OutcomeSeen: {
-        OutcomeSeen outcome;
-        outcome.vm = reader.text();
-        outcome.service = reader.text();
-        outcome.upstream = reader.text();
-        outcome.cause = static_cast<Health::Cause>(reader.number(static_cast<std::uint64_t>(Health::Cause::Cancelled)));
-        outcome.age = Duration(static_cast<Duration::rep>(
-            reader.number(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(LongestAge).count()))));
-        message = outcome;
-        break;
-    }
-    case Kind::StoreHeartbeat: {
-        StoreHeartbeat heartbeat;
-        heartbeat.vm = reader.text();
-        heartbeat.configurationEnd = reader.number(UINT64_MAX);
-        heartbeat.upstreamsEnd = reader.number(UINT64_MAX);
-        heartbeat.fresh = reader.number(1) == 1;
-        message = heartbeat;
-        break;
-    }
-    case Kind::LoadSeen: {
-        LoadSeen load;
-        load.vm = reader.text();
-        load.service = reader.text();
-        load.upstream = reader.text();
-        load.inFlight = reader.number(MostInFlight);
-        message = load;
-        break;
-    }
-    case Kind::ReserveUse: {
-        ReserveUse use;
-        use.vm = reader.text();
-        use.service = reader.text();
-        message = use;
-        break;
-    }
-    case Kind::DataCentreLoad: {
-        DataCentreLoad load;
-        load.dataCentre = reader.text();
-        load.service = reader.text();
-        load.percent = reader.number(MostInFlight);
-        message = load;
-        break;
-    }
-    }
+    const auto kind = static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::DataCentreLoad)));
+    auto message = readKind(reader, kind);
     return reader.finished() ? message : std::nullopt;
 }
 
--- a/test/core/platformloadtest.cpp
+++ b/test/core/platformloadtest.cpp
@@ -354,7 +354,7 @@
 {
     auto reducer = reducerFor(nearService(20, 4));
     const auto serve = [&reducer](int number) {
-        const auto request = static_cast<RequestId>(number + 1);
+        const auto request = static_cast<RequestId>(number) + 1;
         const auto attempts = only<StartAttempt>(reducer.apply(arrival(request, "POST", at(number))));
         REQUIRE(attempts.size() == 1);
         const auto &attempt = attempts.front();
--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -119,14 +119,16 @@
 {
     StoreFleet fleet(PROGRAM_DIR, {.behaviour = {{"serviceMs", 1500}}});
     fleet.start();
+    constexpr int Requests = 6;
     std::vector<std::future<unsigned>> answers;
-    for (int number = 0; number < 6; ++number) {
+    answers.reserve(Requests);
+    for (int number = 0; number < Requests; ++number) {
         answers.push_back(std::async(std::launch::async, [&fleet, number] {
             return fleet.call(0, StoreFleet::claim("inflight-" + std::to_string(number))).status;
         }));
     }
     waitFor("the requests to run", std::chrono::seconds(5), [&fleet] {
-        return fleet.executions().size() == 6;
+        return fleet.executions().size() == Requests;
     });
     fleet.vms[0].entry->signal(SIGTERM);
     for (auto &answer : answers) {
