--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -31,7 +31,10 @@
                                                     .upstream = "i-1@5",
                                                     .cause = Health::Cause::Reset,
                                                     .age = std::chrono::milliseconds(4)},
-                                        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX}};
+                                        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX},
+                                        LoadSeen{.vm = "7", .service = "vydej", .upstream = "i-1@5", .inFlight = 3},
+                                        ReserveUse{.vm = "7", .service = "vydej"},
+                                        DataCentreLoad{.dataCentre = "a", .service = "vydej", .percent = 250}};
     for (const auto &message : messages) {
         CHECK(decode(encode(message)) == message);
         // A message without its last field is no message.
