Split the fleet link, and decide in one place that a request was not run

Change: the VM's record in the store and the facts about services have files of their own; the host takes over what the answer's reader decided. No change of behaviour.

--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -1,5 +1,7 @@
 #include "verbenadock/fleet/fleetlink.h"
 
+#include "memberrecord.h"
+#include "servicefacts.h"
 #include "verbenadock/net/error.h"
 #include "verbenadock/telemetry/logging.h"
 
@@ -10,8 +12,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <map>
-#include <set>
 #include <utility>
 
 namespace Verbenadock::Fleet {
@@ -31,26 +31,6 @@
 /// Between two tries to register in the store.
 constexpr Duration JoinPause = std::chrono::seconds(1);
 
-std::string memberValue(const Mesh::Hello &hello)
-{
-    return Json{{"address", hello.address}, {"data_centre", hello.dataCentre}, {"incarnation", hello.incarnation}}
-        .dump();
-}
-
-std::optional<Mesh::Hello> memberOf(const Platform::KeyedRecord &record)
-{
-    const auto json = record.value ? Json::parse(*record.value, nullptr, false) : Json();
-    if (!json.is_object() || !json.contains("address") || !json["address"].is_string() || !json.contains("data_centre")
-        || !json["data_centre"].is_string() || !json.contains("incarnation")
-        || !json["incarnation"].is_number_unsigned()) {
-        return std::nullopt;
-    }
-    return Mesh::Hello{.vm = record.key,
-                       .address = json["address"],
-                       .dataCentre = json["data_centre"],
-                       .incarnation = json["incarnation"]};
-}
-
 std::string beliefLine(const Health::BeliefChange &change)
 {
     std::string line = "belief_changed service=" + change.upstream.service + " upstream=" + change.upstream.upstream;
@@ -61,41 +41,6 @@
     return line;
 }
 
-/// The service that gets most of a route's requests.
-const std::string &mainService(const Bundles::Route &route)
-{
-    const auto heaviest = std::ranges::max_element(route.split, {}, &Bundles::WeightedService::weight);
-    return heaviest == route.split.end() ? route.service : heaviest->service;
-}
-
-/// Services that get idempotent requests mainly, and no other route's main part.
-std::set<std::string> repeatableServices(const std::vector<Bundles::Route> &routes)
-{
-    std::set<std::string> services;
-    for (const auto &route : routes) {
-        if (route.idempotent) {
-            services.insert(mainService(route));
-        }
-    }
-    for (const auto &route : routes) {
-        if (!route.idempotent) {
-            services.erase(mainService(route));
-        }
-    }
-    return services;
-}
-
-std::map<std::string, std::size_t> sizesOf(const Core::Configuration &configuration)
-{
-    std::map<std::string, std::size_t> sizes;
-    for (const auto &bundle : configuration.bundles) {
-        for (const auto &service : bundle.services) {
-            sizes[service.name] = service.upstreams.size();
-        }
-    }
-    return sizes;
-}
-
 Mesh::Hello helloOf(const Settings::EntrySettings &settings, std::uint64_t incarnation)
 {
     return {.vm = settings.process.vmId,
@@ -193,10 +138,10 @@
     const std::string topic(Platform::MembersTopic);
     try {
         const auto &self = this->members.self();
-        co_await store.append(topic, Platform::joinKeyed(self.vm, memberValue(self)));
+        co_await store.append(topic, Platform::joinKeyed(self.vm, internal::memberValue(self)));
         const auto newest = co_await store.newest(topic);
         for (const auto &record : newest.records) {
-            const auto member = memberOf(record);
+            const auto member = internal::memberOf(record);
             if (member) {
                 this->members.learn(*member);
             }
@@ -231,8 +176,8 @@
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
         this->serviceLoad.configure(*configuration);
-        this->pooled.setSizes(sizesOf(*configuration));
-        this->pooled.setRepeatable(repeatableServices(directory.operatorConfiguration()->routes));
+        this->pooled.setSizes(internal::serviceSizes(*configuration));
+        this->pooled.setRepeatable(internal::repeatableServices(directory.operatorConfiguration()->routes));
         this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
     }
 }
--- /dev/null
+++ b/src/fleet/memberrecord.cpp
@@ -0,0 +1,29 @@
+#include "memberrecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Verbenadock::Fleet::internal {
+
+using Json = nlohmann::json;
+
+std::string memberValue(const Mesh::Hello &hello)
+{
+    return Json{{"address", hello.address}, {"data_centre", hello.dataCentre}, {"incarnation", hello.incarnation}}
+        .dump();
+}
+
+std::optional<Mesh::Hello> memberOf(const Platform::KeyedRecord &record)
+{
+    const auto json = record.value ? Json::parse(*record.value, nullptr, false) : Json();
+    if (!json.is_object() || !json.contains("address") || !json["address"].is_string() || !json.contains("data_centre")
+        || !json["data_centre"].is_string() || !json.contains("incarnation")
+        || !json["incarnation"].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return Mesh::Hello{.vm = record.key,
+                       .address = json["address"],
+                       .dataCentre = json["data_centre"],
+                       .incarnation = json["incarnation"]};
+}
+
+} // namespace Verbenadock::Fleet::internal
--- /dev/null
+++ b/src/fleet/servicefacts.cpp
@@ -0,0 +1,45 @@
+#include "servicefacts.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Fleet::internal {
+
+namespace {
+
+/// The service that gets most of a route's requests.
+const std::string &mainService(const Bundles::Route &route)
+{
+    const auto heaviest = std::ranges::max_element(route.split, {}, &Bundles::WeightedService::weight);
+    return heaviest == route.split.end() ? route.service : heaviest->service;
+}
+
+} // namespace
+
+std::set<std::string> repeatableServices(const std::vector<Bundles::Route> &routes)
+{
+    std::set<std::string> services;
+    for (const auto &route : routes) {
+        if (route.idempotent) {
+            services.insert(mainService(route));
+        }
+    }
+    for (const auto &route : routes) {
+        if (!route.idempotent) {
+            services.erase(mainService(route));
+        }
+    }
+    return services;
+}
+
+std::map<std::string, std::size_t> serviceSizes(const Core::Configuration &configuration)
+{
+    std::map<std::string, std::size_t> sizes;
+    for (const auto &bundle : configuration.bundles) {
+        for (const auto &service : bundle.services) {
+            sizes[service.name] = service.upstreams.size();
+        }
+    }
+    return sizes;
+}
+
+} // namespace Verbenadock::Fleet::internal
--- /dev/null
+++ b/src/fleet/servicefacts.h
@@ -0,0 +1,22 @@
+#ifndef VERBENADOCK_FLEET_SERVICEFACTS_H
+#define VERBENADOCK_FLEET_SERVICEFACTS_H
+
+#include "verbenadock/core/event.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Verbenadock::Fleet::internal {
+
+/// Services that get idempotent requests mainly, and no other route's main part.
+std::set<std::string> repeatableServices(const std::vector<Bundles::Route> &routes);
+
+/// Number of upstreams by service.
+std::map<std::string, std::size_t> serviceSizes(const Core::Configuration &configuration);
+
+} // namespace Verbenadock::Fleet::internal
+
+#endif
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -17,6 +17,9 @@
 
 namespace Verbenadock::Proxy::internal {
 
+/// The upstream is another one than the request expects, and did not run it.
+inline constexpr unsigned MisdirectedStatus = 421;
+
 class Host;
 
 /// One attempt to have a request answered by an upstream.
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr unsigned FirstErrorStatus = 400;
-constexpr unsigned MisdirectedStatus = 421;
 
 /// Statuses that some callers read as "not run".
 bool promisesNotRun(unsigned status)
@@ -258,10 +257,8 @@
         this->host->attemptFailed(*this, Health::Cause::ServerError, false);
         return;
     }
-    this->host->attemptCompleted(*this,
-                                 this->response->parser.statusCode,
-                                 this->answerFlag(this->host->dialect().notRun),
-                                 this->answerFlag(this->host->dialect().draining));
+    this->host->attemptCompleted(
+        *this, this->response->parser.statusCode, notRun, this->answerFlag(this->host->dialect().draining));
 }
 
 void Attempt::releaseConnection()
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Duration SweepInterval = std::chrono::seconds(1);
-constexpr unsigned MisdirectedRequest = 421;
 constexpr std::size_t MaxRequestIdBytes = 128;
 // Longer deadlines than a service can have are as good as none.
 constexpr auto LongestCallerDeadline = std::chrono::hours(1);
@@ -345,8 +344,7 @@
     if (draining) {
         this->drainLog.note(attempt.startOrder().endpoint, monotonicNow());
     }
-    const bool misdirected = status == MisdirectedRequest;
-    notRun = notRun || misdirected;
+    const bool misdirected = status == MisdirectedStatus;
     const auto cause
         = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
     this->proxyMetrics.countAttempt(cause);
