Let all entries know the requests at upstreams of other data centres

Entries told only those beside them, and only of upstreams there, while more than half of the lookups of a service with two or three upstreams in each data centre go elsewhere.

Change: LoadExchange. Requests at an upstream elsewhere are told to the hub of that data centre, the VM that reports for it, which passes them on; hubs send each other the changed totals of their upstreams every 200 ms and pass on what they get. A request leaves its data centre only for an upstream with less to do, when that is known.

--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -135,11 +135,13 @@
     auto operator<=>(const ReportEvidence &) const = default;
 };
 
-/// The number of this entry's requests at an upstream changed, for the other entries of the data centre.
+/// The number of this entry's requests at an upstream changed, for the other entries.
 struct ReportLoad
 {
     UpstreamKey upstream;
     unsigned inFlight = 0;
+    /// Where the upstream is.
+    std::string dataCentre;
 
     auto operator<=>(const ReportLoad &) const = default;
 };
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -137,6 +137,8 @@
     TimePoint at;
     UpstreamKey upstream;
     unsigned othersInFlight = 0;
+    /// The number is of all entries, with this one.
+    bool includesOwn = false;
 
     auto operator<=>(const LoadChanged &) const = default;
 };
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -3,10 +3,9 @@
 
 #include "verbenadock/core/effect.h"
 #include "verbenadock/core/event.h"
-#include "verbenadock/fleet/serviceload.h"
+#include "verbenadock/fleet/loadexchange.h"
 #include "verbenadock/fleet/storefollower.h"
 #include "verbenadock/health/pooledfailures.h"
-#include "verbenadock/mesh/fleetload.h"
 #include "verbenadock/mesh/members.h"
 #include "verbenadock/mesh/readerelection.h"
 #include "verbenadock/settings/settings.h"
@@ -84,7 +83,11 @@
     void handle(const Mesh::LoadSeen &load);
     void handle(const Mesh::ReserveUse &use);
     void handle(const Mesh::DataCentreLoad &load);
-    void pushLoad(const Mesh::UpstreamLoad &load);
+    void handle(const Mesh::UpstreamLoads &loads);
+    void carryOut(const LoadExchange::Update &update);
+    /// Whether the message came from the VM itself, and that from another data centre.
+    bool cameFromAfar(const std::string &vm) const;
+    void scheduleSummary();
     void sendNear(const Mesh::Message &message);
     void sendHeartbeat();
     void scheduleHeartbeat();
@@ -103,14 +106,14 @@
     Mesh::Members members;
     std::shared_ptr<StoreFollower> follower;
     Mesh::ReaderElection election;
-    Mesh::FleetLoad load;
-    ServiceLoad serviceLoad;
+    LoadExchange loads;
     Health::PooledFailures pooled;
     Udp::socket socket;
     Udp::endpoint sender;
     std::array<char, 2048> datagram{};
     boost::asio::steady_timer expiryTimer;
     boost::asio::steady_timer heartbeatTimer;
+    boost::asio::steady_timer summaryTimer;
     unsigned heartbeats = 0;
     bool stopped = false;
     Telemetry::Counter &sent;
--- a/include/verbenadock/fleet/serviceload.h
+++ b/include/verbenadock/fleet/serviceload.h
@@ -26,6 +26,9 @@
     /// Another data centre reported its load. It counts for some seconds.
     void noteDataCentre(const std::string &service, const std::string &dataCentre, double load, TimePoint now);
 
+    /// This VM's requests, by service and upstream.
+    const std::map<std::string, std::map<std::string, unsigned>> &ownRequests() const;
+
     /// The smoothed load of each service with slots in this data centre.
     std::map<std::string, double> sample(const Mesh::FleetLoad &others);
 
--- a/include/verbenadock/mesh/fleetload.h
+++ b/include/verbenadock/mesh/fleetload.h
@@ -33,6 +33,9 @@
     /// The totals that changed because VMs fell silent.
     std::vector<UpstreamLoad> expire(TimePoint now);
 
+    /// The totals of all upstreams with requests.
+    std::vector<UpstreamLoad> all() const;
+
     /// Requests that all other VMs together have at the upstreams of a service.
     unsigned inFlight(const std::string &service) const;
 
--- a/include/verbenadock/mesh/members.h
+++ b/include/verbenadock/mesh/members.h
@@ -38,6 +38,9 @@
     /// Nothing for a VM that is not known.
     std::optional<std::string> addressOf(const std::string &vm) const;
 
+    /// Whether the VM is known and in another data centre.
+    bool isFar(const std::string &vm) const;
+
     /// Number of VMs with this one.
     std::size_t size() const;
 
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace Verbenadock::Mesh {
 
@@ -82,9 +83,11 @@
     auto operator<=>(const ReserveUse &) const = default;
 };
 
-/// How busy a service's upstreams in the sender's data centre are. It is sent to the VMs of the others.
+/// How busy a service's upstreams in the sender's data centre are. It is sent to the VMs of the others, by the VM that
+/// reports for its data centre.
 struct DataCentreLoad
 {
+    std::string vm;
     std::string dataCentre;
     std::string service;
     /// Requests in flight per hundred slots.
@@ -93,7 +96,29 @@
     auto operator<=>(const DataCentreLoad &) const = default;
 };
 
-using Message = std::variant<Hello, Goodbye, OutcomeSeen, StoreHeartbeat, LoadSeen, ReserveUse, DataCentreLoad>;
+/// Requests of all VMs at one upstream.
+struct UpstreamTotal
+{
+    std::string upstream;
+    std::uint64_t inFlight = 0;
+
+    auto operator<=>(const UpstreamTotal &) const = default;
+};
+
+/// Requests at upstreams of a data centre whose number changed. It goes from the VM that reports for a data centre to
+/// those of the others, and from these to the VMs beside them.
+struct UpstreamLoads
+{
+    std::string vm;
+    std::string dataCentre;
+    std::string service;
+    std::vector<UpstreamTotal> loads;
+
+    auto operator<=>(const UpstreamLoads &) const = default;
+};
+
+using Message
+    = std::variant<Hello, Goodbye, OutcomeSeen, StoreHeartbeat, LoadSeen, ReserveUse, DataCentreLoad, UpstreamLoads>;
 
 /// One datagram. Its numbers and texts have fixed places, because most of the fleet's own traffic is such messages.
 std::string encode(const Message &message);
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -221,7 +221,7 @@
 {
     const auto place = this->servicePlaces.find({event.upstream.bundle, event.upstream.service});
     if (place != this->servicePlaces.end()) {
-        this->services[place->second]->pool.noteOthers(event.upstream.upstream, event.othersInFlight);
+        this->services[place->second]->pool.noteOthers(event);
     }
 }
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -78,8 +78,9 @@
 void Engine::reportLoad(const ServiceState &service, std::uint32_t upstream)
 {
     const auto &state = service.pool.at(upstream);
-    if (service.service.prefersOwnDataCentre && state.ownDataCentre) {
-        this->effects.emplace_back(ReportLoad{.upstream = state.key, .inFlight = state.inFlight});
+    if (service.service.prefersOwnDataCentre) {
+        this->effects.emplace_back(
+            ReportLoad{.upstream = state.key, .inFlight = state.inFlight, .dataCentre = state.dataCentre});
     }
 }
 
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -196,7 +196,8 @@
 template<>
 inline constexpr std::tuple FieldsOf<LoadChanged>{Field{"at", &LoadChanged::at},
                                                   Field{"upstream", &LoadChanged::upstream},
-                                                  Field{"others_in_flight", &LoadChanged::othersInFlight}};
+                                                  Field{"others_in_flight", &LoadChanged::othersInFlight},
+                                                  Field{"includes_own", &LoadChanged::includesOwn}};
 template<>
 inline constexpr std::string_view NameOf<DataCentreLoadChanged> = "DataCentreLoadChanged";
 template<>
@@ -270,7 +271,8 @@
 inline constexpr std::string_view NameOf<ReportLoad> = "ReportLoad";
 template<>
 inline constexpr std::tuple FieldsOf<ReportLoad>{Field{"upstream", &ReportLoad::upstream},
-                                                 Field{"in_flight", &ReportLoad::inFlight}};
+                                                 Field{"in_flight", &ReportLoad::inFlight},
+                                                 Field{"data_centre", &ReportLoad::dataCentre}};
 template<>
 inline constexpr std::string_view NameOf<ReportReserveUse> = "ReportReserveUse";
 template<>
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -283,15 +283,25 @@
     const double nearLoad = load(this->upstreams[near]);
     const bool nearHasRoom = nearLoad < limit;
     const bool isBusierThere = this->knownLoad(this->upstreams[far], now) >= nearLoad;
-    const bool stays = nearHasRoom && (request.large || random.fraction() < this->ownShare(now));
+    const bool gainsNothing = isBusierThere && this->isDetailed(this->upstreams[far], now);
+    const bool stays = nearHasRoom && (request.large || gainsNothing || random.fraction() < this->ownShare(now));
     return !stays && (nearHasRoom || !isBusierThere);
 }
 
 double UpstreamPool::knownLoad(const UpstreamState &upstream, TimePoint now) const
 {
     const auto known = this->others.find(upstream.dataCentre);
-    const bool counts = !upstream.ownDataCentre && known != this->others.end() && now - known->second.at <= LoadMemory;
-    return counts ? std::max(load(upstream), known->second.load) : load(upstream);
+    if (upstream.ownDataCentre || known == this->others.end() || this->isDetailed(upstream, now)) {
+        return load(upstream);
+    }
+    return now - known->second.at <= LoadMemory ? std::max(load(upstream), known->second.load) : load(upstream);
+}
+
+bool UpstreamPool::isDetailed(const UpstreamState &upstream, TimePoint now) const
+{
+    const auto known = this->others.find(upstream.dataCentre);
+    return known != this->others.end() && known->second.detailedAt != TimePoint{}
+           && now - known->second.detailedAt <= LoadMemory;
 }
 
 bool UpstreamPool::isFull(std::uint32_t upstream, TimePoint now) const
@@ -301,7 +311,9 @@
 
 void UpstreamPool::noteDataCentre(const std::string &dataCentre, double load, TimePoint now)
 {
-    this->others[dataCentre] = {.load = load, .at = now};
+    auto &known = this->others[dataCentre];
+    known.load = load;
+    known.at = now;
 }
 
 double UpstreamPool::ownShare(TimePoint now) const
@@ -350,10 +362,17 @@
     --this->upstreams[upstream].inFlight;
 }
 
-void UpstreamPool::noteOthers(const std::string &upstream, unsigned inFlight)
+void UpstreamPool::noteOthers(const LoadChanged &change)
 {
-    if (const auto place = this->places.find(upstream); place != this->places.end()) {
-        this->upstreams[place->second].othersInFlight = inFlight;
+    const auto place = this->places.find(change.upstream.upstream);
+    if (place == this->places.end()) {
+        return;
+    }
+    auto &state = this->upstreams[place->second];
+    const auto own = change.includesOwn ? state.inFlight : 0;
+    state.othersInFlight = std::max(change.othersInFlight, own) - own;
+    if (!state.ownDataCentre) {
+        this->others[state.dataCentre].detailedAt = change.at;
     }
 }
 
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -7,6 +7,7 @@
 #include "verbenadock/base/identifiers.h"
 #include "verbenadock/bundle/bundle.h"
 #include "verbenadock/core/effect.h"
+#include "verbenadock/core/event.h"
 #include "verbenadock/health/servicedetector.h"
 
 #include <cstdint>
@@ -75,7 +76,7 @@
 
     /// How busy another data centre is, in requests per slot. It counts for some seconds.
     void noteDataCentre(const std::string &dataCentre, double load, TimePoint now);
-    void noteOthers(const std::string &upstream, unsigned inFlight);
+    void noteOthers(const LoadChanged &change);
     void noteSuccess(std::uint32_t upstream, TimePoint now);
     void noteFailure(std::uint32_t upstream);
     void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
@@ -129,6 +130,8 @@
     double ownShare(TimePoint now) const;
     /// Requests per slot, as far as this entry knows.
     double knownLoad(const UpstreamState &upstream, TimePoint now) const;
+    /// Whether the requests of all entries at the upstreams of its data centre are known.
+    bool isDetailed(const UpstreamState &upstream, TimePoint now) const;
     bool usable(const UpstreamState &upstream, const Request &request, TimePoint now) const;
     void ask(const Health::ServiceDetector &detector, std::uint32_t upstream, TimePoint now);
     std::uint32_t better(std::uint32_t first, std::uint32_t second) const;
@@ -149,7 +152,9 @@
     struct DataCentreLoad
     {
         double load = 0;
-        TimePoint at;
+        TimePoint at{};
+        /// When the requests at its upstreams were last told one by one.
+        TimePoint detailedAt{};
     };
     std::map<std::string, DataCentreLoad> others;
     /// Upstreams whose admission is not the full one.
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -28,6 +28,8 @@
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(400);
 /// Heartbeats between two reports of the load to other data centres, where bytes are dear.
 constexpr unsigned LoadHeartbeats = 3;
+/// Between two messages of a hub with the requests at its upstreams; about the time of one request.
+constexpr Duration SummaryInterval = std::chrono::milliseconds(200);
 /// Between two tries to register in the store.
 constexpr Duration JoinPause = std::chrono::seconds(1);
 
@@ -62,10 +64,11 @@
     , members(helloOf(given, incarnation))
     , follower(std::make_shared<StoreFollower>(loop, *given.store, registry, this->followerHandlers()))
     , election(given.process.vmId)
-    , serviceLoad(given.process.dataCentre)
+    , loads(given.process.vmId, given.process.dataCentre)
     , socket(loop)
     , expiryTimer(loop)
     , heartbeatTimer(loop)
+    , summaryTimer(loop)
     , sent(registry.counter("verbenadock_mesh_sent_total", "Datagrams to other VMs."))
     , received(registry.counter("verbenadock_mesh_received_total", "Datagrams from other VMs."))
     , malformed(registry.counter("verbenadock_mesh_malformed_total", "Datagrams that were no message."))
@@ -110,6 +113,7 @@
 {
     this->receive();
     this->scheduleHeartbeat();
+    this->scheduleSummary();
     this->follower->start();
     asio::co_spawn(
         this->context,
@@ -175,7 +179,7 @@
 {
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
-        this->serviceLoad.configure(*configuration);
+        this->loads.configure(*configuration);
         this->pooled.setSizes(internal::serviceSizes(*configuration));
         this->pooled.setRepeatable(internal::repeatableServices(directory.operatorConfiguration()->routes));
         this->handlers.configured(configuration, directory.operatorConfiguration()->limits);
@@ -266,33 +270,72 @@
 
 void FleetLink::refreshLoad()
 {
-    for (const auto &total : this->load.expire(monotonicNow())) {
-        this->pushLoad(total);
-    }
     const auto now = monotonicNow();
+    this->carryOut({.changes = this->loads.expire(now), .outgoing = {}});
     const bool tellsOthers = ++this->heartbeats % LoadHeartbeats == 0 && this->election.isFirst(now);
-    for (const auto &[service, serviceLoadNow] : this->serviceLoad.sample(this->load)) {
-        this->report(this->pooled.setLoad(service, this->serviceLoad.busiest(service, now), now));
+    for (const auto &[service, ownLoad] : this->loads.sample()) {
+        this->report(this->pooled.setLoad(service, this->loads.busiest(service, now), now));
         if (tellsOthers) {
             this->sendAll(this->members.farAddresses(),
-                          Mesh::DataCentreLoad{.dataCentre = this->members.self().dataCentre,
+                          Mesh::DataCentreLoad{.vm = this->members.self().vm,
+                                               .dataCentre = this->members.self().dataCentre,
                                                .service = service,
-                                               .percent = static_cast<std::uint64_t>(serviceLoadNow * 100)});
+                                               .percent = static_cast<std::uint64_t>(ownLoad * 100)});
         }
     }
 }
 
+void FleetLink::scheduleSummary()
+{
+    this->summaryTimer.expires_after(SummaryInterval);
+    this->summaryTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (error || self->stopped) {
+            return;
+        }
+        const auto now = monotonicNow();
+        if (self->election.isFirst(now)) {
+            self->carryOut({.changes = {}, .outgoing = self->loads.summarize(now)});
+        }
+        self->scheduleSummary();
+    });
+}
+
 void FleetLink::handle(const Mesh::DataCentreLoad &seen)
 {
-    this->serviceLoad.noteDataCentre(
-        seen.service, seen.dataCentre, static_cast<double>(seen.percent) / 100, monotonicNow());
-    this->handlers.dataCentreLoaded({.at = monotonicNow(),
+    const auto now = monotonicNow();
+    this->loads.handle(seen, now);
+    this->handlers.dataCentreLoaded({.at = now,
                                      .bundle = std::string(Discovery::PlatformBundle),
                                      .service = seen.service,
                                      .dataCentre = seen.dataCentre,
                                      .load = static_cast<double>(seen.percent) / 100});
 }
 
+void FleetLink::handle(const Mesh::UpstreamLoads &seen)
+{
+    this->carryOut(this->loads.handle(seen, this->cameFromAfar(seen.vm), monotonicNow()));
+}
+
+bool FleetLink::cameFromAfar(const std::string &vm) const
+{
+    return this->members.isFar(vm) && this->members.addressOf(vm) == this->sender.address().to_string();
+}
+
+void FleetLink::carryOut(const LoadExchange::Update &update)
+{
+    for (const auto &change : update.changes) {
+        this->handlers.loaded(change);
+    }
+    for (const auto &outgoing : update.outgoing) {
+        const auto address = this->members.addressOf(outgoing.vm);
+        if (outgoing.vm.empty()) {
+            this->sendNear(outgoing.message);
+        } else if (address) {
+            this->sendTo(*address, Mesh::encode(outgoing.message));
+        }
+    }
+}
+
 void FleetLink::sendHeartbeat()
 {
     const auto now = monotonicNow();
@@ -308,16 +351,12 @@
 
 void FleetLink::observe(const Core::ReportLoad &changed)
 {
-    this->serviceLoad.note(changed.upstream.service, changed.upstream.upstream, changed.inFlight);
-    this->sendNear(Mesh::LoadSeen{.vm = this->members.self().vm,
-                                  .service = changed.upstream.service,
-                                  .upstream = changed.upstream.upstream,
-                                  .inFlight = changed.inFlight});
+    this->carryOut({.changes = {}, .outgoing = this->loads.observe(changed, monotonicNow())});
 }
 
 void FleetLink::handle(const Mesh::LoadSeen &seen)
 {
-    this->pushLoad(this->load.note(seen, monotonicNow()));
+    this->carryOut(this->loads.handle(seen, this->cameFromAfar(seen.vm), monotonicNow()));
 }
 
 void FleetLink::observe(const Core::ReportReserveUse &use)
@@ -331,15 +370,6 @@
         {.at = monotonicNow(), .bundle = std::string(Discovery::PlatformBundle), .service = use.service});
 }
 
-void FleetLink::pushLoad(const Mesh::UpstreamLoad &total)
-{
-    this->handlers.loaded(
-        {.at = monotonicNow(),
-         .upstream
-         = {.bundle = std::string(Discovery::PlatformBundle), .service = total.service, .upstream = total.upstream},
-         .othersInFlight = total.inFlight});
-}
-
 void FleetLink::sendNear(const Mesh::Message &message)
 {
     this->sendAll(this->members.nearAddresses(), message);
@@ -440,6 +470,7 @@
     this->follower->stop();
     this->expiryTimer.cancel();
     this->heartbeatTimer.cancel();
+    this->summaryTimer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
 }
--- a/src/fleet/serviceload.cpp
+++ b/src/fleet/serviceload.cpp
@@ -45,6 +45,11 @@
     }
 }
 
+const std::map<std::string, std::map<std::string, unsigned>> &ServiceLoad::ownRequests() const
+{
+    return this->own;
+}
+
 void ServiceLoad::noteDataCentre(const std::string &service, const std::string &dataCentre, double load, TimePoint now)
 {
     this->reported[service][dataCentre] = {.load = load, .at = now};
--- a/src/mesh/fleetload.cpp
+++ b/src/mesh/fleetload.cpp
@@ -36,6 +36,15 @@
     return total;
 }
 
+std::vector<UpstreamLoad> FleetLoad::all() const
+{
+    std::vector<UpstreamLoad> result;
+    for (const auto &[key, shares] : this->upstreams) {
+        result.push_back(totalOf(key, shares));
+    }
+    return result;
+}
+
 unsigned FleetLoad::inFlight(const std::string &service) const
 {
     unsigned sum = 0;
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -83,6 +83,12 @@
     return known == this->others.end() ? std::nullopt : std::optional(known->second.address);
 }
 
+bool Members::isFar(const std::string &vm) const
+{
+    const auto known = this->others.find(vm);
+    return known != this->others.end() && known->second.dataCentre != this->own.dataCentre;
+}
+
 std::size_t Members::size() const
 {
     return this->others.size() + 1;
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 // Rises with each change of the format, so that VMs of two releases ignore each other's messages.
-constexpr int FormatVersion = 4;
+constexpr int FormatVersion = 5;
 constexpr std::size_t LongestText = 128;
 constexpr std::uint64_t MostInFlight = 1'000'000;
 constexpr auto LongestAge = std::chrono::minutes(1);
@@ -25,6 +25,7 @@
     LoadSeen = 5,
     ReserveUse = 6,
     DataCentreLoad = 7,
+    UpstreamLoads = 8,
 };
 
 Json fields(const Hello &hello)
@@ -74,7 +75,18 @@
 Json fields(const DataCentreLoad &load)
 {
     return Json::array(
-        {FormatVersion, static_cast<int>(Kind::DataCentreLoad), load.dataCentre, load.service, load.percent});
+        {FormatVersion, static_cast<int>(Kind::DataCentreLoad), load.vm, load.dataCentre, load.service, load.percent});
+}
+
+Json fields(const UpstreamLoads &loads)
+{
+    auto json = Json::array(
+        {FormatVersion, static_cast<int>(Kind::UpstreamLoads), loads.vm, loads.dataCentre, loads.service});
+    for (const auto &load : loads.loads) {
+        json.push_back(load.upstream);
+        json.push_back(load.inFlight);
+    }
+    return json;
 }
 
 /// Reads the fields in turn; a field of another type makes the whole message invalid.
@@ -103,6 +115,12 @@
         return usable ? value->get<std::uint64_t>() : 0;
     }
 
+    /// Whether a valid message has further fields.
+    bool hasMore() const
+    {
+        return this->valid && this->position < this->json.size();
+    }
+
     bool finished() const
     {
         return this->valid && this->position == this->json.size();
@@ -168,11 +186,25 @@
 
 void read(FieldReader &reader, DataCentreLoad &load)
 {
+    load.vm = reader.text();
     load.dataCentre = reader.text();
     load.service = reader.text();
     load.percent = reader.number(MostInFlight);
 }
 
+void read(FieldReader &reader, UpstreamLoads &loads)
+{
+    loads.vm = reader.text();
+    loads.dataCentre = reader.text();
+    loads.service = reader.text();
+    while (reader.hasMore()) {
+        UpstreamTotal load;
+        load.upstream = reader.text();
+        load.inFlight = reader.number(MostInFlight);
+        loads.loads.push_back(std::move(load));
+    }
+}
+
 template<typename Type>
 Message readAs(FieldReader &reader)
 {
@@ -198,6 +230,8 @@
         return readAs<ReserveUse>(reader);
     case Kind::DataCentreLoad:
         return readAs<DataCentreLoad>(reader);
+    case Kind::UpstreamLoads:
+        return readAs<UpstreamLoads>(reader);
     }
     return std::nullopt;
 }
@@ -208,7 +242,7 @@
     if (reader.number(FormatVersion) != FormatVersion) {
         return std::nullopt;
     }
-    const auto kind = static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::DataCentreLoad)));
+    const auto kind = static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::UpstreamLoads)));
     auto message = readKind(reader, kind);
     return reader.finished() ? message : std::nullopt;
 }
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -24,18 +24,23 @@
 
 TEST_CASE("every message is the same after its way through a datagram")
 {
-    const std::vector<Message> messages{hello("7", "morava-a"),
-                                        Goodbye{.vm = "7", .incarnation = 3},
-                                        OutcomeSeen{.vm = "7",
-                                                    .service = "vydej",
-                                                    .upstream = "i-1@5",
-                                                    .cause = Health::Cause::Reset,
-                                                    .early = true,
-                                                    .age = std::chrono::milliseconds(4)},
-                                        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX},
-                                        LoadSeen{.vm = "7", .service = "vydej", .upstream = "i-1@5", .inFlight = 3},
-                                        ReserveUse{.vm = "7", .service = "vydej"},
-                                        DataCentreLoad{.dataCentre = "a", .service = "vydej", .percent = 250}};
+    const std::vector<Message> messages{
+        hello("7", "morava-a"),
+        Goodbye{.vm = "7", .incarnation = 3},
+        OutcomeSeen{.vm = "7",
+                    .service = "vydej",
+                    .upstream = "i-1@5",
+                    .cause = Health::Cause::Reset,
+                    .early = true,
+                    .age = std::chrono::milliseconds(4)},
+        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX},
+        LoadSeen{.vm = "7", .service = "vydej", .upstream = "i-1@5", .inFlight = 3},
+        ReserveUse{.vm = "7", .service = "vydej"},
+        DataCentreLoad{.vm = "7", .dataCentre = "a", .service = "vydej", .percent = 250},
+        UpstreamLoads{.vm = "7",
+                      .dataCentre = "a",
+                      .service = "vydej",
+                      .loads = {{.upstream = "i-1@5", .inFlight = 3}, {.upstream = "i-2@5", .inFlight = 0}}}};
     for (const auto &message : messages) {
         CHECK(decode(encode(message)) == message);
         // A message without its last field is no message.
