End answers that never end, and upstreams whose bytes are no answer, at bounds of size and at once

Change: bytes that cannot begin an answer fail at once, a chunk's line or trailer is taken up to 16 KiB (the same bound for callers), eight interim answers are skipped, and limits.max_answer_bytes bounds a body (256 MiB, checked setting).

--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -40,6 +40,8 @@
     std::size_t maxHeaderBytes = 16384;
     /// Largest request body in bytes.
     std::size_t maxBodyBytes = 268435456;
+    /// Largest body of an upstream's answer in bytes.
+    std::size_t maxAnswerBytes = 268435456;
     std::size_t maxCallerConnections = 4096;
     std::size_t maxRequests = 10000;
     /// Largest number of idle connections kept per upstream.
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -18,6 +18,8 @@
 }
 
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
+// Interim answers are dropped; an upstream sends a 100 and some early hints at most.
+constexpr unsigned MostInterimAnswers = 8;
 constexpr std::size_t SmallReadBytes = 4096;
 constexpr std::size_t LargeReadBytes = 65536;
 
@@ -33,10 +35,14 @@
 Task<void> Attempt::receive()
 {
     bool interim = true;
-    while (interim) {
+    for (unsigned heads = 0; interim; ++heads) {
+        if (heads > MostInterimAnswers) {
+            this->fail(Health::Cause::Malformed);
+            co_return;
+        }
         this->response.emplace();
         this->response->parser.bodySink = &this->body;
-        this->response->parser.body_limit(boost::none);
+        this->response->parser.body_limit(this->host->limits().maxAnswerBytes);
         this->response->parser.skip(this->exchange->request.headMethod);
         const bool arrived = co_await this->readHead();
         if (!arrived) {
@@ -59,10 +65,11 @@
 {
     for (;;) {
         const auto state = this->response->takeHead(this->connection->buffer, MaxAnswerHeadBytes);
-        if (state == HeadState::Complete) {
+        const bool begun = state == HeadState::Complete || mayBeginAnswer(asView(this->connection->buffer));
+        if (state == HeadState::Complete && !this->response->bodyOverLimit) {
             co_return true;
         }
-        if (state != HeadState::Incomplete) {
+        if (state != HeadState::Incomplete || !begun) {
             this->fail(Health::Cause::Malformed);
             co_return false;
         }
--- a/src/proxy/httpparser.cpp
+++ b/src/proxy/httpparser.cpp
@@ -65,6 +65,12 @@
     return emptyLine ? HeadState::Complete : HeadState::Incomplete;
 }
 
+bool mayBeginAnswer(std::string_view bytes)
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    return Version.starts_with(bytes.substr(0, Version.size()));
+}
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
--- a/src/proxy/httpparser.h
+++ b/src/proxy/httpparser.h
@@ -152,6 +152,13 @@
     std::size_t lineStart = 0;
 };
 
+/// Longest line of a chunk, and longest trailer, in bytes. Extensions and trailers are dropped, so that long ones have
+/// no use.
+inline constexpr std::size_t MostUnparsedBytes = 16384;
+
+/// Whether the bytes can be the beginning of an answer's head.
+bool mayBeginAnswer(std::string_view bytes);
+
 inline std::string_view asView(const Buffer &buffer)
 {
     const auto data = buffer.cdata();
@@ -198,7 +205,8 @@
             const auto used = this->parser.put(buffer.cdata(), error);
             buffer.consume(used);
             if (error == http::error::need_more) {
-                return {};
+                // What is left is the beginning of a chunk's line or of the trailer, which the parser takes whole only.
+                return buffer.size() > MostUnparsedBytes ? ErrorCode(http::error::header_limit) : ErrorCode();
             }
             if (error || used == 0) {
                 return error;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -37,6 +37,7 @@
     constexpr std::size_t MostHeaderBytes = 1 << 20;
     reader.readSize("max_header_bytes", limits.maxHeaderBytes, {.least = LeastHeaderBytes, .most = MostHeaderBytes});
     reader.readSize("max_body_bytes", limits.maxBodyBytes, {.least = 1, .most = 1024 * Gibibyte});
+    reader.readSize("max_answer_bytes", limits.maxAnswerBytes, {.least = 1, .most = 1024 * Gibibyte});
     readCount(reader, "max_caller_connections", limits.maxCallerConnections);
     readCount(reader, "max_requests", limits.maxRequests);
     readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
