Count the time in which a VM was suspended

Cause: the steady clock stands still while a VM is suspended.

Measured: all 24 test programs passed.

--- a/src/agent/host.cpp
+++ b/src/agent/host.cpp
@@ -175,7 +175,7 @@
 
 void Host::armTimer()
 {
-    this->timer.expires_at(this->reducer.nextDeadline());
+    this->timer.expires_after(timeUntil(this->reducer.nextDeadline()));
     this->timer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             this->process(Control::AgentTimerExpired{monotonicNow()});
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -432,7 +432,7 @@
     if (!next || this->stopped) {
         return;
     }
-    this->expiryTimer.expires_at(*next);
+    this->expiryTimer.expires_after(timeUntil(*next));
     this->expiryTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (!error && !self->stopped) {
             self->report(self->pooled.expire(monotonicNow()));
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -353,7 +353,7 @@
     if (!next || this->stopped) {
         return;
     }
-    this->deadlineTimer.expires_at(*next);
+    this->deadlineTimer.expires_after(timeUntil(*next));
     this->deadlineTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (!error && !self->stopped) {
             self->apply(Discovery::TimePassed{.at = monotonicNow()});
--- a/src/measure/load.cpp
+++ b/src/measure/load.cpp
@@ -86,7 +86,7 @@
     TimePoint due = monotonicNow();
     const TimePoint end = due + loop->plan.length;
     for (std::uint64_t number = 0; due < end; ++number) {
-        timer.expires_at(due);
+        timer.expires_after(timeUntil(due));
         co_await timer.async_wait(asio::use_awaitable);
         ++loop->running;
         asio::co_spawn(executor, sendOne(loop, number, due), asio::detached);
@@ -105,7 +105,7 @@
     for (unsigned i = 0; i < shared->connections; ++i) {
         asio::co_spawn(executor, keepBusy(shared, end, answers), asio::detached);
     }
-    asio::steady_timer timer(executor, end);
+    asio::steady_timer timer(executor, timeUntil(end));
     co_await timer.async_wait(asio::use_awaitable);
     co_return *answers;
 }
--- a/src/measure/promisestraffic.cpp
+++ b/src/measure/promisestraffic.cpp
@@ -191,7 +191,7 @@
     TimePoint due = monotonicNow();
     const TimePoint end = due + traffic->plan.length;
     for (std::uint64_t number = 0; due < end; ++number) {
-        timer.expires_at(due);
+        timer.expires_after(timeUntil(due));
         co_await timer.async_wait(asio::use_awaitable);
         ++traffic->running;
         asio::co_spawn(executor, makeCall(traffic, planCall(*traffic, number)), asio::detached);
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -172,8 +172,10 @@
 void Host::scheduleDeadline()
 {
     const auto next = this->reducer.nextDeadline();
-    // An armed timer that is too early only costs one wake-up, which is cheaper than moving it with each request.
-    if (!next || (this->armedDeadline && *this->armedDeadline <= *next)) {
+    // An armed timer that is too early only costs one wake-up, which is cheaper than moving it with each request. One
+    // that should be over stood still while the VM was suspended.
+    const bool isArmed = this->armedDeadline && *this->armedDeadline > monotonicNow();
+    if (!next || (isArmed && *this->armedDeadline <= *next)) {
         return;
     }
     this->waitForDeadline(*next);
@@ -182,7 +184,7 @@
 void Host::waitForDeadline(TimePoint at)
 {
     this->armedDeadline = at;
-    this->deadlineTimer.expires_at(at);
+    this->deadlineTimer.expires_after(timeUntil(at));
     this->deadlineTimer.async_wait([self = this->shared_from_this()](ErrorCode error) {
         if (error || self->stopped) {
             return;
--- a/src/proxy/keyhost.cpp
+++ b/src/proxy/keyhost.cpp
@@ -243,7 +243,7 @@
         this->timer.cancel();
         return;
     }
-    this->timer.expires_at(*next);
+    this->timer.expires_after(timeUntil(*next));
     this->timer.async_wait([weak = this->weak_from_this()](ErrorCode error) {
         const auto held = weak.lock();
         if (held && !error) {
--- a/src/proxy/timerwheel.cpp
+++ b/src/proxy/timerwheel.cpp
@@ -85,7 +85,7 @@
         return;
     }
     this->scheduled = true;
-    this->timer.expires_at(std::chrono::steady_clock::time_point((this->currentTick + 1) * Tick));
+    this->timer.expires_after(timeUntil(TimePoint((this->currentTick + 1) * Tick)));
     this->timer.async_wait([this](ErrorCode error) {
         if (!error && !this->stopped) {
             this->scheduled = false;
--- a/test/proxy/benchmark.cpp
+++ b/test/proxy/benchmark.cpp
@@ -79,7 +79,7 @@
     auto due = monotonicNow() + offset;
     for (unsigned count = 0; count < load.requestsPerConnection; ++count) {
         if (load.interval > Duration(0)) {
-            timer.expires_at(due);
+            timer.expires_after(timeUntil(due));
             co_await timer.async_wait(asio::use_awaitable);
             due += load.interval;
         }
