Let the strongest VMs of a data centre read the store for the others

Change: VMs say what they have of a core (store.processor_share, filled in by the platform), and stronger ones come first in the election of readers, who are also the hubs.

--- a/include/verbenadock/mesh/members.h
+++ b/include/verbenadock/mesh/members.h
@@ -32,8 +32,8 @@
     /// Addresses of the others in other data centres.
     std::vector<std::string> farAddresses() const;
 
-    /// Names of the others in the own data centre.
-    std::vector<std::string> nearNames() const;
+    /// Names of the others in the own data centre, with what each has of a core in percent.
+    std::map<std::string, std::uint64_t> nearProcessors() const;
 
     /// Nothing for a VM that is not known.
     std::optional<std::string> addressOf(const std::string &vm) const;
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -22,6 +22,8 @@
     std::string dataCentre;
     /// Milliseconds since 1970.
     std::uint64_t incarnation = 0;
+    /// What the VM has of a core.
+    std::uint64_t processorPercent = 0;
 
     auto operator<=>(const Hello &) const = default;
 };
--- a/include/verbenadock/mesh/readerelection.h
+++ b/include/verbenadock/mesh/readerelection.h
@@ -17,11 +17,12 @@
 class ReaderElection
 {
 public:
-    explicit ReaderElection(std::string ownVm);
+    /// With what the VM has of a core in percent.
+    explicit ReaderElection(std::string ownVm, std::uint64_t ownProcessor = 0);
 
-    /// Names of the other VMs of the data centre. VMs of a higher rank wait longer before they take the place of
-    /// readers that fell silent, so that one VM follows on another and not all at once.
-    void setOthers(const std::vector<std::string> &vms);
+    /// The other VMs of the data centre, with what each has of a core. VMs of a higher rank wait longer before they
+    /// take the place of readers that fell silent, so that one VM follows on another and not all at once.
+    void setOthers(std::map<std::string, std::uint64_t> vms);
 
     /// A reader in the own data centre sent a heartbeat. Others read beside one that the store does not answer.
     void note(const std::string &vm, bool fresh, TimePoint now);
@@ -38,12 +39,16 @@
         bool fresh = false;
     };
 
-    /// Ranks differ from the order of the names, so that the VMs of one rack do not all come first.
+    /// Place in the order of VMs that are equally strong. It differs from the order of the names, so that the VMs of
+    /// one rack do not all come first.
     static std::uint64_t rank(const std::string &vm);
+    std::uint64_t processorOf(const std::string &vm) const;
     bool precedes(const std::string &vm) const;
 
     std::string own;
     std::uint64_t ownRank;
+    std::uint64_t ownProcessor;
+    std::map<std::string, std::uint64_t> processors;
     Duration silenceLimit;
     std::map<std::string, Heard> heard;
 };
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -71,6 +71,8 @@
     Duration pollInterval = std::chrono::milliseconds(200);
     /// Further attempts that the platform grants a service within the window, beside a share of its requests.
     unsigned retryAllowance = 0;
+    /// Cores that this VM has, or its share of one. The strongest VMs work for the others of their data centre.
+    double processorShare = 1;
     Duration retryWindow = std::chrono::seconds(10);
 
     auto operator<=>(const StoreSettings &) const = default;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -51,7 +51,8 @@
     return {.vm = settings.process.vmId,
             .address = settings.peerListen.address,
             .dataCentre = settings.process.dataCentre,
-            .incarnation = incarnation};
+            .incarnation = incarnation,
+            .processorPercent = static_cast<std::uint64_t>(settings.store->processorShare * 100)};
 }
 
 } // namespace
@@ -66,7 +67,7 @@
     , handlers(std::move(toProcess))
     , members(helloOf(given, incarnation))
     , follower(std::make_shared<StoreFollower>(loop, *given.store, registry, this->followerHandlers()))
-    , election(given.process.vmId)
+    , election(given.process.vmId, this->members.self().processorPercent)
     , loads(given.process.vmId, given.process.dataCentre)
     , socket(loop)
     , expiryTimer(loop)
@@ -160,7 +161,7 @@
         logChange(LogLevel::Warning, std::string("membership_join_failed reason=\"") + error.what() + "\"");
         co_return false;
     }
-    this->election.setOthers(this->members.nearNames());
+    this->election.setOthers(this->members.nearProcessors());
     logChange(LogLevel::Info, "membership_joined vms=" + std::to_string(this->members.size()));
     this->send(this->members.self());
     co_return true;
@@ -225,7 +226,7 @@
 void FleetLink::handle(const Mesh::Hello &hello)
 {
     if (this->members.learn(hello)) {
-        this->election.setOthers(this->members.nearNames());
+        this->election.setOthers(this->members.nearProcessors());
         logChange(LogLevel::Info,
                   "member_added vm=" + hello.vm + " address=" + hello.address
                       + " incarnation=" + std::to_string(hello.incarnation));
@@ -235,7 +236,7 @@
 void FleetLink::handle(const Mesh::Goodbye &goodbye)
 {
     this->members.forget(goodbye);
-    this->election.setOthers(this->members.nearNames());
+    this->election.setOthers(this->members.nearProcessors());
     logChange(LogLevel::Info, "member_removed vm=" + goodbye.vm);
 }
 
@@ -466,9 +467,7 @@
         this->socket.send_to(asio::buffer(bytes), Udp::endpoint(parsed, this->settings.peerListen.port), 0, error);
     }
     // A datagram that is lost here is lost like one on the way: others see failures of their own.
-    if (!error) {
-        this->sent.add();
-    }
+    this->sent.add(error ? 0 : 1);
 }
 
 void FleetLink::leave()
--- a/src/fleet/memberrecord.cpp
+++ b/src/fleet/memberrecord.cpp
@@ -8,7 +8,10 @@
 
 std::string memberValue(const Mesh::Hello &hello)
 {
-    return Json{{"address", hello.address}, {"data_centre", hello.dataCentre}, {"incarnation", hello.incarnation}}
+    return Json{{"address", hello.address},
+                {"data_centre", hello.dataCentre},
+                {"incarnation", hello.incarnation},
+                {"processor_percent", hello.processorPercent}}
         .dump();
 }
 
@@ -20,10 +23,14 @@
         || !json["incarnation"].is_number_unsigned()) {
         return std::nullopt;
     }
+    // VMs of an earlier release do not say what they have; they come last in the election of readers.
+    const auto processor = json.find("processor_percent");
+    const bool isKnown = processor != json.end() && processor->is_number_unsigned();
     return Mesh::Hello{.vm = record.key,
                        .address = json["address"],
                        .dataCentre = json["data_centre"],
-                       .incarnation = json["incarnation"]};
+                       .incarnation = json["incarnation"],
+                       .processorPercent = isKnown ? processor->get<std::uint64_t>() : 0};
 }
 
 } // namespace Verbenadock::Fleet::internal
--- a/src/measure/control.cpp
+++ b/src/measure/control.cpp
@@ -124,7 +124,7 @@
 {
     const auto start = monotonicNow();
     const Totals before = readTotals(fleet);
-    std::this_thread::sleep_until(start + SamplingTime);
+    std::this_thread::sleep_for(timeUntil(start + SamplingTime));
     const Totals after = readTotals(fleet);
     const double seconds = std::chrono::duration<double>(monotonicNow() - start).count();
     const auto vms = static_cast<double>(fleet.vms.size());
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -66,12 +66,12 @@
     return result;
 }
 
-std::vector<std::string> Members::nearNames() const
+std::map<std::string, std::uint64_t> Members::nearProcessors() const
 {
-    std::vector<std::string> result;
+    std::map<std::string, std::uint64_t> result;
     for (const auto &[vm, hello] : this->others) {
         if (hello.dataCentre == this->own.dataCentre) {
-            result.push_back(vm);
+            result.emplace(vm, hello.processorPercent);
         }
     }
     return result;
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 // Rises with each change of the format, so that VMs of two releases ignore each other's messages.
-constexpr int FormatVersion = 6;
+constexpr int FormatVersion = 7;
 constexpr std::size_t LongestText = 128;
 constexpr std::uint64_t MostInFlight = 1'000'000;
 constexpr auto LongestAge = std::chrono::minutes(1);
@@ -31,8 +31,13 @@
 
 Json fields(const Hello &hello)
 {
-    return Json::array(
-        {FormatVersion, static_cast<int>(Kind::Hello), hello.vm, hello.address, hello.dataCentre, hello.incarnation});
+    return Json::array({FormatVersion,
+                        static_cast<int>(Kind::Hello),
+                        hello.vm,
+                        hello.address,
+                        hello.dataCentre,
+                        hello.incarnation,
+                        hello.processorPercent});
 }
 
 Json fields(const Goodbye &goodbye)
@@ -162,6 +167,7 @@
     hello.address = reader.text();
     hello.dataCentre = reader.text();
     hello.incarnation = reader.number(UINT64_MAX);
+    hello.processorPercent = reader.number(UINT64_MAX);
 }
 
 void read(FieldReader &reader, Goodbye &goodbye)
--- a/src/mesh/readerelection.cpp
+++ b/src/mesh/readerelection.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-ReaderElection::ReaderElection(std::string ownVm)
+ReaderElection::ReaderElection(std::string ownVm, std::uint64_t processorPercent)
     : own(std::move(ownVm))
     , ownRank(rank(this->own))
+    , ownProcessor(processorPercent)
     , silenceLimit(SilenceLimit)
 {
 }
@@ -35,16 +36,28 @@
     return XXH3_64bits(vm.data(), vm.size());
 }
 
+std::uint64_t ReaderElection::processorOf(const std::string &vm) const
+{
+    const auto known = this->processors.find(vm);
+    return known == this->processors.end() ? 0 : known->second;
+}
+
 bool ReaderElection::precedes(const std::string &vm) const
 {
+    // A reader serves all VMs of its data centre with what it reads, which takes a weak one seconds.
+    const auto processor = this->processorOf(vm);
+    if (processor != this->ownProcessor) {
+        return processor > this->ownProcessor;
+    }
     const auto other = rank(vm);
     return other < this->ownRank || (other == this->ownRank && vm < this->own);
 }
 
-void ReaderElection::setOthers(const std::vector<std::string> &vms)
+void ReaderElection::setOthers(std::map<std::string, std::uint64_t> vms)
 {
-    const auto before = std::count_if(vms.begin(), vms.end(), [this](const std::string &vm) {
-        return this->precedes(vm);
+    this->processors = std::move(vms);
+    const auto before = std::ranges::count_if(this->processors, [this](const auto &other) {
+        return this->precedes(other.first);
     });
     this->silenceLimit = SilenceLimit + std::min(LongestFollowDelay, FollowStep * before);
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t Gibibyte = 1 << 30;
 constexpr std::uint64_t MostConnections = 1'000'000;
 constexpr double MostRetries = 1e6;
+// In cores.
+constexpr double SmallestProcessorShare = 0.01;
+constexpr double LargestProcessorShare = 1024;
 // In seconds.
 constexpr double ShortestRetryWindow = 0.1;
 constexpr double LongestRetryWindow = 3600;
@@ -76,6 +79,8 @@
         store.retryAllowance = static_cast<unsigned>(allowance);
     }
     double seconds = 0;
+    reader.readNumber(
+        "processor_share", store.processorShare, {.least = SmallestProcessorShare, .most = LargestProcessorShare});
     if (reader.readNumber("retry_window_s", seconds, {.least = ShortestRetryWindow, .most = LongestRetryWindow})) {
         store.retryWindow = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     }
--- a/test/base/timetest.cpp
+++ b/test/base/timetest.cpp
@@ -4,8 +4,8 @@
 
 using namespace Verbenadock;
 
-// Pattern: a VM was suspended for some seconds. Its connections had been closed, its deadlines and what it knew of others
-// had run out, and by a clock that stood still it acted on all of them.
+// Pattern: a VM was suspended for some seconds. Its connections had been closed, its deadlines and what it knew of
+// others had run out, and by a clock that stood still it acted on all of them.
 TEST_CASE("the monotonic clock counts the time in which the VM was suspended")
 {
     timespec before{};
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -165,12 +165,18 @@
     int soon = 0;
     int late = 0;
     for (const auto &name : names) {
-        auto others = names;
-        std::erase(others, name);
+        std::map<std::string, std::uint64_t> others;
+        for (const auto &other : names) {
+            if (other != name) {
+                others.emplace(other, 0);
+            }
+        }
         ReaderElection election(name);
         election.setOthers(others);
-        for (const auto &other : others) {
-            election.note(other, true, Start);
+        for (const auto &other : names) {
+            if (other != name) {
+                election.note(other, true, Start);
+            }
         }
         soon += election.reads(Start + 1030ms) ? 1 : 0;
         late += election.reads(Start + 1500ms) ? 1 : 0;
@@ -179,3 +185,32 @@
     CHECK(soon <= 4);
     CHECK(late == Vms);
 }
+
+// Pattern: VMs with 0.1 to 0.5 cores. A reader with a tenth of a core was asked for a new configuration by 41 VMs at
+// once, and answered none of them within their time-outs: they had it 3 s after the store.
+TEST_CASE("the strongest VMs of a data centre read the store for the others")
+{
+    std::map<std::string, std::uint64_t> processors;
+    for (int number = 1; number <= 40; ++number) {
+        processors.emplace("front-a-" + std::to_string(number), number % 10 == 0 ? 50 : 10);
+    }
+    for (const auto &[name, processor] : processors) {
+        INFO(name);
+        auto others = processors;
+        others.erase(name);
+        ReaderElection election(name, processor);
+        election.setOthers(others);
+        for (const auto &other : others) {
+            election.note(other.first, true, Start);
+        }
+        CHECK((!election.reads(Start) || processor == 50));
+    }
+    // Among equals one order holds, and a VM that does not say what it has comes last.
+    ReaderElection weak("front-a-1", 10);
+    weak.setOthers({{"front-a-2", 50}, {"front-a-3", 50}});
+    weak.note("front-a-2", true, Start);
+    CHECK(weak.reads(Start));
+    weak.note("front-a-3", true, Start);
+    CHECK_FALSE(weak.reads(Start));
+    CHECK_FALSE(weak.isFirst(Start));
+}
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -66,10 +66,13 @@
           == StoreSettings{.endpoint = {"10.0.0.1", 7}, .seeds = {{"10.0.0.2", 8}}, .pollInterval = 1s});
     CHECK_FALSE(parseEntrySettings(ValidEntry).store);
     // The platform fills in whole numbers or fractions.
-    const auto granted = parseEntrySettings(
-        common + "[store]\nendpoint = \"10.0.0.1:7\"\nretry_allowance = 58.5\nretry_window_s = 7.5\n");
+    const auto granted
+        = parseEntrySettings(common
+                             + "[store]\nendpoint = \"10.0.0.1:7\"\nretry_allowance = 58.5\nretry_window_s = 7.5\n"
+                               "processor_share = 0.2\n");
     CHECK(granted.store->retryAllowance == 58);
     CHECK(granted.store->retryWindow == 7500ms);
+    CHECK(granted.store->processorShare == Approx(0.2));
     CHECK(mistakesOf(common + "[store]\nendpoint = \"10.0.0.1:7\"\nretry_window_s = 0\n").find("retry_window_s")
           != std::string::npos);
     CHECK(mistakesOf(common).find("agent") != std::string::npos);
