Give the choice of an upstream a source of its own, and bound the unparsed bytes of a body once

The callers' own check of a chunk's line is dead since the parser's wrapper has the same bound (16 KiB), with the same outcome. What a hub tells of requests from elsewhere is noted by the handler of single reports.

--- /dev/null
+++ b/src/core/upstreamchoice.cpp
@@ -0,0 +1,284 @@
+// The part of UpstreamPool that chooses an upstream for a request.
+#include "upstreampool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Verbenadock::Core::Internal {
+
+namespace {
+
+/// Load difference up to which an upstream in the own data centre is preferred.
+constexpr double SimilarLoad = 0.25;
+/// With a preference for the own data centre, requests stay there while it has at least this share of the healthy slots
+/// that an even distribution over the data centres would give it; below, a part in proportion leaves.
+constexpr double EnoughOwnShare = 0.5;
+/// Load in requests per slot up to which a request stays in the data centre. Upstreams queue, and a wait for a part of
+/// the usual work costs less than the way to another data centre. Answers to non-idempotent work are longer, and a
+/// large body costs far more on that way.
+constexpr double IdempotentNearLimit = 1.25;
+constexpr double NearLimit = 2;
+constexpr double LargeNearLimit = 2.5;
+/// Load from which a request would be late: the targets of both deployments are three to four times the usual work
+/// time, and a request that waits for one and a half times that time still has a chance to meet its target.
+constexpr double FullLoad = 2.5;
+/// Other data centres report every 1.2 s.
+constexpr Duration LoadMemory = std::chrono::seconds(4);
+/// Load up to which upstreams count as equally free: half of the slots.
+constexpr double LittleLoad = 0.5;
+/// Share of the requests that go to the least loaded upstream whatever answered last, so that upstreams that join get
+/// work and recovered ones are found.
+constexpr double ExploredShare = 0.1;
+/// Random draws before the pool is searched as a whole.
+constexpr int Draws = 6;
+
+double capacity(const UpstreamState &upstream)
+{
+    return std::max(1.0, upstream.concurrency * upstream.admission.share);
+}
+
+double load(const UpstreamState &upstream)
+{
+    return (upstream.inFlight + upstream.othersInFlight) / capacity(upstream);
+}
+
+bool isIdle(const UpstreamState &upstream)
+{
+    return upstream.inFlight + upstream.othersInFlight == 0;
+}
+
+/// A trial never takes a request that failed elsewhere already, since it may have no further attempt.
+bool isTrialRequest(const Request &request)
+{
+    return request.idempotent && request.attempts.empty();
+}
+
+/// A trial takes one request at a time.
+bool mayTry(const UpstreamState &upstream, const Request &request)
+{
+    return isTrialRequest(request) && isIdle(upstream);
+}
+
+/// Of upstreams with little to do, the one that answered last: it has an open connection, and it is the least likely
+/// one to fail when this entry does not hear from the others.
+bool isPreferred(const UpstreamState &candidate, const UpstreamState &best, bool explores)
+{
+    const double left = std::max(load(candidate), LittleLoad);
+    const double right = std::max(load(best), LittleLoad);
+    if (left != right || explores) {
+        return load(candidate) < load(best);
+    }
+    return candidate.lastSuccessAt > best.lastSuccessAt;
+}
+
+bool inService(const UpstreamState &upstream, TimePoint now)
+{
+    return upstream.configured && !upstream.leaving && upstream.drainingUntil <= now && upstream.admission.allowed;
+}
+
+} // namespace
+
+bool UpstreamPool::usable(const UpstreamState &upstream, const Request &request, TimePoint now) const
+{
+    if (!inService(upstream, now) || upstream.backOffUntil > now) {
+        return false;
+    }
+    if (upstream.admission.trialOnly && !mayTry(upstream, request)) {
+        return false;
+    }
+    return upstream.inFlight < upstream.slots && upstream.inFlight + 1 <= capacity(upstream);
+}
+
+std::uint32_t UpstreamPool::better(std::uint32_t first, std::uint32_t second) const
+{
+    const auto &left = this->upstreams[first];
+    const auto &right = this->upstreams[second];
+    const double difference = load(left) - load(right);
+    if (left.ownDataCentre != right.ownDataCentre && std::abs(difference) <= SimilarLoad) {
+        return left.ownDataCentre ? first : second;
+    }
+    return difference <= 0 ? first : second;
+}
+
+std::optional<std::uint32_t> UpstreamPool::pick(const Request &request, TimePoint now, Random &random) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    if (count == 0) {
+        return std::nullopt;
+    }
+    if (this->prefersOwn) {
+        return this->pickNear(request, now, random);
+    }
+    std::optional<std::uint32_t> first;
+    for (int draw = 0; draw < Draws; ++draw) {
+        const auto index = this->active[random.below(count)];
+        const auto &upstream = this->upstreams[index];
+        if (index == first || !this->usable(upstream, request, now) || request.tried(index)) {
+            continue;
+        }
+        // A ramping upstream has few allowed slots, which are mostly empty; without this it would look least loaded.
+        const bool ramping = !upstream.admission.trialOnly && upstream.admission.share < 1;
+        if (ramping && random.fraction() >= upstream.admission.share) {
+            continue;
+        }
+        if (first) {
+            return this->better(*first, index);
+        }
+        first = index;
+    }
+    if (first) {
+        return first;
+    }
+    return this->search(request, now, random.below(count));
+}
+
+std::optional<std::uint32_t> UpstreamPool::search(const Request &request, TimePoint now, std::uint32_t offset) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    std::optional<std::uint32_t> first;
+    for (std::uint32_t step = 0; step < count; ++step) {
+        const auto position = offset + step;
+        const auto index = this->active[position < count ? position : position - count];
+        if (this->usable(this->upstreams[index], request, now) && !request.tried(index)) {
+            if (first) {
+                return this->better(*first, index);
+            }
+            first = index;
+        }
+    }
+    return first;
+}
+
+std::optional<std::uint32_t> UpstreamPool::pickNear(const Request &request, TimePoint now, Random &random) const
+{
+    const auto count = static_cast<std::uint32_t>(this->active.size());
+    const auto offset = random.below(count);
+    const bool explores = random.fraction() < ExploredShare;
+    NearChoice choice;
+    for (std::uint32_t step = 0; step < count; ++step) {
+        const auto position = offset + step;
+        const auto index = this->active[position < count ? position : position - count];
+        const auto &upstream = this->upstreams[index];
+        if (!this->usable(upstream, request, now) || request.tried(index)) {
+            continue;
+        }
+        if (upstream.admission.trialOnly && upstream.ownDataCentre) {
+            // Trials first, since the answer decides for the requests that cannot be sent again.
+            return index;
+        }
+        this->consider(choice, index, explores);
+    }
+    // A request that failed elsewhere has few attempts left, and one upstream in doubt must not have several requests.
+    const bool probes = choice.doubtful && request.attempts.empty() && isIdle(this->upstreams[*choice.doubtful])
+                        && random.fraction() * choice.nearUpstreams < choice.doubtfulShares;
+    if (probes) {
+        return choice.doubtful;
+    }
+    if (choice.near && choice.far) {
+        return this->leavesDataCentre(request, *choice.near, *choice.far, now, random) ? choice.far : choice.near;
+    }
+    if (choice.near || choice.far) {
+        return choice.near ? choice.near : choice.far;
+    }
+    return choice.doubtful ? choice.doubtful : this->search(request, now, offset);
+}
+
+void UpstreamPool::consider(NearChoice &choice, std::uint32_t index, bool explores) const
+{
+    const auto &upstream = this->upstreams[index];
+    choice.nearUpstreams += upstream.ownDataCentre ? 1 : 0;
+    auto *best = upstream.ownDataCentre ? &choice.near : &choice.far;
+    if (upstream.admission.trialOnly || upstream.admission.share < 1) {
+        // The entries beside an upstream find out whether it has recovered.
+        if (!upstream.ownDataCentre) {
+            return;
+        }
+        choice.doubtfulShares += upstream.admission.share;
+        best = &choice.doubtful;
+    }
+    const bool byLoad = explores || best == &choice.doubtful;
+    if (!*best || isPreferred(upstream, this->upstreams[**best], byLoad)) {
+        *best = index;
+    }
+}
+
+bool UpstreamPool::leavesDataCentre(const Request &request,
+                                    std::uint32_t near,
+                                    std::uint32_t far,
+                                    TimePoint now,
+                                    Random &random) const
+{
+    const double usual = request.idempotent ? IdempotentNearLimit : NearLimit;
+    const double limit = request.large ? LargeNearLimit : usual;
+    const double nearLoad = load(this->upstreams[near]);
+    const bool nearHasRoom = nearLoad < limit;
+    const bool isBusierThere = this->knownLoad(this->upstreams[far], now) >= nearLoad;
+    const bool gainsNothing = isBusierThere && this->isDetailed(this->upstreams[far], now);
+    const bool stays = nearHasRoom && (request.large || gainsNothing || random.fraction() < this->ownShare(now));
+    return !stays && (nearHasRoom || !isBusierThere);
+}
+
+double UpstreamPool::knownLoad(const UpstreamState &upstream, TimePoint now) const
+{
+    const auto known = this->others.find(upstream.dataCentre);
+    if (upstream.ownDataCentre || known == this->others.end() || this->isDetailed(upstream, now)) {
+        return load(upstream);
+    }
+    return now - known->second.at <= LoadMemory ? std::max(load(upstream), known->second.load) : load(upstream);
+}
+
+bool UpstreamPool::isDetailed(const UpstreamState &upstream, TimePoint now) const
+{
+    const auto known = this->others.find(upstream.dataCentre);
+    return known != this->others.end() && known->second.detailedAt != TimePoint{}
+           && now - known->second.detailedAt <= LoadMemory;
+}
+
+bool UpstreamPool::isFull(std::uint32_t upstream, TimePoint now) const
+{
+    return this->prefersOwn && this->knownLoad(this->upstreams[upstream], now) >= FullLoad;
+}
+
+double UpstreamPool::ownShare(TimePoint now) const
+{
+    double own = 0;
+    double all = 0;
+    for (const auto index : this->active) {
+        const auto &upstream = this->upstreams[index];
+        if (inService(upstream, now) && !upstream.admission.trialOnly) {
+            const double slots = upstream.slots * upstream.admission.share;
+            all += slots;
+            own += upstream.ownDataCentre ? slots : 0;
+        }
+    }
+    return all > 0 ? own * static_cast<double>(this->dataCentres) / (all * EnoughOwnShare) : 0;
+}
+
+bool UpstreamPool::couldServe(const Request &request, TimePoint now) const
+{
+    return std::any_of(this->active.begin(), this->active.end(), [&](std::uint32_t index) {
+        const auto &upstream = this->upstreams[index];
+        const bool allowed = !upstream.admission.trialOnly || isTrialRequest(request);
+        return inService(upstream, now) && allowed && !request.tried(index);
+    });
+}
+
+bool UpstreamPool::hasFreeSlot(std::uint32_t upstream) const
+{
+    const auto &state = this->upstreams[upstream];
+    // The way to another data centre and its later news of load take what a hedge would gain.
+    return !this->prefersOwn || (state.ownDataCentre && load(state) + 1 / capacity(state) <= 1);
+}
+
+UpstreamView UpstreamPool::view(std::uint32_t upstream) const
+{
+    const auto &state = this->upstreams[upstream];
+    const auto percent = [](double share) {
+        return static_cast<unsigned>(std::lround(100 * share));
+    };
+    return {.loadPercent = percent(load(state)),
+            .sharePercent = state.admission.trialOnly ? 0 : percent(state.admission.share),
+            .near = state.ownDataCentre};
+}
+
+} // namespace Verbenadock::Core::Internal
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -47,7 +47,7 @@
     TimePoint lastSuccessAt{};
 };
 
-/// The upstreams of one service, with the choice among them.
+/// The upstreams of one service, with the choice among them, whose functions are in upstreamchoice.cpp.
 ///
 /// Usage: configure(); pick() an upstream, then start() on it and finish() when the attempt ends.
 class UpstreamPool
--- a/src/fleet/loadexchange.cpp
+++ b/src/fleet/loadexchange.cpp
@@ -99,12 +99,12 @@
 {
     Update update;
     for (const auto &load : loads.loads) {
-        const auto total = this->others.note(Mesh::LoadSeen{.vm = std::string(Elsewhere),
-                                                            .service = loads.service,
-                                                            .upstream = load.upstream,
-                                                            .inFlight = load.inFlight},
-                                             now);
-        update.changes.push_back(changeOf({total.service, total.upstream}, total.inFlight, false, now));
+        const Mesh::LoadSeen elsewhere{.vm = std::string(Elsewhere),
+                                       .service = loads.service,
+                                       .upstream = load.upstream,
+                                       .inFlight = load.inFlight};
+        const auto noted = this->handle(elsewhere, false, now);
+        update.changes.insert(update.changes.end(), noted.changes.begin(), noted.changes.end());
     }
     return update;
 }
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -14,8 +14,6 @@
 
 constexpr std::size_t SmallReadBytes = 4096;
 constexpr std::size_t LargeReadBytes = 65536;
-// A chunk header with extensions, or the trailers, have to fit into the buffer that is read at once.
-constexpr std::size_t MaxChunkHeadBytes = 16384;
 
 } // namespace
 
@@ -198,9 +196,6 @@
             if (error) {
                 co_return error == http::error::body_limit ? BodyState::TooLarge : BodyState::Broken;
             }
-            if (this->buffer.size() > MaxChunkHeadBytes && into.size() == before && !this->bodyDone()) {
-                co_return BodyState::Broken;
-            }
         }
         if (into.size() > before || this->bodyDone()) {
             co_return BodyState::Progress;
