Tell requests in flight through two hubs of each data centre instead of to every VM

Cause: each request was told to each VM of its data centre when it began and when it ended. With 43 such VMs a VM sent and received 1,600 datagrams a second, whatever its own callers asked, and VMs with a tenth of a core were late for that. Change: VMs tell what changed to two hubs, the first readers, several changes in one datagram; the first hub sends the totals that changed to all at regular times. Upstreams are named by numbers of 64 bits in these messages.

--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -73,6 +73,7 @@
     boost::asio::awaitable<void> introduce();
     boost::asio::awaitable<bool> join(const Platform::StoreClient &store);
     std::vector<Endpoint> others() const;
+    void membersChanged();
     void pushConfiguration();
     void receive();
     void handle(const Mesh::Message &message);
@@ -80,15 +81,19 @@
     void handle(const Mesh::Goodbye &goodbye);
     void handle(const Mesh::OutcomeSeen &outcome);
     void handle(const Mesh::StoreHeartbeat &heartbeat);
-    void handle(const Mesh::LoadSeen &load);
+    void handle(const Mesh::VmLoads &loads);
     void handle(const Mesh::ReserveUse &use);
-    void handle(const Mesh::DataCentreLoad &load);
+    void handle(const Mesh::DataCentreLoads &loads);
     void handle(const Mesh::UpstreamLoads &loads);
     void handle(const Mesh::StoreRecords &records);
     void carryOut(const LoadExchange::Update &update);
     /// Whether the message came from the VM itself, and that from another data centre.
     bool cameFromAfar(const std::string &vm) const;
+    /// Tells hubs what changed, with the changes of a short time in one message.
+    void scheduleTelling();
+    void tellLoads();
     void scheduleSummary();
+    Duration summaryInterval() const;
     void sendNear(const Mesh::Message &message);
     void sendHeartbeat();
     void scheduleHeartbeat();
@@ -98,13 +103,16 @@
     void report(const std::vector<Health::BeliefChange> &changes);
     void scheduleExpiry();
     void send(const Mesh::Message &message);
-    void sendAll(const std::vector<std::string> &addresses, const Mesh::Message &message);
-    void sendTo(const std::string &address, const std::string &datagram);
+    void sendAll(const std::vector<Udp::endpoint> &receivers, const Mesh::Message &message);
+    void sendTo(const Udp::endpoint &receiver, const std::string &datagram);
 
     boost::asio::io_context &context;
     Settings::EntrySettings settings;
     Handlers handlers;
     Mesh::Members members;
+    /// The other VMs of the own data centre, and those of others.
+    std::vector<Udp::endpoint> near;
+    std::vector<Udp::endpoint> far;
     std::shared_ptr<StoreFollower> follower;
     Mesh::ReaderElection election;
     LoadExchange loads;
@@ -115,6 +123,8 @@
     boost::asio::steady_timer expiryTimer;
     boost::asio::steady_timer heartbeatTimer;
     boost::asio::steady_timer summaryTimer;
+    boost::asio::steady_timer tellTimer;
+    bool tellingScheduled = false;
     unsigned heartbeats = 0;
     bool stopped = false;
     Telemetry::Counter &sent;
--- a/include/verbenadock/fleet/loadexchange.h
+++ b/include/verbenadock/fleet/loadexchange.h
@@ -10,9 +10,8 @@
 
 #include <compare>
 #include <map>
-#include <optional>
 #include <string>
-#include <utility>
+#include <unordered_map>
 #include <vector>
 
 namespace Verbenadock::Fleet {
@@ -27,15 +26,16 @@
     auto operator<=>(const Outgoing &) const = default;
 };
 
-/// Keeps the requests in flight at all upstreams known to all entries, at a cost between data centres that does not
-/// grow with the entries.
+/// Keeps the requests in flight at all upstreams known to all entries, at a cost for each entry that grows neither with
+/// the requests nor with the entries.
 ///
-/// Each entry tells those of its data centre of its requests at upstreams there. It tells of requests at an upstream
-/// elsewhere only the hub of that data centre, one of its VMs, which sums them up for the others there. Hubs also tell
-/// each other which of their upstreams have a request for each slot, and pass on what they get.
+/// Each entry tells the hubs of a data centre, two of its VMs, of its requests at upstreams there. The first hub sums
+/// them up and tells the totals that changed to the VMs beside it at regular times. It also tells the hubs of other
+/// data centres which of its upstreams have a request for each slot, and these pass that on.
 ///
 /// Usage: configure() with each configuration; observe() changes of this entry and handle() messages, and send what
-/// they return; summarize() at regular times while this VM is the hub, and expire() on all VMs.
+/// they return; tell() soon after a change, summarize() at regular times while this VM is the first hub, and expire()
+/// on all VMs.
 class LoadExchange
 {
 public:
@@ -50,15 +50,18 @@
     void configure(const Core::Configuration &configuration);
 
     /// The number of this entry's requests at an upstream changed.
-    std::vector<Outgoing> observe(const Core::ReportLoad &changed, TimePoint now);
+    void observe(const Core::ReportLoad &changed);
 
-    /// `isAfar` tells that the VM is in another data centre.
-    Update handle(const Mesh::LoadSeen &seen, bool isAfar, TimePoint now);
+    /// What hubs have to know of this entry's requests: what changed, and what was told a while ago. The hubs of the
+    /// own data centre may contain this VM.
+    std::vector<Outgoing> tell(const std::vector<std::string> &nearHubs, TimePoint now);
+
+    Update handle(const Mesh::VmLoads &seen, TimePoint now);
     /// `fromAfar` tells that the message came from another data centre itself; then it is passed on.
     Update handle(const Mesh::UpstreamLoads &loads, bool fromAfar, TimePoint now);
-    void handle(const Mesh::DataCentreLoad &seen, TimePoint now);
+    void handle(const Mesh::DataCentreLoads &seen, TimePoint now);
 
-    /// What the hubs of other data centres have to know of the upstreams here, and the VMs here of requests from there.
+    /// What the VMs here and the hubs of other data centres have to know of the upstreams here.
     std::vector<Outgoing> summarize(TimePoint now);
 
     /// What no longer counts because its VM or hub fell silent.
@@ -71,6 +74,14 @@
     double busiest(const std::string &service, TimePoint now) const;
 
 private:
+    struct Upstream
+    {
+        std::string service;
+        std::string id;
+        std::string dataCentre;
+        unsigned slots = 0;
+    };
+
     struct Hub
     {
         std::string vm;
@@ -84,30 +95,38 @@
         TimePoint at;
     };
 
-    using Key = std::pair<std::string, std::string>;
+    using Totals = std::map<Mesh::UpstreamNumber, unsigned>;
+    using News = std::map<Mesh::UpstreamNumber, Told>;
 
-    /// Messages with what changed against what was told, or was told a while ago.
-    std::vector<Mesh::UpstreamLoads> news(const std::map<Key, unsigned> &loads,
-                                          std::map<Key, Told> &last,
-                                          TimePoint now) const;
-    std::map<Key, unsigned> fullUpstreams() const;
-    std::map<Key, unsigned> requestsFromAfar() const;
-    Update handleOwn(const Mesh::UpstreamLoads &loads, TimePoint now);
-    static Core::LoadChanged changeOf(const Key &key, unsigned inFlight, bool includesOwn, TimePoint now);
+    /// What changed against what was told, or was told a while ago, in parts that fit into a datagram.
+    static std::vector<std::vector<Mesh::UpstreamRequests>> news(const Totals &loads, News &last, TimePoint now);
+    /// Requests of all VMs at the upstreams of this data centre, as the hub knows them.
+    Totals nearTotals() const;
+    Totals fullUpstreams(const Totals &totals) const;
+    void append(std::vector<Core::LoadChanged> &changes,
+                Mesh::UpstreamNumber upstream,
+                unsigned inFlight,
+                bool includesOwn,
+                TimePoint now) const;
 
     std::string ownVm;
     std::string ownDataCentre;
-    Mesh::FleetLoad others;
-    /// The part of it that comes from VMs of other data centres, as they say themselves.
-    Mesh::FleetLoad afar;
     ServiceLoad serviceLoad;
-    std::map<Key, unsigned> slots;
-    /// By data centre.
-    std::map<std::string, Hub> hubs;
-    /// By service and upstream: what this VM as the hub told other hubs and the VMs here, and what other hubs told.
-    std::map<Key, Told> toldHubs;
-    std::map<Key, Told> toldNear;
-    std::map<Key, Told> heard;
+    std::unordered_map<Mesh::UpstreamNumber, Upstream> upstreams;
+    /// This entry's requests, by the data centre of the upstream.
+    std::map<std::string, Totals> own;
+    /// What the other VMs told this one as a hub.
+    Mesh::FleetLoad others;
+    /// The hubs of other data centres.
+    std::map<std::string, Hub> farHubs;
+    std::vector<std::string> lastNearHubs;
+    /// What this entry told of its own requests, by data centre.
+    std::map<std::string, News> toldOwn;
+    /// What this VM told as a hub, and what other hubs told.
+    News toldNear;
+    News toldFar;
+    News heard;
+    TimePoint toldFarAt{};
 };
 
 } // namespace Verbenadock::Fleet
--- a/include/verbenadock/fleet/serviceload.h
+++ b/include/verbenadock/fleet/serviceload.h
@@ -2,7 +2,6 @@
 #define VERBENADOCK_FLEET_SERVICELOAD_H
 
 #include "verbenadock/core/event.h"
-#include "verbenadock/mesh/fleetload.h"
 
 #include <map>
 #include <string>
@@ -12,7 +11,7 @@
 /// How busy the upstreams of this data centre are: requests in flight per slot of each service, smoothed over some
 /// seconds.
 ///
-/// Usage: configure() with each configuration, note() each report of this VM, sample() at regular times.
+/// Usage: configure() with each configuration, sample() at regular times.
 class ServiceLoad
 {
 public:
@@ -20,17 +19,11 @@
 
     void configure(const Core::Configuration &configuration);
 
-    /// The number of this VM's requests at an upstream changed.
-    void note(const std::string &service, const std::string &upstream, unsigned inFlight);
-
     /// Another data centre reported its load. It counts for some seconds.
     void noteDataCentre(const std::string &service, const std::string &dataCentre, double load, TimePoint now);
 
-    /// This VM's requests, by service and upstream.
-    const std::map<std::string, std::map<std::string, unsigned>> &ownRequests() const;
-
-    /// The smoothed load of each service with slots in this data centre.
-    std::map<std::string, double> sample(const Mesh::FleetLoad &others);
+    /// The smoothed load of each service with slots in this data centre, from the requests in flight at each now.
+    std::map<std::string, double> sample(const std::map<std::string, unsigned> &inFlight);
 
     /// The load of the service in the busiest data centre. Work goes to other data centres when all upstreams of one
     /// are out of use, so that the own load alone may look calm.
@@ -45,7 +38,6 @@
 
     std::string ownDataCentre;
     std::map<std::string, unsigned> slots;
-    std::map<std::string, std::map<std::string, unsigned>> own;
     std::map<std::string, double> smoothed;
     /// By service and data centre.
     std::map<std::string, std::map<std::string, Reported>> reported;
--- a/include/verbenadock/mesh/fleetload.h
+++ b/include/verbenadock/mesh/fleetload.h
@@ -3,41 +3,29 @@
 
 #include "verbenadock/base/time.h"
 #include "verbenadock/mesh/message.h"
+#include "verbenadock/mesh/upstreamnumber.h"
 
-#include <compare>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Verbenadock::Mesh {
 
-/// Requests that all other VMs together have at an upstream.
-struct UpstreamLoad
-{
-    std::string service;
-    std::string upstream;
-    unsigned inFlight = 0;
-
-    auto operator<=>(const UpstreamLoad &) const = default;
-};
-
-/// Adds up what the other VMs say. A VM that falls silent no longer counts after a while, since it may be gone with its
-/// requests.
+/// Adds up the requests that other VMs say they have at upstreams. A VM that falls silent no longer counts after a
+/// while, since it may be gone with its requests.
 class FleetLoad
 {
 public:
-    /// The upstream's new total.
-    UpstreamLoad note(const LoadSeen &load, TimePoint now);
+    void note(const VmLoads &loads, TimePoint now);
 
-    /// The totals that changed because VMs fell silent.
-    std::vector<UpstreamLoad> expire(TimePoint now);
+    /// The upstreams whose total changed because VMs fell silent.
+    std::vector<UpstreamNumber> expire(TimePoint now);
 
-    /// The totals of all upstreams with requests.
-    std::vector<UpstreamLoad> all() const;
+    /// Requests of all other VMs at one upstream.
+    unsigned at(UpstreamNumber upstream) const;
 
-    /// Requests that all other VMs together have at the upstreams of a service.
-    unsigned inFlight(const std::string &service) const;
+    /// The totals of all upstreams with requests.
+    std::map<UpstreamNumber, unsigned> all() const;
 
 private:
     struct Share
@@ -46,12 +34,12 @@
         TimePoint at;
     };
 
-    using Key = std::pair<std::string, std::string>;
+    using Shares = std::map<std::string, Share>;
 
-    static UpstreamLoad totalOf(const Key &key, const std::map<std::string, Share> &shares);
+    static unsigned totalOf(const Shares &shares);
 
-    /// By service and upstream, then by VM; only VMs with requests.
-    std::map<Key, std::map<std::string, Share>> upstreams;
+    /// By upstream, then by VM; only VMs with requests.
+    std::map<UpstreamNumber, Shares> upstreams;
 };
 
 } // namespace Verbenadock::Mesh
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -3,6 +3,7 @@
 
 #include "verbenadock/base/time.h"
 #include "verbenadock/health/sample.h"
+#include "verbenadock/mesh/upstreamnumber.h"
 
 #include <compare>
 #include <cstdint>
@@ -65,15 +66,22 @@
     auto operator<=>(const StoreHeartbeat &) const = default;
 };
 
-/// How many requests a VM has at an upstream now. It is sent to the VMs of the own data centre only.
-struct LoadSeen
+/// Requests at one upstream.
+struct UpstreamRequests
 {
-    std::string vm;
-    std::string service;
-    std::string upstream;
+    UpstreamNumber upstream = 0;
     std::uint64_t inFlight = 0;
 
-    auto operator<=>(const LoadSeen &) const = default;
+    auto operator<=>(const UpstreamRequests &) const = default;
+};
+
+/// How many requests a VM has at upstreams of one data centre. It goes to the VMs that report for that data centre.
+struct VmLoads
+{
+    std::string vm;
+    std::vector<UpstreamRequests> loads;
+
+    auto operator<=>(const VmLoads &) const = default;
 };
 
 /// A VM took an attempt from the reserve that all VMs share.
@@ -85,36 +93,34 @@
     auto operator<=>(const ReserveUse &) const = default;
 };
 
-/// How busy a service's upstreams in the sender's data centre are. It is sent to the VMs of the others, by the VM that
-/// reports for its data centre.
-struct DataCentreLoad
+/// How busy a service's upstreams in one data centre are.
+struct ServicePercent
 {
-    std::string vm;
-    std::string dataCentre;
     std::string service;
     /// Requests in flight per hundred slots.
     std::uint64_t percent = 0;
 
-    auto operator<=>(const DataCentreLoad &) const = default;
+    auto operator<=>(const ServicePercent &) const = default;
 };
 
-/// Requests of all VMs at one upstream.
-struct UpstreamTotal
+/// How busy the upstreams in the sender's data centre are. It is sent to the VMs of the others, by the VM that reports
+/// for its data centre.
+struct DataCentreLoads
 {
-    std::string upstream;
-    std::uint64_t inFlight = 0;
+    std::string vm;
+    std::string dataCentre;
+    std::vector<ServicePercent> services;
 
-    auto operator<=>(const UpstreamTotal &) const = default;
+    auto operator<=>(const DataCentreLoads &) const = default;
 };
 
-/// Requests at upstreams of a data centre whose number changed. It goes from the VM that reports for a data centre to
-/// those of the others, and from these to the VMs beside them.
+/// Requests of all VMs at upstreams of a data centre. It goes from the VM that reports for a data centre to the VMs
+/// beside it and to those that report for others, and from these to the VMs beside them.
 struct UpstreamLoads
 {
     std::string vm;
     std::string dataCentre;
-    std::string service;
-    std::vector<UpstreamTotal> loads;
+    std::vector<UpstreamRequests> loads;
 
     auto operator<=>(const UpstreamLoads &) const = default;
 };
@@ -145,9 +151,9 @@
                              Goodbye,
                              OutcomeSeen,
                              StoreHeartbeat,
-                             LoadSeen,
+                             VmLoads,
                              ReserveUse,
-                             DataCentreLoad,
+                             DataCentreLoads,
                              UpstreamLoads,
                              StoreRecords>;
 
--- a/include/verbenadock/mesh/readerelection.h
+++ b/include/verbenadock/mesh/readerelection.h
@@ -32,6 +32,9 @@
     /// Whether no reader of a lower rank was heard lately: one VM of a data centre, as a rule.
     bool isFirst(TimePoint now) const;
 
+    /// The first VMs among those heard lately and this one, which gather for the data centre what all have to know.
+    std::vector<std::string> hubs(TimePoint now) const;
+
 private:
     struct Heard
     {
@@ -44,6 +47,7 @@
     static std::uint64_t rank(const std::string &vm);
     std::uint64_t processorOf(const std::string &vm) const;
     bool precedes(const std::string &vm) const;
+    bool precedes(const std::string &first, const std::string &second) const;
 
     std::string own;
     std::uint64_t ownRank;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -29,10 +29,15 @@
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(400);
 /// Heartbeats between two reports of the load to other data centres, where bytes are dear.
 constexpr unsigned LoadHeartbeats = 3;
-/// Between two messages of a hub with the requests at its upstreams: about the time of one request, and longer the more
-/// VMs get them, so that a hub with a slow link has time for its callers.
-constexpr Duration ShortestSummaryInterval = std::chrono::milliseconds(200);
-constexpr Duration SummaryPause = std::chrono::milliseconds(10);
+/// Between two summaries of a hub: a part of the time of one request, and longer the more VMs get them, so that a hub with
+/// a slow link has time for its callers.
+constexpr Duration ShortestSummaryInterval = std::chrono::milliseconds(30);
+constexpr Duration LongestSummaryInterval = std::chrono::milliseconds(100);
+constexpr Duration SummaryPause = std::chrono::microseconds(2500);
+/// A VM that is not the hub finds out this often whether it has become it.
+constexpr Duration HubCheckInterval = std::chrono::milliseconds(200);
+/// An entry tells its changes in this part of the summaries' interval.
+constexpr int TellingsPerSummary = 3;
 /// Between two tries to register in the store.
 constexpr Duration JoinPause = std::chrono::seconds(1);
 
@@ -73,6 +78,7 @@
     , expiryTimer(loop)
     , heartbeatTimer(loop)
     , summaryTimer(loop)
+    , tellTimer(loop)
     , sent(registry.counter("verbenadock_mesh_sent_total", "Datagrams to other VMs."))
     , received(registry.counter("verbenadock_mesh_received_total", "Datagrams from other VMs."))
     , malformed(registry.counter("verbenadock_mesh_malformed_total", "Datagrams that were no message."))
@@ -161,7 +167,7 @@
         logChange(LogLevel::Warning, std::string("membership_join_failed reason=\"") + error.what() + "\"");
         co_return false;
     }
-    this->election.setOthers(this->members.nearProcessors());
+    this->membersChanged();
     logChange(LogLevel::Info, "membership_joined vms=" + std::to_string(this->members.size()));
     this->send(this->members.self());
     co_return true;
@@ -226,7 +232,7 @@
 void FleetLink::handle(const Mesh::Hello &hello)
 {
     if (this->members.learn(hello)) {
-        this->election.setOthers(this->members.nearProcessors());
+        this->membersChanged();
         logChange(LogLevel::Info,
                   "member_added vm=" + hello.vm + " address=" + hello.address
                       + " incarnation=" + std::to_string(hello.incarnation));
@@ -236,10 +242,30 @@
 void FleetLink::handle(const Mesh::Goodbye &goodbye)
 {
     this->members.forget(goodbye);
-    this->election.setOthers(this->members.nearProcessors());
+    this->membersChanged();
     logChange(LogLevel::Info, "member_removed vm=" + goodbye.vm);
 }
 
+void FleetLink::membersChanged()
+{
+    this->election.setOthers(this->members.nearProcessors());
+    const auto endpointsOf = [this](const std::vector<std::string> &addresses) {
+        std::vector<Udp::endpoint> endpoints;
+        for (const auto &address : addresses) {
+            boost::system::error_code error;
+            const auto parsed = asio::ip::make_address(address, error);
+            if (error) {
+                logChange(LogLevel::Warning, "member_unreachable address=" + address + " reason=" + error.message());
+            } else {
+                endpoints.emplace_back(parsed, this->settings.peerListen.port);
+            }
+        }
+        return endpoints;
+    };
+    this->near = endpointsOf(this->members.nearAddresses());
+    this->far = endpointsOf(this->members.farAddresses());
+}
+
 void FleetLink::handle(const Mesh::OutcomeSeen &outcome)
 {
     this->judge(
@@ -284,23 +310,28 @@
 {
     const auto now = monotonicNow();
     this->carryOut({.changes = this->loads.expire(now), .outgoing = {}});
-    const bool tellsOthers = ++this->heartbeats % LoadHeartbeats == 0 && this->election.isFirst(now);
+    this->tellLoads();
+    Mesh::DataCentreLoads told{
+        .vm = this->members.self().vm, .dataCentre = this->members.self().dataCentre, .services = {}};
     for (const auto &[service, ownLoad] : this->loads.sample()) {
         this->report(this->pooled.setLoad(service, this->loads.busiest(service, now), now));
-        if (tellsOthers) {
-            this->sendAll(this->members.farAddresses(),
-                          Mesh::DataCentreLoad{.vm = this->members.self().vm,
-                                               .dataCentre = this->members.self().dataCentre,
-                                               .service = service,
-                                               .percent = static_cast<std::uint64_t>(ownLoad * 100)});
-        }
+        told.services.push_back({.service = service, .percent = static_cast<std::uint64_t>(ownLoad * 100)});
+    }
+    if (++this->heartbeats % LoadHeartbeats == 0 && this->election.isFirst(now)) {
+        this->sendAll(this->far, told);
     }
 }
 
+Duration FleetLink::summaryInterval() const
+{
+    const Duration interval = SummaryPause * (this->near.size() + 1);
+    return std::clamp(interval, ShortestSummaryInterval, LongestSummaryInterval);
+}
+
 void FleetLink::scheduleSummary()
 {
-    const auto interval = SummaryPause * (this->members.nearAddresses().size() + 1);
-    this->summaryTimer.expires_after(std::max(ShortestSummaryInterval, Duration(interval)));
+    const bool isHub = this->election.isFirst(monotonicNow());
+    this->summaryTimer.expires_after(isHub ? this->summaryInterval() : HubCheckInterval);
     this->summaryTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (error || self->stopped) {
             return;
@@ -313,15 +344,38 @@
     });
 }
 
-void FleetLink::handle(const Mesh::DataCentreLoad &seen)
+void FleetLink::scheduleTelling()
+{
+    if (this->tellingScheduled || this->stopped) {
+        return;
+    }
+    this->tellingScheduled = true;
+    this->tellTimer.expires_after(this->summaryInterval() / TellingsPerSummary);
+    this->tellTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        self->tellingScheduled = false;
+        if (!error && !self->stopped) {
+            self->tellLoads();
+        }
+    });
+}
+
+void FleetLink::tellLoads()
+{
+    const auto now = monotonicNow();
+    this->carryOut({.changes = {}, .outgoing = this->loads.tell(this->election.hubs(now), now)});
+}
+
+void FleetLink::handle(const Mesh::DataCentreLoads &seen)
 {
     const auto now = monotonicNow();
     this->loads.handle(seen, now);
-    this->handlers.dataCentreLoaded({.at = now,
-                                     .bundle = std::string(Discovery::PlatformBundle),
-                                     .service = seen.service,
-                                     .dataCentre = seen.dataCentre,
-                                     .load = static_cast<double>(seen.percent) / 100});
+    for (const auto &load : seen.services) {
+        this->handlers.dataCentreLoaded({.at = now,
+                                         .bundle = std::string(Discovery::PlatformBundle),
+                                         .service = load.service,
+                                         .dataCentre = seen.dataCentre,
+                                         .load = static_cast<double>(load.percent) / 100});
+    }
 }
 
 void FleetLink::handle(const Mesh::UpstreamLoads &seen)
@@ -340,11 +394,15 @@
         this->handlers.loaded(change);
     }
     for (const auto &outgoing : update.outgoing) {
-        const auto address = this->members.addressOf(outgoing.vm);
         if (outgoing.vm.empty()) {
             this->sendNear(outgoing.message);
-        } else if (address) {
-            this->sendTo(*address, Mesh::encode(outgoing.message));
+            continue;
+        }
+        boost::system::error_code error;
+        const auto address = asio::ip::make_address(this->members.addressOf(outgoing.vm).value_or(""), error);
+        // A hub that has just left is followed by another one within a second.
+        if (!error) {
+            this->sendTo({address, this->settings.peerListen.port}, Mesh::encode(outgoing.message));
         }
     }
 }
@@ -364,12 +422,13 @@
 
 void FleetLink::observe(const Core::ReportLoad &changed)
 {
-    this->carryOut({.changes = {}, .outgoing = this->loads.observe(changed, monotonicNow())});
+    this->loads.observe(changed);
+    this->scheduleTelling();
 }
 
-void FleetLink::handle(const Mesh::LoadSeen &seen)
+void FleetLink::handle(const Mesh::VmLoads &seen)
 {
-    this->carryOut(this->loads.handle(seen, this->members.isFar(seen.vm), monotonicNow()));
+    this->carryOut(this->loads.handle(seen, monotonicNow()));
 }
 
 void FleetLink::observe(const Core::ReportReserveUse &use)
@@ -385,14 +444,14 @@
 
 void FleetLink::sendNear(const Mesh::Message &message)
 {
-    this->sendAll(this->members.nearAddresses(), message);
+    this->sendAll(this->near, message);
 }
 
-void FleetLink::sendAll(const std::vector<std::string> &addresses, const Mesh::Message &message)
+void FleetLink::sendAll(const std::vector<Udp::endpoint> &receivers, const Mesh::Message &message)
 {
     const auto bytes = Mesh::encode(message);
-    for (const auto &address : addresses) {
-        this->sendTo(address, bytes);
+    for (const auto &receiver : receivers) {
+        this->sendTo(receiver, bytes);
     }
 }
 
@@ -456,16 +515,18 @@
 
 void FleetLink::send(const Mesh::Message &message)
 {
-    this->sendAll(this->members.addresses(), message);
+    const auto bytes = Mesh::encode(message);
+    for (const auto *receivers : {&this->near, &this->far}) {
+        for (const auto &receiver : *receivers) {
+            this->sendTo(receiver, bytes);
+        }
+    }
 }
 
-void FleetLink::sendTo(const std::string &address, const std::string &bytes)
+void FleetLink::sendTo(const Udp::endpoint &receiver, const std::string &bytes)
 {
     boost::system::error_code error;
-    const auto parsed = asio::ip::make_address(address, error);
-    if (!error) {
-        this->socket.send_to(asio::buffer(bytes), Udp::endpoint(parsed, this->settings.peerListen.port), 0, error);
-    }
+    this->socket.send_to(asio::buffer(bytes), receiver, 0, error);
     // A datagram that is lost here is lost like one on the way: others see failures of their own.
     this->sent.add(error ? 0 : 1);
 }
@@ -482,6 +543,7 @@
     this->expiryTimer.cancel();
     this->heartbeatTimer.cancel();
     this->summaryTimer.cancel();
+    this->tellTimer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
 }
--- a/src/fleet/loadexchange.cpp
+++ b/src/fleet/loadexchange.cpp
@@ -3,7 +3,6 @@
 #include "verbenadock/discovery/directory.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace Verbenadock::Fleet {
 
@@ -14,10 +13,10 @@
 // A datagram may be lost, so that a load that stays is told again.
 constexpr Duration RepeatInterval = std::chrono::seconds(1);
 constexpr Duration HeardLifetime = std::chrono::milliseconds(2500);
-// About 1 KB, far below the largest datagram that is read.
-constexpr std::size_t MostInMessage = 36;
-// Stands for all VMs of other data centres in what a hub tells the VMs beside it.
-constexpr std::string_view Elsewhere = "*";
+// Bytes between data centres are dear, and news from there only guide what leaves the data centre.
+constexpr Duration FarInterval = std::chrono::milliseconds(200);
+// About 1.3 KB, below the largest datagram that is read and that fits into one packet.
+constexpr std::size_t MostInMessage = 120;
 
 } // namespace
 
@@ -31,175 +30,200 @@
 void LoadExchange::configure(const Core::Configuration &configuration)
 {
     this->serviceLoad.configure(configuration);
-    this->slots.clear();
+    this->upstreams.clear();
     for (const auto &bundle : configuration.bundles) {
         for (const auto &service : bundle.services) {
             for (const auto &upstream : service.upstreams) {
-                this->slots[{service.name, upstream.id}] = upstream.slots;
+                this->upstreams.insert_or_assign(Mesh::upstreamNumber(service.name, upstream.id),
+                                                 Upstream{.service = service.name,
+                                                          .id = upstream.id,
+                                                          .dataCentre = upstream.dataCentre,
+                                                          .slots = upstream.slots});
             }
         }
     }
 }
 
-Core::LoadChanged LoadExchange::changeOf(const Key &key, unsigned inFlight, bool includesOwn, TimePoint now)
+void LoadExchange::append(std::vector<Core::LoadChanged> &changes,
+                          Mesh::UpstreamNumber upstream,
+                          unsigned inFlight,
+                          bool includesOwn,
+                          TimePoint now) const
 {
-    return {.at = now,
-            .upstream
-            = {.bundle = std::string(Discovery::PlatformBundle), .service = key.first, .upstream = key.second},
-            .othersInFlight = inFlight,
-            .includesOwn = includesOwn};
+    const auto known = this->upstreams.find(upstream);
+    if (known == this->upstreams.end()) {
+        // The other VM is ahead of this one in the directory, or behind it.
+        return;
+    }
+    changes.push_back({.at = now,
+                       .upstream = {.bundle = std::string(Discovery::PlatformBundle),
+                                    .service = known->second.service,
+                                    .upstream = known->second.id},
+                       .othersInFlight = inFlight,
+                       .includesOwn = includesOwn});
 }
 
-std::vector<Outgoing> LoadExchange::observe(const Core::ReportLoad &changed, TimePoint now)
+void LoadExchange::observe(const Core::ReportLoad &changed)
 {
-    Outgoing outgoing{.vm = {},
-                      .message = Mesh::LoadSeen{.vm = this->ownVm,
-                                                .service = changed.upstream.service,
-                                                .upstream = changed.upstream.upstream,
-                                                .inFlight = changed.inFlight}};
-    if (changed.dataCentre == this->ownDataCentre) {
-        this->serviceLoad.note(changed.upstream.service, changed.upstream.upstream, changed.inFlight);
-        return {outgoing};
-    }
-    const auto hub = this->hubs.find(changed.dataCentre);
-    if (hub == this->hubs.end() || now - hub->second.heardAt > HubLifetime) {
-        return {};
+    const auto number = Mesh::upstreamNumber(changed.upstream.service, changed.upstream.upstream);
+    auto &requests = this->own[changed.dataCentre];
+    if (changed.inFlight > 0) {
+        requests[number] = changed.inFlight;
+    } else {
+        requests.erase(number);
     }
-    outgoing.vm = hub->second.vm;
-    return {outgoing};
 }
 
-LoadExchange::Update LoadExchange::handle(const Mesh::LoadSeen &seen, bool isAfar, TimePoint now)
+std::vector<Outgoing> LoadExchange::tell(const std::vector<std::string> &nearHubs, TimePoint now)
 {
-    if (isAfar) {
-        this->afar.note(seen, now);
+    if (nearHubs != this->lastNearHubs) {
+        // A new hub knows nothing yet.
+        this->toldOwn.erase(this->ownDataCentre);
+        this->lastNearHubs = nearHubs;
+    }
+    std::vector<Outgoing> outgoing;
+    for (const auto &[dataCentre, requests] : this->own) {
+        std::vector<std::string> hubs;
+        const auto far = this->farHubs.find(dataCentre);
+        if (dataCentre == this->ownDataCentre) {
+            hubs = nearHubs;
+        } else if (far != this->farHubs.end() && now - far->second.heardAt <= HubLifetime) {
+            hubs.push_back(far->second.vm);
+        }
+        std::erase(hubs, this->ownVm);
+        if (hubs.empty()) {
+            continue;
+        }
+        for (const auto &part : news(requests, this->toldOwn[dataCentre], now)) {
+            for (const auto &hub : hubs) {
+                outgoing.push_back({.vm = hub, .message = Mesh::VmLoads{.vm = this->ownVm, .loads = part}});
+            }
+        }
     }
-    const auto total = this->others.note(seen, now);
-    return {.changes = {changeOf({total.service, total.upstream}, total.inFlight, false, now)}, .outgoing = {}};
+    return outgoing;
 }
 
-LoadExchange::Update LoadExchange::handle(const Mesh::UpstreamLoads &loads, bool fromAfar, TimePoint now)
+LoadExchange::Update LoadExchange::handle(const Mesh::VmLoads &seen, TimePoint now)
 {
-    if (loads.dataCentre == this->ownDataCentre) {
-        return fromAfar ? Update{} : this->handleOwn(loads, now);
-    }
+    this->others.note(seen, now);
     Update update;
-    for (const auto &load : loads.loads) {
-        const Key key(loads.service, load.upstream);
-        this->heard[key] = {.inFlight = static_cast<unsigned>(load.inFlight), .at = now};
-        update.changes.push_back(changeOf(key, static_cast<unsigned>(load.inFlight), true, now));
-    }
-    if (fromAfar) {
-        update.outgoing.push_back({.vm = {}, .message = loads});
+    for (const auto &load : seen.loads) {
+        this->append(update.changes, load.upstream, this->others.at(load.upstream), false, now);
     }
     return update;
 }
 
-LoadExchange::Update LoadExchange::handleOwn(const Mesh::UpstreamLoads &loads, TimePoint now)
+LoadExchange::Update LoadExchange::handle(const Mesh::UpstreamLoads &loads, bool fromAfar, TimePoint now)
 {
+    const bool isOwnDataCentre = loads.dataCentre == this->ownDataCentre;
+    if (isOwnDataCentre && fromAfar) {
+        return {};
+    }
     Update update;
     for (const auto &load : loads.loads) {
-        const Mesh::LoadSeen elsewhere{.vm = std::string(Elsewhere),
-                                       .service = loads.service,
-                                       .upstream = load.upstream,
-                                       .inFlight = load.inFlight};
-        const auto noted = this->handle(elsewhere, false, now);
-        update.changes.insert(update.changes.end(), noted.changes.begin(), noted.changes.end());
+        const auto inFlight = static_cast<unsigned>(load.inFlight);
+        this->heard[load.upstream] = {.inFlight = inFlight, .at = now};
+        this->append(update.changes, load.upstream, inFlight, true, now);
+    }
+    if (fromAfar) {
+        update.outgoing.push_back({.vm = {}, .message = loads});
     }
     return update;
 }
 
-void LoadExchange::handle(const Mesh::DataCentreLoad &seen, TimePoint now)
+void LoadExchange::handle(const Mesh::DataCentreLoads &seen, TimePoint now)
 {
-    this->hubs[seen.dataCentre] = {.vm = seen.vm, .heardAt = now};
-    this->serviceLoad.noteDataCentre(seen.service, seen.dataCentre, static_cast<double>(seen.percent) / 100, now);
+    this->farHubs[seen.dataCentre] = {.vm = seen.vm, .heardAt = now};
+    for (const auto &load : seen.services) {
+        this->serviceLoad.noteDataCentre(
+            load.service, seen.dataCentre, static_cast<double>(load.percent) / 100, now);
+    }
 }
 
-std::map<LoadExchange::Key, unsigned> LoadExchange::fullUpstreams() const
+LoadExchange::Totals LoadExchange::nearTotals() const
 {
-    std::map<Key, unsigned> totals;
-    for (const auto &load : this->others.all()) {
-        totals[{load.service, load.upstream}] += load.inFlight;
-    }
-    for (const auto &[service, upstreams] : this->serviceLoad.ownRequests()) {
-        for (const auto &[upstream, inFlight] : upstreams) {
-            totals[{service, upstream}] += inFlight;
+    auto totals = this->others.all();
+    if (const auto requests = this->own.find(this->ownDataCentre); requests != this->own.end()) {
+        for (const auto &[upstream, inFlight] : requests->second) {
+            totals[upstream] += inFlight;
         }
     }
-    std::erase_if(totals, [this](const auto &entry) {
-        const auto known = this->slots.find(entry.first);
-        return known == this->slots.end() || entry.second < known->second;
-    });
     return totals;
 }
 
-std::map<LoadExchange::Key, unsigned> LoadExchange::requestsFromAfar() const
+LoadExchange::Totals LoadExchange::fullUpstreams(const Totals &totals) const
 {
-    std::map<Key, unsigned> totals;
-    for (const auto &load : this->afar.all()) {
-        totals[{load.service, load.upstream}] = load.inFlight;
+    Totals full;
+    for (const auto &[number, inFlight] : totals) {
+        const auto known = this->upstreams.find(number);
+        if (known != this->upstreams.end() && inFlight >= known->second.slots) {
+            full.emplace(number, inFlight);
+        }
     }
-    return totals;
+    return full;
 }
 
-std::vector<Mesh::UpstreamLoads> LoadExchange::news(const std::map<Key, unsigned> &loads,
-                                                    std::map<Key, Told> &last,
-                                                    TimePoint now) const
+std::vector<std::vector<Mesh::UpstreamRequests>>
+LoadExchange::news(const Totals &loads, News &last, TimePoint now)
 {
     // What is not listed any more is told once with the number zero.
     auto present = loads;
     for (const auto &entry : last) {
         present.try_emplace(entry.first, 0);
     }
-    std::vector<Mesh::UpstreamLoads> messages;
-    for (const auto &[key, inFlight] : present) {
-        const auto known = last.find(key);
+    std::vector<std::vector<Mesh::UpstreamRequests>> parts;
+    for (const auto &[upstream, inFlight] : present) {
+        const auto known = last.find(upstream);
         if (known != last.end() && known->second.inFlight == inFlight && now - known->second.at < RepeatInterval) {
             continue;
         }
-        if (messages.empty() || messages.back().service != key.first || messages.back().loads.size() >= MostInMessage) {
-            messages.push_back(
-                {.vm = this->ownVm, .dataCentre = this->ownDataCentre, .service = key.first, .loads = {}});
+        if (parts.empty() || parts.back().size() >= MostInMessage) {
+            parts.emplace_back();
         }
-        messages.back().loads.push_back({.upstream = key.second, .inFlight = inFlight});
+        parts.back().push_back({.upstream = upstream, .inFlight = inFlight});
         if (inFlight == 0) {
-            last.erase(key);
+            last.erase(upstream);
         } else {
-            last[key] = {.inFlight = inFlight, .at = now};
+            last[upstream] = {.inFlight = inFlight, .at = now};
         }
     }
-    return messages;
+    return parts;
 }
 
 std::vector<Outgoing> LoadExchange::summarize(TimePoint now)
 {
     std::vector<Outgoing> outgoing;
-    const auto full = this->news(this->fullUpstreams(), this->toldHubs, now);
-    for (const auto &[dataCentre, hub] : this->hubs) {
-        if (now - hub.heardAt <= HubLifetime) {
-            std::ranges::transform(full, std::back_inserter(outgoing), [&receiver = hub.vm](const auto &message) {
-                return Outgoing{.vm = receiver, .message = message};
-            });
+    const auto messageOf = [this](std::vector<Mesh::UpstreamRequests> part) {
+        return Mesh::UpstreamLoads{.vm = this->ownVm, .dataCentre = this->ownDataCentre, .loads = std::move(part)};
+    };
+    const auto totals = this->nearTotals();
+    for (auto &part : news(totals, this->toldNear, now)) {
+        outgoing.push_back({.vm = {}, .message = messageOf(std::move(part))});
+    }
+    if (now - this->toldFarAt < FarInterval) {
+        return outgoing;
+    }
+    this->toldFarAt = now;
+    for (const auto &part : news(this->fullUpstreams(totals), this->toldFar, now)) {
+        for (const auto &[dataCentre, hub] : this->farHubs) {
+            if (now - hub.heardAt <= HubLifetime) {
+                outgoing.push_back({.vm = hub.vm, .message = messageOf(part)});
+            }
         }
     }
-    const auto fromAfar = this->news(this->requestsFromAfar(), this->toldNear, now);
-    std::ranges::transform(fromAfar, std::back_inserter(outgoing), [](const auto &message) {
-        return Outgoing{.vm = {}, .message = message};
-    });
     return outgoing;
 }
 
 std::vector<Core::LoadChanged> LoadExchange::expire(TimePoint now)
 {
     std::vector<Core::LoadChanged> changes;
-    this->afar.expire(now);
-    for (const auto &total : this->others.expire(now)) {
-        changes.push_back(changeOf({total.service, total.upstream}, total.inFlight, false, now));
+    for (const auto upstream : this->others.expire(now)) {
+        this->append(changes, upstream, this->others.at(upstream), false, now);
     }
     std::erase_if(this->heard, [&](const auto &entry) {
         const bool silent = now - entry.second.at > HeardLifetime;
         if (silent && entry.second.inFlight > 0) {
-            changes.push_back(changeOf(entry.first, 0, true, now));
+            this->append(changes, entry.first, 0, true, now);
         }
         return silent;
     });
@@ -208,7 +232,19 @@
 
 std::map<std::string, double> LoadExchange::sample()
 {
-    return this->serviceLoad.sample(this->others);
+    // A hub knows more than it was told by another one, and other VMs were told what they do not know.
+    auto totals = this->nearTotals();
+    for (const auto &[upstream, told] : this->heard) {
+        totals[upstream] = std::max(totals[upstream], told.inFlight);
+    }
+    std::map<std::string, unsigned> inFlight;
+    for (const auto &[number, requests] : totals) {
+        const auto known = this->upstreams.find(number);
+        if (known != this->upstreams.end() && known->second.dataCentre == this->ownDataCentre) {
+            inFlight[known->second.service] += requests;
+        }
+    }
+    return this->serviceLoad.sample(inFlight);
 }
 
 double LoadExchange::busiest(const std::string &service, TimePoint now) const
--- a/src/fleet/serviceload.cpp
+++ b/src/fleet/serviceload.cpp
@@ -35,21 +35,6 @@
     });
 }
 
-void ServiceLoad::note(const std::string &service, const std::string &upstream, unsigned inFlight)
-{
-    auto &requests = this->own[service];
-    if (inFlight > 0) {
-        requests[upstream] = inFlight;
-    } else {
-        requests.erase(upstream);
-    }
-}
-
-const std::map<std::string, std::map<std::string, unsigned>> &ServiceLoad::ownRequests() const
-{
-    return this->own;
-}
-
 void ServiceLoad::noteDataCentre(const std::string &service, const std::string &dataCentre, double load, TimePoint now)
 {
     this->reported[service][dataCentre] = {.load = load, .at = now};
@@ -67,17 +52,14 @@
     return most;
 }
 
-std::map<std::string, double> ServiceLoad::sample(const Mesh::FleetLoad &others)
+std::map<std::string, double> ServiceLoad::sample(const std::map<std::string, unsigned> &inFlight)
 {
     for (const auto &[service, count] : this->slots) {
         if (count == 0) {
             continue;
         }
-        unsigned inFlight = others.inFlight(service);
-        for (const auto &[upstream, requests] : this->own[service]) {
-            inFlight += requests;
-        }
-        const double now = static_cast<double>(inFlight) / count;
+        const auto requests = inFlight.find(service);
+        const double now = requests == inFlight.end() ? 0 : static_cast<double>(requests->second) / count;
         const auto [entry, isNew] = this->smoothed.try_emplace(service, now);
         entry->second += NewestWeight * (now - entry->second);
     }
--- a/src/mesh/fleetload.cpp
+++ b/src/mesh/fleetload.cpp
@@ -1,75 +1,67 @@
 #include "verbenadock/mesh/fleetload.h"
 
-#include <utility>
-
 namespace Verbenadock::Mesh {
 
 namespace {
 
-// Nearly all requests end within 2 s; a VM reports each end.
-constexpr Duration ShareLifetime = std::chrono::seconds(2);
+// VMs repeat what they have once a second, and one repetition may be lost.
+constexpr Duration ShareLifetime = std::chrono::milliseconds(2500);
 
 } // namespace
 
-UpstreamLoad FleetLoad::totalOf(const Key &key, const std::map<std::string, Share> &shares)
+unsigned FleetLoad::totalOf(const Shares &shares)
 {
-    UpstreamLoad load{.service = key.first, .upstream = key.second, .inFlight = 0};
+    unsigned total = 0;
     for (const auto &[vm, share] : shares) {
-        load.inFlight += share.inFlight;
-    }
-    return load;
-}
-
-UpstreamLoad FleetLoad::note(const LoadSeen &load, TimePoint now)
-{
-    const Key key(load.service, load.upstream);
-    auto &shares = this->upstreams[key];
-    if (load.inFlight == 0) {
-        shares.erase(load.vm);
-    } else {
-        shares[load.vm] = {.inFlight = static_cast<unsigned>(load.inFlight), .at = now};
-    }
-    auto total = totalOf(key, shares);
-    if (shares.empty()) {
-        this->upstreams.erase(key);
+        total += share.inFlight;
     }
     return total;
 }
 
-std::vector<UpstreamLoad> FleetLoad::all() const
-{
-    std::vector<UpstreamLoad> result;
-    for (const auto &[key, shares] : this->upstreams) {
-        result.push_back(totalOf(key, shares));
-    }
-    return result;
-}
-
-unsigned FleetLoad::inFlight(const std::string &service) const
+void FleetLoad::note(const VmLoads &loads, TimePoint now)
 {
-    unsigned sum = 0;
-    for (auto entry = this->upstreams.lower_bound({service, {}});
-         entry != this->upstreams.end() && entry->first.first == service;
-         ++entry) {
-        sum += totalOf(entry->first, entry->second).inFlight;
+    for (const auto &load : loads.loads) {
+        if (load.inFlight > 0) {
+            this->upstreams[load.upstream].insert_or_assign(
+                loads.vm, Share{.inFlight = static_cast<unsigned>(load.inFlight), .at = now});
+            continue;
+        }
+        const auto known = this->upstreams.find(load.upstream);
+        if (known != this->upstreams.end() && known->second.erase(loads.vm) > 0 && known->second.empty()) {
+            this->upstreams.erase(known);
+        }
     }
-    return sum;
 }
 
-std::vector<UpstreamLoad> FleetLoad::expire(TimePoint now)
+std::vector<UpstreamNumber> FleetLoad::expire(TimePoint now)
 {
-    std::vector<UpstreamLoad> changed;
+    std::vector<UpstreamNumber> changed;
     for (auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
-        auto &[key, shares] = *entry;
+        auto &[upstream, shares] = *entry;
         const auto dropped = std::erase_if(shares, [now](const auto &share) {
             return now - share.second.at > ShareLifetime;
         });
         if (dropped > 0) {
-            changed.push_back(totalOf(key, shares));
+            changed.push_back(upstream);
         }
         entry = shares.empty() ? this->upstreams.erase(entry) : std::next(entry);
     }
     return changed;
 }
 
+unsigned FleetLoad::at(UpstreamNumber upstream) const
+{
+    const auto known = this->upstreams.find(upstream);
+    return known == this->upstreams.end() ? 0 : totalOf(known->second);
+}
+
+std::map<UpstreamNumber, unsigned> FleetLoad::all() const
+{
+    std::map<UpstreamNumber, unsigned> result;
+    for (const auto &[upstream, shares] : this->upstreams) {
+        result.emplace(upstream, totalOf(shares));
+    }
+    return result;
+}
+
 } // namespace Verbenadock::Mesh
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <utility>
 #include <vector>
 
 namespace Verbenadock::Mesh {
@@ -12,7 +13,7 @@
 using Json = nlohmann::json;
 
 // Rises with each change of the format, so that VMs of two releases ignore each other's messages.
-constexpr int FormatVersion = 7;
+constexpr int FormatVersion = 8;
 constexpr std::size_t LongestText = 128;
 constexpr std::uint64_t MostInFlight = 1'000'000;
 constexpr auto LongestAge = std::chrono::minutes(1);
@@ -22,9 +23,9 @@
     Goodbye = 2,
     OutcomeSeen = 3,
     StoreHeartbeat = 4,
-    LoadSeen = 5,
+    VmLoads = 5,
     ReserveUse = 6,
-    DataCentreLoad = 7,
+    DataCentreLoads = 7,
     UpstreamLoads = 8,
     StoreRecords = 9,
 };
@@ -67,10 +68,19 @@
                         heartbeat.fresh ? 1 : 0});
 }
 
-Json fields(const LoadSeen &load)
+void append(Json &json, const std::vector<UpstreamRequests> &loads)
 {
-    return Json::array(
-        {FormatVersion, static_cast<int>(Kind::LoadSeen), load.vm, load.service, load.upstream, load.inFlight});
+    for (const auto &load : loads) {
+        json.push_back(load.upstream);
+        json.push_back(load.inFlight);
+    }
+}
+
+Json fields(const VmLoads &loads)
+{
+    auto json = Json::array({FormatVersion, static_cast<int>(Kind::VmLoads), loads.vm});
+    append(json, loads.loads);
+    return json;
 }
 
 Json fields(const ReserveUse &use)
@@ -78,20 +88,20 @@
     return Json::array({FormatVersion, static_cast<int>(Kind::ReserveUse), use.vm, use.service});
 }
 
-Json fields(const DataCentreLoad &load)
+Json fields(const DataCentreLoads &loads)
 {
-    return Json::array(
-        {FormatVersion, static_cast<int>(Kind::DataCentreLoad), load.vm, load.dataCentre, load.service, load.percent});
+    auto json = Json::array({FormatVersion, static_cast<int>(Kind::DataCentreLoads), loads.vm, loads.dataCentre});
+    for (const auto &service : loads.services) {
+        json.push_back(service.service);
+        json.push_back(service.percent);
+    }
+    return json;
 }
 
 Json fields(const UpstreamLoads &loads)
 {
-    auto json = Json::array(
-        {FormatVersion, static_cast<int>(Kind::UpstreamLoads), loads.vm, loads.dataCentre, loads.service});
-    for (const auto &load : loads.loads) {
-        json.push_back(load.upstream);
-        json.push_back(load.inFlight);
-    }
+    auto json = Json::array({FormatVersion, static_cast<int>(Kind::UpstreamLoads), loads.vm, loads.dataCentre});
+    append(json, loads.loads);
     return json;
 }
 
@@ -195,12 +205,20 @@
     heartbeat.fresh = reader.number(1) == 1;
 }
 
-void read(FieldReader &reader, LoadSeen &load)
+std::vector<UpstreamRequests> readLoads(FieldReader &reader)
 {
-    load.vm = reader.text();
-    load.service = reader.text();
-    load.upstream = reader.text();
-    load.inFlight = reader.number(MostInFlight);
+    std::vector<UpstreamRequests> loads;
+    while (reader.hasMore()) {
+        const auto upstream = reader.number(UINT64_MAX);
+        loads.push_back({.upstream = upstream, .inFlight = reader.number(MostInFlight)});
+    }
+    return loads;
+}
+
+void read(FieldReader &reader, VmLoads &loads)
+{
+    loads.vm = reader.text();
+    loads.loads = readLoads(reader);
 }
 
 void read(FieldReader &reader, ReserveUse &use)
@@ -209,25 +227,21 @@
     use.service = reader.text();
 }
 
-void read(FieldReader &reader, DataCentreLoad &load)
+void read(FieldReader &reader, DataCentreLoads &loads)
 {
-    load.vm = reader.text();
-    load.dataCentre = reader.text();
-    load.service = reader.text();
-    load.percent = reader.number(MostInFlight);
+    loads.vm = reader.text();
+    loads.dataCentre = reader.text();
+    while (reader.hasMore()) {
+        auto service = reader.text();
+        loads.services.push_back({.service = std::move(service), .percent = reader.number(MostInFlight)});
+    }
 }
 
 void read(FieldReader &reader, UpstreamLoads &loads)
 {
     loads.vm = reader.text();
     loads.dataCentre = reader.text();
-    loads.service = reader.text();
-    while (reader.hasMore()) {
-        UpstreamTotal load;
-        load.upstream = reader.text();
-        load.inFlight = reader.number(MostInFlight);
-        loads.loads.push_back(std::move(load));
-    }
+    loads.loads = readLoads(reader);
 }
 
 void read(FieldReader &reader, StoreRecords &records)
@@ -263,12 +277,12 @@
         return readAs<OutcomeSeen>(reader);
     case Kind::StoreHeartbeat:
         return readAs<StoreHeartbeat>(reader);
-    case Kind::LoadSeen:
-        return readAs<LoadSeen>(reader);
+    case Kind::VmLoads:
+        return readAs<VmLoads>(reader);
     case Kind::ReserveUse:
         return readAs<ReserveUse>(reader);
-    case Kind::DataCentreLoad:
-        return readAs<DataCentreLoad>(reader);
+    case Kind::DataCentreLoads:
+        return readAs<DataCentreLoads>(reader);
     case Kind::UpstreamLoads:
         return readAs<UpstreamLoads>(reader);
     case Kind::StoreRecords:
--- a/src/mesh/readerelection.cpp
+++ b/src/mesh/readerelection.cpp
@@ -11,6 +11,8 @@
 
 // Two, so that the loss of one is not noticed.
 constexpr std::ptrdiff_t Readers = 2;
+// The second one has all that the first one has, and goes on when that falls silent.
+constexpr std::size_t Hubs = 2;
 // Readers that find the store silent at the same time. Each call costs, and a store that is down answers nobody; a
 // store that turns a third of the VMs away turns all of these away in 1 of 6,500 cases.
 constexpr std::ptrdiff_t MostUnanswered = 8;
@@ -38,19 +40,44 @@
 
 std::uint64_t ReaderElection::processorOf(const std::string &vm) const
 {
+    if (vm == this->own) {
+        return this->ownProcessor;
+    }
     const auto known = this->processors.find(vm);
     return known == this->processors.end() ? 0 : known->second;
 }
 
-bool ReaderElection::precedes(const std::string &vm) const
+bool ReaderElection::precedes(const std::string &first, const std::string &second) const
 {
     // A reader serves all VMs of its data centre with what it reads, which takes a weak one seconds.
-    const auto processor = this->processorOf(vm);
-    if (processor != this->ownProcessor) {
-        return processor > this->ownProcessor;
+    const auto left = this->processorOf(first);
+    const auto right = this->processorOf(second);
+    if (left != right) {
+        return left > right;
     }
-    const auto other = rank(vm);
-    return other < this->ownRank || (other == this->ownRank && vm < this->own);
+    const auto firstRank = rank(first);
+    const auto secondRank = second == this->own ? this->ownRank : rank(second);
+    return firstRank < secondRank || (firstRank == secondRank && first < second);
+}
+
+bool ReaderElection::precedes(const std::string &vm) const
+{
+    return this->precedes(vm, this->own);
+}
+
+std::vector<std::string> ReaderElection::hubs(TimePoint now) const
+{
+    std::vector<std::string> candidates{this->own};
+    for (const auto &[vm, last] : this->heard) {
+        if (now - last.at <= this->silenceLimit) {
+            candidates.push_back(vm);
+        }
+    }
+    std::ranges::sort(candidates, [this](const std::string &first, const std::string &second) {
+        return this->precedes(first, second);
+    });
+    candidates.resize(std::min(candidates.size(), Hubs));
+    return candidates;
 }
 
 void ReaderElection::setOthers(std::map<std::string, std::uint64_t> vms)
