Let lookups that would wait try an idle ejected upstream, and log what decided a rejection

An ejected upstream answers about half of its requests, and a lookup that fails there is sent again from a budget that is hardly used.

--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -38,6 +38,20 @@
     auto operator<=>(const UpstreamView &) const = default;
 };
 
+/// What was known of a service when a request for it was rejected.
+struct RefusalView
+{
+    std::string service;
+    /// Requests for each 100 slots of the upstream that would have been the best; zero without any.
+    unsigned loadPercent = 0;
+    std::size_t queued = 0;
+    /// Upstreams that get work, and all that are configured.
+    std::size_t inService = 0;
+    std::size_t configured = 0;
+
+    auto operator<=>(const RefusalView &) const = default;
+};
+
 /// Sends the request to an upstream.
 struct StartAttempt
 {
@@ -114,6 +128,8 @@
     Refusal refusal = Refusal::NoCapacity;
     /// Value of Retry-After, rounded up to seconds; zero for none.
     Duration retryAfter{0};
+    /// For the log only.
+    RefusalView seen = {};
 
     auto operator<=>(const RespondLocally &) const = default;
 };
--- a/include/verbenadock/health/servicedetector.h
+++ b/include/verbenadock/health/servicedetector.h
@@ -75,6 +75,8 @@
     bool trialOnly = false;
     /// Share of the slots that may be used, 0 to 1.
     double share = 1;
+    /// True for an ejected upstream that is not leaving: a request that would be rejected otherwise may try it.
+    bool lastResort = false;
 
     auto operator<=>(const Admission &) const = default;
 };
--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -37,8 +37,10 @@
     std::string_view outcome;
     std::string_view reason;
     unsigned status = 0;
-    /// Empty when no upstream was tried.
+    /// Empty when the request reached none.
     std::string service;
+    /// What was known of the service when the request ended without an upstream's answer.
+    std::optional<Core::RefusalView> refusal;
     std::vector<AttemptReport> attempts;
     /// From the head of the request to the decision.
     Duration took{0};
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -132,6 +132,16 @@
     this->schedule(slot);
 }
 
+RefusalView Engine::refusalView(const Request &request) const
+{
+    const auto &service = *this->services[request.service];
+    return {.service = service.service.name,
+            .loadPercent = request.bestLoadPercent,
+            .queued = service.queue.size(),
+            .inService = service.pool.countInService(this->now),
+            .configured = service.pool.configured().size()};
+}
+
 void Engine::conclude(std::uint32_t slot, Refusal refusal)
 {
     this->leaveQueue(slot);
@@ -146,10 +156,16 @@
                                                   .status = GatewayTimeout,
                                                   .outcome = Outcome::Unknown,
                                                   .refusal = request.idempotent ? refusal : Refusal::OutcomeUnknown,
-                                                  .retryAfter = Duration(0)});
+                                                  .retryAfter = Duration(0),
+                                                  .seen = this->refusalView(request)});
     } else {
         const auto left = request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt;
-        this->refuse(request.id, ServiceUnavailable, refusal, this->retryAfter(left));
+        this->effects.emplace_back(RespondLocally{.request = request.id,
+                                                  .status = ServiceUnavailable,
+                                                  .outcome = Outcome::NotRun,
+                                                  .refusal = refusal,
+                                                  .retryAfter = this->retryAfter(left),
+                                                  .seen = this->refusalView(request)});
     }
     this->close(slot);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -89,6 +89,7 @@
     /// Advice to a caller with this much time left.
     Duration retryAfter(std::optional<Duration> timeLeft);
     void refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter = Duration(0));
+    RefusalView refusalView(const Request &request) const;
     void conclude(std::uint32_t slot, Refusal refusal);
     void close(std::uint32_t slot);
     void requestTimerExpired(std::uint32_t slot);
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -51,6 +51,8 @@
     Duration targetLatency{0};
     /// The body is so long that the way to another data centre is dear.
     bool large = false;
+    /// Requests for each 100 slots of the upstream that was full when the request was rejected; for the log only.
+    unsigned bestLoadPercent = 0;
     /// The body can be sent again after a part of it was written.
     bool replayable = true;
     Bundles::Priority priority = Bundles::Priority::Normal;
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -30,6 +30,7 @@
         const auto upstream = service.pool.pick(request, this->now, this->random);
         if (upstream && service.pool.isFull(*upstream, this->now)) {
             // It would reach its deadline in a queue and take the time of others there.
+            request.bestLoadPercent = service.pool.view(*upstream).loadPercent;
             this->conclude(slot, request.attempts.empty() ? Refusal::NoCapacity : Refusal::AllAttemptsFailed);
             return;
         }
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -71,9 +71,21 @@
     return candidate.lastSuccessAt > best.lastSuccessAt;
 }
 
+bool isLeaving(const UpstreamState &upstream, TimePoint now)
+{
+    return !upstream.configured || upstream.leaving || upstream.drainingUntil > now;
+}
+
 bool inService(const UpstreamState &upstream, TimePoint now)
 {
-    return upstream.configured && !upstream.leaving && upstream.drainingUntil <= now && upstream.admission.allowed;
+    return !isLeaving(upstream, now) && upstream.admission.allowed;
+}
+
+/// An ejected upstream fails a part of its requests only, mostly at once, and an idempotent request is sent again.
+bool isLastResort(const UpstreamState &upstream, const Request &request, TimePoint now)
+{
+    return upstream.admission.lastResort && upstream.ownDataCentre && !isLeaving(upstream, now)
+           && upstream.backOffUntil <= now && mayTry(upstream, request);
 }
 
 } // namespace
@@ -159,6 +171,9 @@
         const auto position = offset + step;
         const auto index = this->active[position < count ? position : position - count];
         const auto &upstream = this->upstreams[index];
+        if (isLastResort(upstream, request, now)) {
+            choice.lastResort = index;
+        }
         if (!this->usable(upstream, request, now) || request.tried(index)) {
             continue;
         }
@@ -174,13 +189,15 @@
     if (probes) {
         return choice.doubtful;
     }
-    if (choice.near && choice.far) {
-        return this->leavesDataCentre(request, *choice.near, *choice.far, now, random) ? choice.far : choice.near;
+    auto best = choice.near ? choice.near : choice.far;
+    if (choice.near && choice.far && this->leavesDataCentre(request, *choice.near, *choice.far, now, random)) {
+        best = choice.far;
     }
-    if (choice.near || choice.far) {
-        return choice.near ? choice.near : choice.far;
+    best = best ? best : choice.doubtful;
+    if (choice.lastResort && (!best || this->knownLoad(this->upstreams[*best], now) >= IdempotentNearLimit)) {
+        return choice.lastResort;
     }
-    return choice.doubtful ? choice.doubtful : this->search(request, now, offset);
+    return best ? best : this->search(request, now, offset);
 }
 
 void UpstreamPool::consider(NearChoice &choice, std::uint32_t index, bool explores) const
@@ -263,6 +280,13 @@
     });
 }
 
+std::size_t UpstreamPool::countInService(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->active, [&](std::uint32_t index) {
+        return inService(this->upstreams[index], now);
+    }));
+}
+
 bool UpstreamPool::hasFreeSlot(std::uint32_t upstream) const
 {
     const auto &state = this->upstreams[upstream];
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -62,6 +62,8 @@
     /// Whether any upstream could take such a request once slots are free or back-offs are over.
     bool couldServe(const Request &request, TimePoint now) const;
 
+    std::size_t countInService(TimePoint now) const;
+
     /// Whether the upstream has so many requests that a further one would be late.
     bool isFull(std::uint32_t upstream, TimePoint now) const;
 
@@ -116,7 +118,9 @@
         std::optional<std::uint32_t> far;
         /// One of the own data centre that gets a part of its work only.
         std::optional<std::uint32_t> doubtful;
-        /// Sum of the shares of all such upstreams.
+        /// An idle one that was ejected.
+        std::optional<std::uint32_t> lastResort;
+        /// Sum of the shares of the upstreams that get a part of their work.
         double doubtfulShares = 0;
         unsigned nearUpstreams = 0;
     };
--- a/src/health/servicedetector.cpp
+++ b/src/health/servicedetector.cpp
@@ -386,7 +386,7 @@
     case HealthState::HeldByFloor:
         return {.share = this->state->settings.poolDecides ? HeldShare : 1};
     case HealthState::Ejected:
-        return {.allowed = false, .share = 0};
+        return {.allowed = false, .share = 0, .lastResort = true};
     case HealthState::Trial:
         return {.allowed = true, .trialOnly = true, .share = 0};
     case HealthState::Ramp:
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -65,6 +65,10 @@
         this->report.outcome = Core::toString(local.outcome);
         this->report.reason = Core::toString(local.refusal);
         this->report.status = local.status;
+        this->report.refusal = local.seen;
+        if (this->report.service.empty()) {
+            this->report.service = local.seen.service;
+        }
     }
 
     void operator()(const Abort & /*abort*/) const
--- a/test/core/platformloadtest.cpp
+++ b/test/core/platformloadtest.cpp
@@ -457,3 +457,29 @@
     CHECK(isEarly(3));
     CHECK_FALSE(isEarly(310));
 }
+
+// Pattern: a service of lookups with few slots, of whose upstreams half failed a moment ago. The others are full, and the
+// failed ones answer every second request, fast.
+TEST_CASE("a lookup that would wait tries an idle ejected upstream, one at a time, and a claim does not")
+{
+    auto reducer = reducerFor(nearService(4, 2));
+    reducer.apply(verdict("u0", 0));
+    for (const auto *busy : {"u1", "u2", "u3"}) {
+        reducer.apply(othersAt(busy, 5));
+    }
+    CHECK(only<StartAttempt>(reducer.apply(arrival(1, "POST", at(1)))).empty());
+    const auto first = only<StartAttempt>(reducer.apply(arrival(2, "GET", at(2))));
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().upstream.upstream == "u0");
+    const auto second = reducer.apply(arrival(3, "GET", at(3)));
+    CHECK(only<StartAttempt>(second).empty());
+    // The rejection tells what decided it.
+    const auto rejected = only<RespondLocally>(second);
+    REQUIRE(rejected.size() == 1);
+    CHECK(rejected.front().seen.service == "katalog");
+    CHECK(rejected.front().seen.loadPercent == 250);
+    CHECK(rejected.front().seen.inService == 3);
+    // While another upstream has room, an ejected one gets nothing.
+    reducer.apply(othersAt("u2", 0));
+    CHECK(only<StartAttempt>(reducer.apply(arrival(4, "GET", at(4)))).front().upstream.upstream == "u2");
+}
