Write one line for a changed belief instead of two

Change: with the store, upstream_state is written only where the floor decides otherwise. A request's line has the load, the queue and the upstreams in service that a rejection was decided by.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -113,8 +113,11 @@
 Proxy::EntryHandlers EntryProcess::serverHandlers()
 {
     Proxy::EntryHandlers handlers;
-    handlers.stateChanged = [](const Core::StateChange &change) {
-        logChange(LogLevel::Info, stateLine(change));
+    handlers.stateChanged = [this](const Core::StateChange &change) {
+        // With pooled beliefs the line of the belief says the same, except where the floor decides otherwise.
+        if (!this->settings.store || !followsBelief(change)) {
+            logChange(LogLevel::Info, stateLine(change));
+        }
     };
     handlers.terminated = [this](bool clean) {
         this->finish(clean ? 0 : UncleanExit);
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -47,11 +47,25 @@
         line.append("/ms:").append(milliseconds(attempt.took));
         line.append("/").append(attempt.result ? Health::toString(*attempt.result) : "running");
     }
+    if (report.refusal && !report.refusal->service.empty()) {
+        const auto &seen = *report.refusal;
+        line.append(" best_load=").append(std::to_string(seen.loadPercent));
+        line.append(" queued=").append(std::to_string(seen.queued));
+        line.append(" in_service=").append(std::to_string(seen.inService));
+        line.append("/").append(std::to_string(seen.configured));
+    }
     line.append(" ms=").append(milliseconds(report.took));
     line.append(" deadline_ms=").append(report.callerDeadline ? milliseconds(*report.callerDeadline) : "-");
     return line;
 }
 
+bool followsBelief(const Core::StateChange &change)
+{
+    const auto *health = std::get_if<Core::HealthStateChanged>(&change);
+    return health != nullptr && health->transition.from != Health::HealthState::HeldByFloor
+           && health->transition.to != Health::HealthState::HeldByFloor;
+}
+
 std::string stateLine(const Core::StateChange &change)
 {
     return std::visit(
--- a/src/entry/statelines.h
+++ b/src/entry/statelines.h
@@ -11,6 +11,9 @@
 /// The log line of a request at its end.
 std::string requestLine(const Proxy::RequestReport &report);
 
+/// Whether an upstream moved to another stage only because a belief about it changed, and not because of the floor.
+bool followsBelief(const Core::StateChange &change);
+
 /// The log line of a state change.
 std::string stateLine(const Core::StateChange &change);
 
