Let a disturbance of the soak begin before what brings it about

Its first fault kills vm-01, to which caller 0 has just sent its first lookup. The kill was sent before the disturbance was recorded, so that on a busy machine the call had ended before the disturbance began, and the judge took it as cut in calm.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -78,10 +78,16 @@
     }
 }
 
-void Faults::disturb(const std::string &subject, const std::string &kind, Duration length, std::function<void()> undo)
+void Faults::disturb(const std::string &subject,
+                     const std::string &kind,
+                     Duration length,
+                     const std::function<void()> &act,
+                     std::function<void()> undo)
 {
     const auto position = this->run.disturbances.size();
+    // A call that the act cuts short must not end before the disturbance begins, however late this thread goes on.
     this->run.disturbances.push_back({.subject = subject, .kind = kind, .from = monotonicNow()});
+    act();
     ++this->busy[subject];
     this->pending.push_back({.at = monotonicNow() + length, .undo = [this, subject, position, undo = std::move(undo)] {
                                  undo();
@@ -127,27 +133,41 @@
 
 void Faults::kill(std::size_t vm)
 {
-    this->fleet.vms[vm].entry->signal(SIGKILL);
-    this->disturb(this->fleet.vms[vm].id, "kill", this->length(), [this, vm] {
-        this->fleet.startEntry(vm);
-    });
+    this->disturb(
+        this->fleet.vms[vm].id,
+        "kill",
+        this->length(),
+        [this, vm] {
+            this->fleet.vms[vm].entry->signal(SIGKILL);
+        },
+        [this, vm] {
+            this->fleet.startEntry(vm);
+        });
 }
 
 void Faults::pause(std::size_t vm)
 {
-    this->fleet.vms[vm].entry->signal(SIGSTOP);
-    this->disturb(this->fleet.vms[vm].id, "pause", this->length(), [this, vm] {
-        this->fleet.vms[vm].entry->signal(SIGCONT);
-    });
+    this->disturb(
+        this->fleet.vms[vm].id,
+        "pause",
+        this->length(),
+        [this, vm] {
+            this->fleet.vms[vm].entry->signal(SIGSTOP);
+        },
+        [this, vm] {
+            this->fleet.vms[vm].entry->signal(SIGCONT);
+        });
 }
 
 void Faults::stop(std::size_t vm)
 {
     // A process that has not started yet is ended by the signal itself; it has nothing to finish.
     const bool started = this->fleet.isReady(vm);
-    this->fleet.vms[vm].entry->signal(SIGTERM);
     const auto until = monotonicNow() + StopLimit;
-    this->disturb(this->fleet.vms[vm].id, "stop", StopLimit, [this, vm, until, started] {
+    const auto act = [this, vm] {
+        this->fleet.vms[vm].entry->signal(SIGTERM);
+    };
+    this->disturb(this->fleet.vms[vm].id, "stop", StopLimit, act, [this, vm, until, started] {
         // At the end of a run this comes before the limit.
         const auto left = std::max(Duration(0), until - monotonicNow());
         const auto status = this->fleet.vms[vm].entry->waitForExit(left);
@@ -166,11 +186,14 @@
                                                                    {"refused", {{"refuse", true}}},
                                                                    {"delayed", {{"delayMs", 150}}}};
     const auto &[kind, faults] = Ways[this->pick(Ways.size())];
-    this->fleet.setRoutes(faults, {upstream.id});
-    if (this->pick(3) == 0) {
-        this->fleet.silenceRoutes({upstream.id});
-    }
-    this->disturb(upstream.id, kind, this->length(), [this, id = upstream.id] {
+    const bool silences = this->pick(3) == 0;
+    const auto act = [this, &faults, silences, id = upstream.id] {
+        this->fleet.setRoutes(faults, {id});
+        if (silences) {
+            this->fleet.silenceRoutes({id});
+        }
+    };
+    this->disturb(upstream.id, kind, this->length(), act, [this, id = upstream.id] {
         this->fleet.setRoutes({{"cutToTarget", false}, {"cutToClient", false}, {"refuse", false}, {"delayMs", 0}},
                               {id});
     });
@@ -180,8 +203,10 @@
 {
     const auto route = "store-" + this->fleet.vms[vm].id;
     const bool silent = this->pick(2) == 0;
-    this->fleet.setRoutes(silent ? Json{{"freeze", true}} : Json{{"refuse", true}}, {route});
-    this->disturb(route, "store-cut", this->length(), [this, route] {
+    const auto act = [this, silent, route] {
+        this->fleet.setRoutes(silent ? Json{{"freeze", true}} : Json{{"refuse", true}}, {route});
+    };
+    this->disturb(route, "store-cut", this->length(), act, [this, route] {
         this->fleet.setRoutes({{"freeze", false}, {"refuse", false}}, {route});
     });
 }
@@ -194,8 +219,11 @@
                                            {{"hangRate", 0.5}},
                                            {{"slowFactor", 20}},
                                            {{"crossRate", 0.5}}};
-    this->fleet.setUpstreams(Ways[this->pick(Ways.size())], {upstream.id});
-    this->disturb(upstream.id, "sick", this->length(), [this, id = upstream.id] {
+    const auto &way = Ways[this->pick(Ways.size())];
+    const auto act = [this, &way, id = upstream.id] {
+        this->fleet.setUpstreams(way, {id});
+    };
+    this->disturb(upstream.id, "sick", this->length(), act, [this, id = upstream.id] {
         this->fleet.setUpstreams({{"failRate", 0},
                                   {"truncateRate", 0},
                                   {"shedRate", 0},
@@ -232,8 +260,11 @@
 {
     static const std::vector<Json> Ways
         = {{{"outage", "error"}}, {{"outage", "hang"}}, {{"outage", "refuse"}}, {{"delayMs", 250}}, {{"retain", 3}}};
-    this->fleet.setStore(Ways[this->pick(Ways.size())]);
-    this->disturb("store", "store", this->length(), [this] {
+    const auto &way = Ways[this->pick(Ways.size())];
+    const auto act = [this, &way] {
+        this->fleet.setStore(way);
+    };
+    this->disturb("store", "store", this->length(), act, [this] {
         this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}, {"retain", 1000000}});
     });
 }
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -37,7 +37,12 @@
 
     void start();
     bool isBusy(std::size_t vm) const;
-    void disturb(const std::string &subject, const std::string &kind, Duration length, std::function<void()> undo);
+    /// Records the disturbance, brings it about with `act`, and takes it back after its length.
+    void disturb(const std::string &subject,
+                 const std::string &kind,
+                 Duration length,
+                 const std::function<void()> &act,
+                 std::function<void()> undo);
     void kill(std::size_t vm);
     void pause(std::size_t vm);
     void stop(std::size_t vm);
