Prefer upstreams whose path has answered this entry, and use new connections where idle ones are in doubt

Claims hung on their open connections until the deadline, others followed them meanwhile, and after each back-off of 100 ms a claim waited 300 ms for a connection. Change: an upstream that could not be reached counts for 5 s, and one that did not answer within the usual time for 3 s, as if it had 1.5 more requests per slot. A verdict may say that idle connections are in doubt; then all requests use new ones for 4 s.

--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -118,6 +118,8 @@
     bool sick = false;
     /// Share of the usual work that an upstream that is not sick gets. Zero admits trials with idempotent requests.
     double share = 1;
+    /// Idle connections to the upstream may be dead, so that requests need new ones for some seconds.
+    bool doubtsConnections = false;
 
     auto operator<=>(const HealthVerdict &) const = default;
 };
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -59,7 +59,7 @@
                      {.at = this->now,
                       .cause = cause,
                       .latency = latency,
-                      .early = Health::isFailure(cause) && isEarly(request, service, latency)});
+                      .early = cause != Cause::Success && isEarly(request, service, latency)});
     }
 }
 
@@ -82,6 +82,9 @@
     const auto enough = std::max(service.latency.hedgeDelay(), service.service.timeouts.total / 2);
     const bool isEvidence = request.replayable && request.forwarded == 0 && !request.attempts.empty()
                             && this->now - request.attempts.back().startedAt >= enough;
+    if (isEvidence) {
+        this->serviceOf(request).pool.noteOverdue(request.attempts.back().upstream, this->now);
+    }
     this->cancelActive(slot, isEvidence ? Cause::Timeout : Cause::Cancelled);
     this->conclude(slot, Refusal::DeadlineExceeded);
 }
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -205,6 +205,9 @@
     for (const auto &verdict : event.verdicts) {
         const auto place = this->servicePlaces.find({verdict.upstream.bundle, verdict.upstream.service});
         if (place != this->servicePlaces.end()) {
+            if (verdict.doubtsConnections) {
+                this->services[place->second]->pool.noteStaleConnection(verdict.upstream.upstream, this->now);
+            }
             byService[place->second].push_back(Health::PooledVerdict{
                 .upstream = verdict.upstream.upstream, .sick = verdict.sick, .share = verdict.share});
         }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -99,7 +99,7 @@
     void enqueue(std::uint32_t slot);
     void leaveQueue(std::uint32_t slot);
     void dispatch(ServiceState &service);
-    static ConnectionPolicy connectionPolicy(const Request &request);
+    ConnectionPolicy connectionPolicy(const Request &request, const UpstreamState &upstream) const;
     void startAttempt(std::uint32_t slot, std::uint32_t upstream, bool hedge);
     void hedge(std::uint32_t slot);
     /// Wait before a second attempt; zero for none.
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -101,9 +101,9 @@
     }
 }
 
-ConnectionPolicy Engine::connectionPolicy(const Request &request)
+ConnectionPolicy Engine::connectionPolicy(const Request &request, const UpstreamState &upstream) const
 {
-    if (request.metStaleConnection()) {
+    if (request.metStaleConnection() || upstream.connectionsDoubtedUntil > this->now) {
         // What silenced one pooled connection often silenced others too, and a new one costs about 1 ms.
         return ConnectionPolicy::Fresh;
     }
@@ -126,7 +126,7 @@
         .attempt = this->lastAttempt,
         .upstream = target.key,
         .endpoint = target.endpoint,
-        .policy = connectionPolicy(request),
+        .policy = this->connectionPolicy(request, target),
         .connectTimeout = timeouts.connect,
         .firstByteTimeout = timeouts.firstByte,
         .deadline = request.deadline,
@@ -137,7 +137,9 @@
         .seen = seen,
     });
     // The time of a long upload depends on the caller, so that it says nothing about the upstream.
-    const auto delay = hedgeDelay(request, service);
+    const auto usual = hedgeDelay(request, service);
+    // An entry that does not know how long claims take waits for as long as a route allows.
+    const auto delay = usual > Duration(0) ? usual : request.targetLatency;
     request.overdueAt.reset();
     if (!hedge && request.replayable && delay > Duration(0)) {
         request.overdueAt = this->now + delay;
@@ -177,6 +179,9 @@
         late->overdue = true;
         this->noteOverdue(service, late->upstream);
     }
+    if (waited >= (usual > Duration(0) ? usual : request.targetLatency)) {
+        service.pool.noteOverdue(late->upstream, this->now);
+    }
     // Under load a hedge would only take the slot of a request that waits.
     const bool hedged = request.activeAttempts() > 1;
     if (!request.idempotent || hedged || !service.queue.empty() || !request.mayReachAnother()) {
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -119,7 +119,8 @@
 template<>
 inline constexpr std::tuple FieldsOf<HealthVerdict>{Field{"upstream", &HealthVerdict::upstream},
                                                     Field{"sick", &HealthVerdict::sick},
-                                                    Field{"share", &HealthVerdict::share}};
+                                                    Field{"share", &HealthVerdict::share},
+                                                    Field{"doubts_connections", &HealthVerdict::doubtsConnections}};
 template<>
 inline constexpr std::tuple FieldsOf<Health::Sample>{Field{"at", &Health::Sample::at},
                                                      Field{"cause", &Health::Sample::cause},
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -24,6 +24,8 @@
 constexpr double FullLoad = 2.5;
 /// Other data centres report every 1.2 s.
 constexpr Duration LoadMemory = std::chrono::seconds(4);
+/// An upstream that did not answer this entry lately counts as if it had so many more requests per slot.
+constexpr double DoubtedPathLoad = 1.5;
 /// Load up to which upstreams count as equally free: half of the slots.
 constexpr double LittleLoad = 0.5;
 /// Share of the requests that go to the least loaded upstream whatever answered last, so that upstreams that join get
@@ -59,14 +61,20 @@
     return isTrialRequest(request) && isIdle(upstream);
 }
 
+/// The load as the choice sees it: a request waits sooner at a busy upstream than at one that may not answer at all.
+double weighedLoad(const UpstreamState &upstream, TimePoint now)
+{
+    return load(upstream) + (upstream.pathDoubtedUntil > now ? DoubtedPathLoad : 0);
+}
+
 /// Of upstreams with little to do, the one that answered last: it has an open connection, and it is the least likely
 /// one to fail when this entry does not hear from the others.
-bool isPreferred(const UpstreamState &candidate, const UpstreamState &best, bool explores)
+bool isPreferred(const UpstreamState &candidate, const UpstreamState &best, bool explores, TimePoint now)
 {
-    const double left = std::max(load(candidate), LittleLoad);
-    const double right = std::max(load(best), LittleLoad);
+    const double left = std::max(weighedLoad(candidate, now), LittleLoad);
+    const double right = std::max(weighedLoad(best, now), LittleLoad);
     if (left != right || explores) {
-        return load(candidate) < load(best);
+        return weighedLoad(candidate, now) < weighedLoad(best, now);
     }
     return candidate.lastSuccessAt > best.lastSuccessAt;
 }
@@ -181,7 +189,7 @@
             // Trials first, since the answer decides for the requests that cannot be sent again.
             return index;
         }
-        this->consider(choice, index, explores);
+        this->consider(choice, index, explores, now);
     }
     // A request that failed elsewhere has few attempts left, and one upstream in doubt must not have several requests.
     const bool probes = choice.doubtful && request.attempts.empty() && isIdle(this->upstreams[*choice.doubtful])
@@ -200,7 +208,7 @@
     return best ? best : this->search(request, now, offset);
 }
 
-void UpstreamPool::consider(NearChoice &choice, std::uint32_t index, bool explores) const
+void UpstreamPool::consider(NearChoice &choice, std::uint32_t index, bool explores, TimePoint now) const
 {
     const auto &upstream = this->upstreams[index];
     choice.nearUpstreams += upstream.ownDataCentre ? 1 : 0;
@@ -214,7 +222,7 @@
         best = &choice.doubtful;
     }
     const bool byLoad = explores || best == &choice.doubtful;
-    if (!*best || isPreferred(upstream, this->upstreams[**best], byLoad)) {
+    if (!*best || isPreferred(upstream, this->upstreams[**best], byLoad, now)) {
         *best = index;
     }
 }
@@ -227,9 +235,10 @@
 {
     const double usual = request.idempotent ? IdempotentNearLimit : NearLimit;
     const double limit = request.large ? LargeNearLimit : usual;
-    const double nearLoad = load(this->upstreams[near]);
+    const double nearLoad = weighedLoad(this->upstreams[near], now);
     const bool nearHasRoom = nearLoad < limit;
-    const bool isBusierThere = this->knownLoad(this->upstreams[far], now) >= nearLoad;
+    const double farLoad = std::max(this->knownLoad(this->upstreams[far], now), weighedLoad(this->upstreams[far], now));
+    const bool isBusierThere = farLoad >= nearLoad;
     const bool gainsNothing = isBusierThere && this->isDetailed(this->upstreams[far], now);
     const bool stays = nearHasRoom && (request.large || gainsNothing || random.fraction() < this->ownShare(now));
     return !stays && (nearHasRoom || !isBusierThere);
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -17,6 +17,11 @@
 /// Waits after a failed connect. They bound what a stopped upstream costs until the detector ejects it.
 constexpr Duration FirstConnectBackOff = std::chrono::milliseconds(100);
 constexpr Duration LongestConnectBackOff = std::chrono::seconds(2);
+/// A path that is cut stays so for some seconds; a slow upstream may be full for a moment.
+constexpr Duration UnreachableMemory = std::chrono::seconds(5);
+constexpr Duration OverdueMemory = std::chrono::seconds(3);
+/// Upstreams that drop idle connections early, and those that reset requests, do so for some seconds.
+constexpr Duration StaleMemory = std::chrono::seconds(4);
 
 } // namespace
 
@@ -159,6 +164,20 @@
     if (state.backOffUntil <= now) {
         lengthenBackOff(state, FirstConnectBackOff, LongestConnectBackOff, now, random);
     }
+    state.pathDoubtedUntil = now + UnreachableMemory;
+}
+
+void UpstreamPool::noteOverdue(std::uint32_t upstream, TimePoint now)
+{
+    auto &state = this->upstreams[upstream];
+    state.pathDoubtedUntil = std::max(state.pathDoubtedUntil, now + OverdueMemory);
+}
+
+void UpstreamPool::noteStaleConnection(const std::string &upstream, TimePoint now)
+{
+    if (const auto place = this->places.find(upstream); place != this->places.end()) {
+        this->upstreams[place->second].connectionsDoubtedUntil = now + StaleMemory;
+    }
 }
 
 bool UpstreamPool::noteDraining(std::uint32_t upstream, TimePoint now)
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -45,6 +45,10 @@
     Health::Admission admission;
     /// The last success of this entry, unless a failure followed.
     TimePoint lastSuccessAt{};
+    /// Until then requests need new connections, since idle ones may be dead.
+    TimePoint connectionsDoubtedUntil{};
+    /// Until then this entry prefers others, since the upstream did not answer it in time or could not be reached.
+    TimePoint pathDoubtedUntil{};
 };
 
 /// The upstreams of one service, with the choice among them, whose functions are in upstreamchoice.cpp.
@@ -83,6 +87,9 @@
     void noteFailure(std::uint32_t upstream);
     void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
     void noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random);
+    /// A request got no answer within the time that is usual.
+    void noteOverdue(std::uint32_t upstream, TimePoint now);
+    void noteStaleConnection(const std::string &upstream, TimePoint now);
     /// Returns true when the upstream was not known to drain.
     bool noteDraining(std::uint32_t upstream, TimePoint now);
 
@@ -124,7 +131,7 @@
         double doubtfulShares = 0;
         unsigned nearUpstreams = 0;
     };
-    void consider(NearChoice &choice, std::uint32_t index, bool explores) const;
+    void consider(NearChoice &choice, std::uint32_t index, bool explores, TimePoint now) const;
     bool leavesDataCentre(const Request &request,
                           std::uint32_t near,
                           std::uint32_t far,
--- a/test/core/platformloadtest.cpp
+++ b/test/core/platformloadtest.cpp
@@ -458,8 +458,8 @@
     CHECK_FALSE(isEarly(310));
 }
 
-// Pattern: a service of lookups with few slots, of whose upstreams half failed a moment ago. The others are full, and the
-// failed ones answer every second request, fast.
+// Pattern: a service of lookups with few slots, of whose upstreams half failed a moment ago. The others are full, and
+// the failed ones answer every second request, fast.
 TEST_CASE("a lookup that would wait tries an idle ejected upstream, one at a time, and a claim does not")
 {
     auto reducer = reducerFor(nearService(4, 2));
