Leave out VMs that fell silent when a hub adds up loads

A hub that wakes sends its next summary before it has dropped what VMs told it before. The new test failed before.

--- a/include/verbenadock/fleet/loadexchange.h
+++ b/include/verbenadock/fleet/loadexchange.h
@@ -68,7 +68,7 @@
     std::vector<Core::LoadChanged> expire(TimePoint now);
 
     /// The smoothed load of each service with slots in this data centre.
-    std::map<std::string, double> sample();
+    std::map<std::string, double> sample(TimePoint now);
 
     /// The load of the service in its busiest data centre.
     double busiest(const std::string &service, TimePoint now) const;
@@ -104,7 +104,7 @@
     /// What changed against what was told, or was told a while ago, in parts that fit into a datagram.
     static std::vector<std::vector<Mesh::UpstreamRequests>> news(const Totals &loads, News &last, TimePoint now);
     /// Requests of all VMs at the upstreams of this data centre, as the hub knows them.
-    Totals nearTotals() const;
+    Totals nearTotals(TimePoint now) const;
     Totals fullUpstreams(const Totals &totals) const;
     void append(std::vector<Core::LoadChanged> &changes,
                 Mesh::UpstreamNumber upstream,
--- a/include/verbenadock/mesh/fleetload.h
+++ b/include/verbenadock/mesh/fleetload.h
@@ -21,11 +21,11 @@
     /// The upstreams whose total changed because VMs fell silent.
     std::vector<UpstreamNumber> expire(TimePoint now);
 
-    /// Requests of all other VMs at one upstream.
-    unsigned at(UpstreamNumber upstream) const;
+    /// Requests of all other VMs at one upstream. Like all(), it leaves out VMs that have fallen silent.
+    unsigned at(UpstreamNumber upstream, TimePoint now) const;
 
     /// The totals of all upstreams with requests.
-    std::map<UpstreamNumber, unsigned> all() const;
+    std::map<UpstreamNumber, unsigned> all(TimePoint now) const;
 
 private:
     struct Share
@@ -36,7 +36,7 @@
 
     using Shares = std::map<std::string, Share>;
 
-    static unsigned totalOf(const Shares &shares);
+    static unsigned totalOf(const Shares &shares, TimePoint now);
 
     /// By upstream, then by VM; only VMs with requests.
     std::map<UpstreamNumber, Shares> upstreams;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -316,7 +316,7 @@
     this->tellLoads();
     Mesh::DataCentreLoads told{
         .vm = this->members.self().vm, .dataCentre = this->members.self().dataCentre, .services = {}};
-    for (const auto &[service, ownLoad] : this->loads.sample()) {
+    for (const auto &[service, ownLoad] : this->loads.sample(now)) {
         const auto latency = std::chrono::duration<double>(this->latencies[service]).count();
         const Health::ServicePace pace{.load = this->loads.busiest(service, now),
                                        .requestsPerSecond
--- a/src/fleet/loadexchange.cpp
+++ b/src/fleet/loadexchange.cpp
@@ -108,7 +108,7 @@
     this->others.note(seen, now);
     Update update;
     for (const auto &load : seen.loads) {
-        this->append(update.changes, load.upstream, this->others.at(load.upstream), false, now);
+        this->append(update.changes, load.upstream, this->others.at(load.upstream, now), false, now);
     }
     return update;
 }
@@ -139,9 +139,9 @@
     }
 }
 
-LoadExchange::Totals LoadExchange::nearTotals() const
+LoadExchange::Totals LoadExchange::nearTotals(TimePoint now) const
 {
-    auto totals = this->others.all();
+    auto totals = this->others.all(now);
     if (const auto requests = this->own.find(this->ownDataCentre); requests != this->own.end()) {
         for (const auto &[upstream, inFlight] : requests->second) {
             totals[upstream] += inFlight;
@@ -194,7 +194,7 @@
     const auto messageOf = [this](std::vector<Mesh::UpstreamRequests> part) {
         return Mesh::UpstreamLoads{.vm = this->ownVm, .dataCentre = this->ownDataCentre, .loads = std::move(part)};
     };
-    const auto totals = this->nearTotals();
+    const auto totals = this->nearTotals(now);
     for (auto &part : news(totals, this->toldNear, now)) {
         outgoing.push_back({.vm = {}, .message = messageOf(std::move(part))});
     }
@@ -216,7 +216,7 @@
 {
     std::vector<Core::LoadChanged> changes;
     for (const auto upstream : this->others.expire(now)) {
-        this->append(changes, upstream, this->others.at(upstream), false, now);
+        this->append(changes, upstream, this->others.at(upstream, now), false, now);
     }
     std::erase_if(this->heard, [&](const auto &entry) {
         const bool silent = now - entry.second.at > HeardLifetime;
@@ -228,12 +228,14 @@
     return changes;
 }
 
-std::map<std::string, double> LoadExchange::sample()
+std::map<std::string, double> LoadExchange::sample(TimePoint now)
 {
     // A hub knows more than it was told by another one, and other VMs were told what they do not know.
-    auto totals = this->nearTotals();
+    auto totals = this->nearTotals(now);
     for (const auto &[upstream, told] : this->heard) {
-        totals[upstream] = std::max(totals[upstream], told.inFlight);
+        if (now - told.at <= HeardLifetime) {
+            totals[upstream] = std::max(totals[upstream], told.inFlight);
+        }
     }
     std::map<std::string, unsigned> inFlight;
     for (const auto &[number, requests] : totals) {
--- a/src/mesh/fleetload.cpp
+++ b/src/mesh/fleetload.cpp
@@ -9,11 +9,12 @@
 
 } // namespace
 
-unsigned FleetLoad::totalOf(const Shares &shares)
+unsigned FleetLoad::totalOf(const Shares &shares, TimePoint now)
 {
+    // A process that was paused is asked for totals before it has had time for expire().
     unsigned total = 0;
     for (const auto &[vm, share] : shares) {
-        total += share.inFlight;
+        total += now - share.at <= ShareLifetime ? share.inFlight : 0;
     }
     return total;
 }
@@ -49,17 +50,19 @@
     return changed;
 }
 
-unsigned FleetLoad::at(UpstreamNumber upstream) const
+unsigned FleetLoad::at(UpstreamNumber upstream, TimePoint now) const
 {
     const auto known = this->upstreams.find(upstream);
-    return known == this->upstreams.end() ? 0 : totalOf(known->second);
+    return known == this->upstreams.end() ? 0 : totalOf(known->second, now);
 }
 
-std::map<UpstreamNumber, unsigned> FleetLoad::all() const
+std::map<UpstreamNumber, unsigned> FleetLoad::all(TimePoint now) const
 {
     std::map<UpstreamNumber, unsigned> result;
     for (const auto &[upstream, shares] : this->upstreams) {
-        result.emplace(upstream, totalOf(shares));
+        if (const auto total = totalOf(shares, now); total > 0) {
+            result.emplace(upstream, total);
+        }
     }
     return result;
 }
--- a/test/fleet/loadexchangetest.cpp
+++ b/test/fleet/loadexchangetest.cpp
@@ -184,8 +184,8 @@
     CHECK(known == 40);
     // The first hub falls silent, and the second one has it all.
     CHECK(messagesTo<Mesh::UpstreamLoads>("", second.summarize(Now + 50ms)).front().loads.size() == 40);
-    CHECK(hub.sample().at(Service) == Approx(60.0 / 80));
-    CHECK(other.sample().at(Service) == Approx(60.0 / 80));
+    CHECK(hub.sample(Now).at(Service) == Approx(60.0 / 80));
+    CHECK(other.sample(Now).at(Service) == Approx(60.0 / 80));
 }
 
 TEST_CASE("a hub that was not one before is told everything, and no VM tells itself")
@@ -244,6 +244,21 @@
     CHECK(ended.front().othersInFlight == 0);
 }
 
+// A hub that was paused for seconds goes on where it was: its timer for the next summary is due before anything else.
+TEST_CASE("a hub that was paused tells nothing of what it was told before")
+{
+    auto hub = exchangeOf("b-1", "b");
+    hub.handle(Mesh::VmLoads{.vm = "b-2", .loads = {{.upstream = numberOf("u1"), .inFlight = 2}}}, Now);
+    hub.observe(requestsAt("u2", "b", 1));
+    CHECK(hub.summarize(Now).size() == 1);
+    const auto afterPause = hub.summarize(Now + 10s);
+    REQUIRE(afterPause.size() == 1);
+    for (const auto &load : std::get<Mesh::UpstreamLoads>(afterPause.front().message).loads) {
+        CHECK(load.inFlight == (load.upstream == numberOf("u2") ? 1 : 0));
+    }
+    CHECK(hub.sample(Now + 10s).at(Service) < 0.5);
+}
+
 // Two VMs may take themselves for the hub for a moment; the numbers are totals, so that both may tell them.
 TEST_CASE("totals told twice count once, and a data centre takes no numbers of its own upstreams from others")
 {
