--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -185,15 +185,15 @@
                                                                    {"cut-to-entry", {{"cutToClient", true}}},
                                                                    {"refused", {{"refuse", true}}},
                                                                    {"delayed", {{"delayMs", 150}}}};
-    const auto &[kind, faults] = Ways[this->pick(Ways.size())];
+    const auto &way = Ways[this->pick(Ways.size())];
     const bool silences = this->pick(3) == 0;
-    const auto act = [this, &faults, silences, id = upstream.id] {
-        this->fleet.setRoutes(faults, {id});
+    const auto act = [this, &way, silences, id = upstream.id] {
+        this->fleet.setRoutes(way.second, {id});
         if (silences) {
             this->fleet.silenceRoutes({id});
         }
     };
-    this->disturb(upstream.id, kind, this->length(), act, [this, id = upstream.id] {
+    this->disturb(upstream.id, way.first, this->length(), act, [this, id = upstream.id] {
         this->fleet.setRoutes({{"cutToTarget", false}, {"cutToClient", false}, {"refuse", false}, {"delayMs", 0}},
                               {id});
     });
