Reject requests in one place, and drop a time of beliefs that nothing reads

Cause: the last read of the change. conclude() wrote out the rejection that refuse() makes, and the start of a belief has been dead since the idle upstreams are ordered by their last failure. Change: refuse() takes what was known when it decided; State::since and an include go. Behaviour stays as it is.

--- a/include/verbenadock/health/pooledfailures.h
+++ b/include/verbenadock/health/pooledfailures.h
@@ -112,8 +112,7 @@
     struct State
     {
         Belief belief = Belief::Sound;
-        /// Start and end of every belief but Sound.
-        TimePoint since{};
+        /// End of every belief but Sound.
         TimePoint until{};
         TimePoint lastFailureAt{};
         /// The last reset on a connection that had answered.
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -1,6 +1,7 @@
 #include "engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbenadock::Core::Internal {
 
@@ -34,13 +35,14 @@
     return std::max(Duration(1), wait);
 }
 
-void Engine::refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter)
+void Engine::refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter, RefusalView seen)
 {
     this->effects.emplace_back(RespondLocally{.request = request,
                                               .status = status,
                                               .outcome = Outcome::NotRun,
                                               .refusal = refusal,
-                                              .retryAfter = retryAfter});
+                                              .retryAfter = retryAfter,
+                                              .seen = std::move(seen)});
 }
 
 std::optional<RouteTarget> Engine::admit(const RequestArrived &event)
@@ -160,12 +162,7 @@
                                                   .seen = this->refusalView(request)});
     } else {
         const auto left = request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt;
-        this->effects.emplace_back(RespondLocally{.request = request.id,
-                                                  .status = ServiceUnavailable,
-                                                  .outcome = Outcome::NotRun,
-                                                  .refusal = refusal,
-                                                  .retryAfter = this->retryAfter(left),
-                                                  .seen = this->refusalView(request)});
+        this->refuse(request.id, ServiceUnavailable, refusal, this->retryAfter(left), this->refusalView(request));
     }
     this->close(slot);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -88,7 +88,11 @@
     std::uint32_t drawPart(const std::vector<SplitPart> &parts);
     /// Advice to a caller with this much time left.
     Duration retryAfter(std::optional<Duration> timeLeft);
-    void refuse(RequestId request, unsigned status, Refusal refusal, Duration retryAfter = Duration(0));
+    void refuse(RequestId request,
+                unsigned status,
+                Refusal refusal,
+                Duration retryAfter = Duration(0),
+                RefusalView seen = {});
     RefusalView refusalView(const Request &request) const;
     void conclude(std::uint32_t slot, Refusal refusal);
     void close(std::uint32_t slot);
--- a/src/health/pooledfailures.cpp
+++ b/src/health/pooledfailures.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace Verbenadock::Health {
@@ -228,7 +227,6 @@
 {
     BeliefChange change{.upstream = upstream, .from = state.belief, .to = to};
     state.belief = to;
-    state.since = now;
     switch (to) {
     case Belief::Sound:
         state.confirmed = false;
