Look up the slots of a data centre in one place

Cause: the last read of the change. inFlight() compared a default iterator with one of a map to say that nothing was reported, and sample() looked up the own slots once more in its own way. Change: slotsIn() serves both. Behaviour stays as it is.

--- a/include/verbenadock/fleet/serviceload.h
+++ b/include/verbenadock/fleet/serviceload.h
@@ -39,6 +39,8 @@
         TimePoint at;
     };
 
+    unsigned slotsIn(const std::string &service, const std::string &dataCentre) const;
+
     std::string ownDataCentre;
     /// By service and data centre.
     std::map<std::string, std::map<std::string, unsigned>> slots;
--- a/src/fleet/serviceload.cpp
+++ b/src/fleet/serviceload.cpp
@@ -54,39 +54,39 @@
 
 double ServiceLoad::inFlight(const std::string &service, TimePoint now) const
 {
-    const auto counts = this->slots.find(service);
-    if (counts == this->slots.end()) {
-        return 0;
-    }
     const auto own = this->smoothed.find(service);
-    const auto others = this->reported.find(service);
-    double sum = 0;
-    for (const auto &[dataCentre, count] : counts->second) {
-        if (dataCentre == this->ownDataCentre) {
-            sum += own == this->smoothed.end() ? 0 : own->second * count;
-            continue;
-        }
-        const auto last = others == this->reported.end() ? std::map<std::string, Reported>::const_iterator()
-                                                         : others->second.find(dataCentre);
-        if (others != this->reported.end() && last != others->second.end() && now - last->second.at <= ReportLifetime) {
-            sum += last->second.load * count;
+    double sum = own == this->smoothed.end() ? 0 : own->second * this->slotsIn(service, this->ownDataCentre);
+    if (const auto others = this->reported.find(service); others != this->reported.end()) {
+        for (const auto &[dataCentre, last] : others->second) {
+            const bool counts = dataCentre != this->ownDataCentre && now - last.at <= ReportLifetime;
+            sum += counts ? last.load * this->slotsIn(service, dataCentre) : 0;
         }
     }
     return sum;
 }
 
+unsigned ServiceLoad::slotsIn(const std::string &service, const std::string &dataCentre) const
+{
+    const auto services = this->slots.find(service);
+    if (services == this->slots.end()) {
+        return 0;
+    }
+    const auto count = services->second.find(dataCentre);
+    return count == services->second.end() ? 0 : count->second;
+}
+
 std::map<std::string, double> ServiceLoad::sample(const std::map<std::string, unsigned> &inFlight)
 {
-    for (const auto &[service, dataCentres] : this->slots) {
-        const auto own = dataCentres.find(this->ownDataCentre);
-        if (own == dataCentres.end() || own->second == 0) {
+    for (const auto &entry : this->slots) {
+        const auto &service = entry.first;
+        const auto count = this->slotsIn(service, this->ownDataCentre);
+        if (count == 0) {
             continue;
         }
-        const auto count = own->second;
         const auto requests = inFlight.find(service);
         const double now = requests == inFlight.end() ? 0 : static_cast<double>(requests->second) / count;
-        const auto [entry, isNew] = this->smoothed.try_emplace(service, now);
-        entry->second += NewestWeight * (now - entry->second);
+        const auto [smooth, isNew] = this->smoothed.try_emplace(service, now);
+        smooth->second += NewestWeight * (now - smooth->second);
     }
     return this->smoothed;
 }
