Review: give the settings of the cases all bounds that the template may use

Cause: the stand-in filled in only the placeholders that deploy/entry.toml has today, so that a template that uses graceS could not be tested with case 5.

--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <random>
+#include <regex>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -629,10 +630,8 @@
     // Fills in the template of the deploy file as the platform does.
     auto text = readFile("deploy/entry.toml");
     replaceAll(text, R"({{#seeds}}"{{.}}"{{,}}{{/seeds}})", "");
-    for (const std::string section : {"limits.cpuShare", "bounds.retryBudgetSlack", "bounds.budgetWindowS"}) {
-        replaceAll(text, "{{#" + section + "}}", "");
-        replaceAll(text, "{{/" + section + "}}", "");
-    }
+    // All values are present, so that sections are kept and only their marks go.
+    text = std::regex_replace(text, std::regex(R"(\{\{[#/][A-Za-z.]+\}\})"), "");
     const std::map<std::string, std::string> values{{"nodeName", this->id},
                                                     {"zone", this->zone},
                                                     {"ip", this->ip},
@@ -643,7 +642,10 @@
                                                     {"limits.cpuShare", "0.2"},
                                                     {"bounds.retryBudgetSlack", "58"},
                                                     {"bounds.budgetWindowS", "10"},
-                                                    {"bounds.graceS", environment("GRACE_S")}};
+                                                    {"bounds.graceS", environment("GRACE_S")},
+                                                    {"bounds.drainS", "2"},
+                                                    {"bounds.stableWindowS", "3"},
+                                                    {"bounds.configApplyS", "2"}};
     for (const auto &[name, value] : values) {
         replaceAll(text, "{{" + name + "}}", value);
     }
