Match a prefix that ends with a slash only where it begins the path

Cause: the routing table stored prefixes without their last slash and compared whole segments. The users' page selects the longest prefix that begins the path, and says that every prefix ends with a slash.

Change: prefixes are kept as written. One that ends with a slash matches what it begins; one without, which our own bundles use, matches whole segments as before. The table takes no path from the query of a target in absolute form any more.

--- a/src/core/routingtable.cpp
+++ b/src/core/routingtable.cpp
@@ -27,32 +27,29 @@
 /// Path of a request target in origin or absolute form, without query and fragment.
 std::string_view pathOf(std::string_view target)
 {
-    if (!target.empty() && target.front() != '/') {
-        const auto scheme = target.find("://");
-        const auto slash = scheme == std::string_view::npos ? scheme : target.find('/', scheme + 3);
-        target = slash == std::string_view::npos ? std::string_view("/") : target.substr(slash);
+    target = target.substr(0, target.find_first_of("?#"));
+    if (!target.empty() && target.front() == '/') {
+        return target;
     }
-    return target.substr(0, target.find_first_of("?#"));
+    const auto scheme = target.find("://");
+    const auto slash = scheme == std::string_view::npos ? scheme : target.find('/', scheme + 3);
+    return slash == std::string_view::npos ? std::string_view("/") : target.substr(slash);
 }
 
-/// Prefixes are stored without trailing slashes, so that the root is the empty string.
-std::string_view withoutTrailingSlashes(std::string_view path)
+/// Whether the first `length` characters of a path can equal a prefix that matches it.
+bool endsAtSegment(std::string_view path, std::size_t length)
 {
-    const auto last = path.find_last_not_of('/');
-    return last == std::string_view::npos ? std::string_view() : path.substr(0, last + 1);
+    return length == path.size() || path[length] == '/' || path[length - 1] == '/';
 }
 
-/// Longest prefix of the path that consists of whole segments and has at most `limit` characters.
-std::string_view wholeSegments(std::string_view path, std::size_t limit)
+/// Length of the longest prefix, of at most `limit` characters, that can match the path; zero if there is none.
+std::size_t longestCandidate(std::string_view path, std::size_t limit)
 {
-    if (path.size() <= limit) {
-        return path;
+    auto length = std::min(path.size(), limit);
+    while (length > 0 && !endsAtSegment(path, length)) {
+        --length;
     }
-    if (path[limit] == '/') {
-        return path.substr(0, limit);
-    }
-    const auto slash = path.substr(0, limit).rfind('/');
-    return slash == std::string_view::npos ? std::string_view() : path.substr(0, slash);
+    return length;
 }
 
 } // namespace
@@ -61,9 +58,8 @@
 {
     for (const auto &[route, target] : routes) {
         auto &host = this->hosts[lowerCase(route.host)];
-        const auto prefix = withoutTrailingSlashes(route.pathPrefix);
-        host.longestPrefix = std::max(host.longestPrefix, prefix.size());
-        auto &methods = host.prefixes[std::string(prefix)];
+        host.longestPrefix = std::max(host.longestPrefix, route.pathPrefix.size());
+        auto &methods = host.prefixes[route.pathPrefix];
         const auto sameMethod = [&route = route](const MethodTarget &existing) {
             return existing.method == route.method;
         };
@@ -78,28 +74,26 @@
                                                 std::string_view method,
                                                 std::string_view path)
 {
-    auto prefix = wholeSegments(withoutTrailingSlashes(path), routes.longestPrefix);
-    while (true) {
-        const auto found = routes.prefixes.find(prefix);
-        if (found != routes.prefixes.end()) {
-            const MethodTarget *wildcard = nullptr;
-            for (const auto &candidate : found->second) {
-                if (candidate.method == method) {
-                    return candidate.target;
-                }
-                if (candidate.method == Wildcard) {
-                    wildcard = &candidate;
-                }
+    for (auto length = longestCandidate(path, routes.longestPrefix); length > 0;
+         length = longestCandidate(path, length - 1)) {
+        const auto found = routes.prefixes.find(path.substr(0, length));
+        if (found == routes.prefixes.end()) {
+            continue;
+        }
+        const MethodTarget *wildcard = nullptr;
+        for (const auto &candidate : found->second) {
+            if (candidate.method == method) {
+                return candidate.target;
             }
-            if (wildcard != nullptr) {
-                return wildcard->target;
+            if (candidate.method == Wildcard) {
+                wildcard = &candidate;
             }
         }
-        if (prefix.empty()) {
-            return std::nullopt;
+        if (wildcard != nullptr) {
+            return wildcard->target;
         }
-        prefix = prefix.substr(0, prefix.rfind('/') == std::string_view::npos ? 0 : prefix.rfind('/'));
     }
+    return std::nullopt;
 }
 
 std::optional<RouteTarget> RoutingTable::find(std::string_view host,
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -53,7 +53,8 @@
 /// Finds the route of a request. Immutable once built.
 ///
 /// An exact host has precedence over "*", then the longest path prefix wins, then an exact method has precedence over
-/// "*". A prefix matches whole path segments: "/a" matches "/a" and "/a/b", not "/ab". Of equal routes the first one is
+/// "*". A prefix that ends with a slash matches the paths that begin with it: "/a/" matches "/a/" and "/a/b", not "/a".
+/// Any other prefix matches whole segments: "/a" matches "/a" and "/a/b", not "/ab". Of equal routes the first one is
 /// used.
 ///
 /// Usage: construct with all routes of a configuration, then find() for each request.
