Derive the limit of a stop from the time of SIGKILL, and write the last answers

Causes: deploy/entry.toml repeated the bound of one deployment as a number; and the event loop ended as soon as the reducer had given up the requests, before the answers that it decided on were written.

Change: shutdown.kill_after_s takes the platform's bound; the limit is 0.3 s before it, and drain_delay is at most half of the limit. After the limit the process ends once the last answers are written, 0.2 s later at the latest. A request that arrives in that time is rejected with 503; the reducer ignored it before, so that it hung until the process ended.

Tests, seen to fail on: "the shutdown limit of the deployment follows the time of SIGKILL" (5700000us == 9700ms), "requests that are abandoned at the limit of a stop get an answer" (end of stream in place of 504, 6 of 6), "a shutdown ends at its limit or at a second shutdown request" (no answer to the late request).

--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -91,6 +91,7 @@
     std::optional<StoreSettings> store;
     EntryLimits limits;
     Duration drainDelay = std::chrono::seconds(2);
+    /// Time after the request to stop at which requests in flight are abandoned.
     Duration shutdownLimit = std::chrono::seconds(60);
 
     auto operator<=>(const EntrySettings &) const = default;
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -57,7 +57,7 @@
             event.request, ServiceUnavailable, RejectionReason::NotConfigured, this->retryAfter(event.timeLeft));
         return std::nullopt;
     }
-    if (this->shutdown && this->shutdown->stoppedAccepting) {
+    if (this->terminated || (this->shutdown && this->shutdown->stoppedAccepting)) {
         this->reject(
             event.request, ServiceUnavailable, RejectionReason::ShuttingDown, this->retryAfter(event.timeLeft));
         return std::nullopt;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -31,7 +31,11 @@
 {
     this->effects.clear();
     if (this->terminated) {
-        return {};
+        // Callers may send requests while the host still writes the last answers.
+        if (const auto *arrival = std::get_if<RequestArrived>(&event)) {
+            this->on(*arrival);
+        }
+        return std::exchange(this->effects, {});
     }
     std::visit(
         [this](const auto &alternative) {
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -148,6 +148,11 @@
                        [this] {
                            this->acceptRetrySignal.notify();
                        })
+    , finalAnswersTimer(this->timerWheel,
+                        [this] {
+                            this->finalAnswersOverdue = true;
+                            this->terminateWhenDone();
+                        })
     , deadlineTimer(io.get_executor())
 {
     this->sweepTimer.setAfter(SweepInterval);
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -133,6 +133,7 @@
     Acceptor acceptor;
     Timer sweepTimer;
     Timer acceptRetryTimer;
+    Timer finalAnswersTimer;
     Signal acceptRetrySignal;
     asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>
         deadlineTimer;
@@ -145,6 +146,7 @@
     RequestId lastRequest = 0;
     bool applying = false;
     bool shutdownRequested = false;
+    bool finalAnswersOverdue = false;
     bool acceptStopped = false;
     bool stopped = false;
 };
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -9,6 +9,13 @@
 
 namespace Verbenadock::Proxy::internal {
 
+namespace {
+
+/// Longest time for writing the answers to abandoned requests. SIGKILL follows soon after.
+constexpr Duration FinalAnswersTime = std::chrono::milliseconds(200);
+
+} // namespace
+
 void Host::carryOut(const Core::Effect &effect)
 {
     std::visit(
@@ -153,14 +160,17 @@
 void Host::carryOut(const Core::Terminate &effect)
 {
     this->cleanTermination = effect.clean;
+    if (!effect.clean) {
+        this->finalAnswersTimer.setAfter(FinalAnswersTime);
+    }
 }
 
 void Host::terminateWhenDone()
 {
     // The reducer finishes when all answers are decided; they still have to be written.
+    const bool answersWritten = this->exchanges.empty() || this->finalAnswersOverdue;
     const bool keyHandlingDone = !this->keyHost || this->keyHost->stopCompleted();
-    const bool due
-        = this->cleanTermination && (!*this->cleanTermination || (this->exchanges.empty() && keyHandlingDone));
+    const bool due = this->cleanTermination && answersWritten && (keyHandlingDone || !*this->cleanTermination);
     if (due && this->handlers.terminated && !this->stopped) {
         const auto handler = std::exchange(this->handlers.terminated, nullptr);
         handler(*this->cleanTermination);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,10 @@
 constexpr double MaxProcessorShareCores = 1024;
 constexpr double MinRetryWindowSeconds = 0.1;
 constexpr double MaxRetryWindowSeconds = 3600;
+/// The last answers are written between the end of a shutdown and SIGKILL.
+constexpr Duration KillMargin = std::chrono::milliseconds(300);
+constexpr double MinKillDelaySeconds = 1;
+constexpr double MaxKillDelaySeconds = 3600;
 
 void readCount(TableReader &reader, std::string_view key, std::size_t &target, std::uint64_t least = 1)
 {
@@ -51,12 +55,32 @@
     reader.finish();
 }
 
+/// Reads a number of seconds. Numbers are for values that the platform inserts, since these may be fractions.
+bool readSeconds(TableReader &reader, std::string_view key, Duration &target, const Toml::Range<double> &range)
+{
+    double seconds = 0;
+    if (!reader.readNumber(key, seconds, range)) {
+        return false;
+    }
+    target = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return true;
+}
+
 void readShutdown(TableReader &root, EntrySettings &settings)
 {
     auto reader = root.readTable("shutdown");
     const Toml::Range<Duration> range{.least = Duration(0), .most = internal::MaxDuration};
     reader.readDuration("drain_delay", settings.drainDelay, range);
-    reader.readDuration("limit", settings.shutdownLimit, range);
+    const bool hasLimit = reader.readDuration("limit", settings.shutdownLimit, range);
+    Duration killDelay{0};
+    if (readSeconds(reader, "kill_after_s", killDelay, {.least = MinKillDelaySeconds, .most = MaxKillDelaySeconds})) {
+        if (hasLimit) {
+            reader.report("kill_after_s", "cannot be combined with limit");
+        }
+        settings.shutdownLimit = killDelay - KillMargin;
+        // Requests that arrive during the drain delay need time too.
+        settings.drainDelay = std::min(settings.drainDelay, settings.shutdownLimit / 2);
+    }
     if (settings.shutdownLimit < settings.drainDelay) {
         reader.report("limit", "is shorter than drain_delay, so requests in flight would be cut off");
     }
@@ -70,17 +94,14 @@
     reader.readEndpoint("endpoint", store.endpoint, Presence::Required);
     reader.readEndpoints("seeds", store.seeds);
     reader.readDuration("poll_interval", store.pollInterval, {.least = MinPollInterval, .most = MaxPollInterval});
-    // The allowance and the window are read as numbers, since the platform may insert fractions.
     double allowance = 0;
     if (reader.readNumber("retry_allowance", allowance, {.least = 0, .most = MaxRetryAllowance})) {
         store.retryAllowance = static_cast<unsigned>(allowance);
     }
-    double seconds = 0;
     reader.readNumber(
         "processor_share", store.processorShare, {.least = MinProcessorShareCores, .most = MaxProcessorShareCores});
-    if (reader.readNumber("retry_window_s", seconds, {.least = MinRetryWindowSeconds, .most = MaxRetryWindowSeconds})) {
-        store.retryWindow = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    }
+    readSeconds(
+        reader, "retry_window_s", store.retryWindow, {.least = MinRetryWindowSeconds, .most = MaxRetryWindowSeconds});
     reader.finish();
     settings.store = store;
 }
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -256,6 +256,9 @@
     }
     CHECK(only<Terminate>(effects) == std::vector{Terminate{.clean = false}});
     CHECK(only<RespondLocally>(effects).at(0).outcome == Outcome::Unknown);
+    const auto late = only<RespondLocally>(reducer.apply(arrival(2, "POST", at(103))));
+    REQUIRE(late.size() == 1);
+    CHECK(late.at(0).refusal == RejectionReason::ShuttingDown);
 }
 
 // Guards against a single caller that uses the capacity of all callers.
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -16,6 +16,8 @@
     unsigned vms = 3;
     /// Starting behaviour of all upstreams (common/behaviour.h of the stand-ins).
     Json behaviour = Json::object();
+    /// The [shutdown] table of the entries' settings.
+    std::string shutdown = "drain_delay = \"500 ms\"\nlimit = \"5700 ms\"\n";
 };
 
 /// A fleet without agents on loopback: entries, the platform's store, upstreams, and a fault proxy between them. Routes
--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -137,6 +137,32 @@
     CHECK(fleet.vms[0].entry->waitForExit(std::chrono::seconds(6)) == 0);
 }
 
+// Guards against callers that cannot tell an abandoned request from one that was never read.
+TEST_CASE("requests that are abandoned at the limit of a stop get an answer")
+{
+    StoreFleet fleet(PROGRAM_DIR,
+                     {.behaviour = {{"serviceMs", 1800}}, .shutdown = "drain_delay = \"300 ms\"\nlimit = \"1 s\"\n"});
+    fleet.start();
+    constexpr int Requests = 6;
+    std::vector<std::future<unsigned>> answers;
+    answers.reserve(Requests);
+    for (int number = 0; number < Requests; ++number) {
+        answers.push_back(std::async(std::launch::async, [&fleet, number] {
+            return fleet.call(0, StoreFleet::claim("abandoned-" + std::to_string(number))).status;
+        }));
+    }
+    waitFor("the requests to run", std::chrono::seconds(5), [&fleet] {
+        return fleet.executions().size() == Requests;
+    });
+    fleet.vms[0].entry->signal(SIGTERM);
+    for (auto &answer : answers) {
+        unsigned status = 0;
+        CHECK_NOTHROW(status = answer.get());
+        CHECK(status == 504);
+    }
+    CHECK(fleet.vms[0].entry->waitForExit(std::chrono::seconds(6)) == 1);
+}
+
 TEST_CASE("requests to upstreams whose connections went silent are not doubled and not promised falsely")
 {
     StoreFleet fleet(PROGRAM_DIR, {});
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <regex>
+
 using namespace Verbenadock;
 using namespace Verbenadock::Settings;
 using namespace std::chrono_literals;
@@ -117,6 +119,42 @@
     CHECK(settings.shutdownLimit == 5min);
 }
 
+// Guards against a shutdown that cuts requests off long before SIGKILL.
+TEST_CASE("the shutdown limit of the deployment follows the time of SIGKILL")
+{
+    // Only the values that the platform fills in decide the result; the others have the shape of real ones.
+    const auto deployed = [](const std::string &graceSeconds) {
+        auto text = readFile(DEPLOY_DIR "/entry.toml");
+        text = std::regex_replace(text, std::regex(R"(\{\{#seeds\}\}.*\{\{/seeds\}\})"), "");
+        text = std::regex_replace(text, std::regex(R"(\{\{[#/][A-Za-z.]+\}\})"), "");
+        text = std::regex_replace(text, std::regex(R"(\{\{bounds\.graceS\}\})"), graceSeconds);
+        for (int port = 1; text.find("{{") != std::string::npos; ++port) {
+            const auto start = text.find("{{");
+            const auto end = text.find("}}", start) + 2;
+            const auto name = text.substr(start + 2, end - start - 4);
+            const bool isAddress = name.starts_with("listen.") || name == "platform.address";
+            const auto value = isAddress      ? "10.0.0.1:" + std::to_string(port)
+                               : name == "ip" ? std::string("10.0.0.2")
+                                              : std::to_string(port);
+            text.replace(start, end - start, value);
+        }
+        return parseEntrySettings(text);
+    };
+    CHECK(deployed("6").shutdownLimit == 5700ms);
+    CHECK(deployed("10").shutdownLimit == 9700ms);
+    CHECK(deployed("7.5").shutdownLimit == 7200ms);
+    CHECK(deployed("2").drainDelay < deployed("2").shutdownLimit);
+    CHECK(deployed("10").drainDelay == 2200ms);
+}
+
+// Guards against a limit of which nobody can tell where it comes from.
+TEST_CASE("a shutdown limit beside the time of SIGKILL is reported")
+{
+    CHECK_THAT(mistakesIn(ValidEntry + "[shutdown]\nlimit = \"5 s\"\nkill_after_s = 6\n"),
+               Catch::Contains("shutdown.kill_after_s: cannot be combined with limit"));
+    CHECK_THAT(mistakesIn(ValidEntry + "[shutdown]\nkill_after_s = 0.1\n"), Catch::Contains("out of range"));
+}
+
 // Guards against values that overflow or are silently misread.
 TEST_CASE("a malformed or out-of-range duration is reported")
 {
