Read on where a page of the store ended

The store ends a page at 1 MB but states the end of the topic in it, and a reader went on from there, so that it never learned of the upstreams in between: new ones get no work, removed ones go on getting it. About 3,000 records that a reader lacks at once reach that size.

Change: the follower goes on after the last record of the page.

Test: "a page that the store ended early is continued where it ended", seen to fail on (the second record was still unknown after 10 s); it passes now.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -92,6 +92,8 @@
 
     void applyConfiguration(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end);
     void applyUpstreams(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end, bool complete);
+    /// Applies a page that was read from an offset on; it may end before the end of the topic.
+    void applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page);
     void apply(const Discovery::DirectoryEvent &event);
     const RecordCache &cacheOf(Topic topic) const;
     static std::string_view nameOf(Topic topic);
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Verbenadock::Fleet {
@@ -163,7 +164,7 @@
         this->storeCalls.add();
         const auto page = co_await this->store.read(name, from, LongPollTime);
         this->progressOf(topic).calledAt = calledAt;
-        this->applyRecords(topic, decodeKeyed(page.records), page.end, false);
+        this->applyPage(topic, from, page);
         const auto newRecords = this->cacheOf(topic).recordsFrom(from);
         if (!page.records.empty() && newRecords) {
             this->handlers.recordsRead(name, from, *newRecords);
@@ -224,8 +225,9 @@
         try {
             this->pagesFromPeers.add();
             const Platform::StoreClient client(peer, PeerTimeout);
-            const auto page = co_await client.read(std::string(nameOf(topic)), this->nextOffset(topic), Duration(0));
-            this->applyRecords(topic, decodeKeyed(page.records), page.end, false);
+            const auto from = this->nextOffset(topic);
+            const auto page = co_await client.read(std::string(nameOf(topic)), from, Duration(0));
+            this->applyPage(topic, from, page);
             co_return true;
         } catch (const Platform::PlatformError &error) {
             logChange(LogLevel::Info,
@@ -296,6 +298,13 @@
     }
 }
 
+void StoreFollower::applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page)
+{
+    // The store states the end of the topic also in a page that it ended before, because of the page's size.
+    const auto readEnd = std::min(page.end, from + page.records.size());
+    this->applyRecords(topic, decodeKeyed(page.records), readEnd, false);
+}
+
 void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end)
 {
     this->configurationRecords.append(records, end);
