Let a VM that lacks versions catch up from one that read only the newest

Cause: a restarted reader served empty records for the offsets that it had never read; a page of 16 KiB then ended before the configuration; and the follower asked again from the same offset, because only a configuration advanced it.

Change: whatever was read advances the offset; the newest records reset the cache of the configuration, so that it has no page for older offsets; a VM that is still behind after its pages reads the newest records. The log line store_relayed shows the offsets before and after.

Tests, seen to fail on: "a VM that lacks several versions catches up from one that read only the newest" and "a VM catches up across a page that holds no configuration" (still on the old version after 10 s), "a cache with the newest records only has no page for older offsets".

--- a/include/verbenadock/discovery/directory.h
+++ b/include/verbenadock/discovery/directory.h
@@ -25,17 +25,20 @@
     std::vector<UpstreamRecord> records;
     /// Whether the records are the newest of all keys, so that missing keys have been removed.
     bool complete = false;
-    /// Offset of the next record to be written.
+    /// Offset up to which the topic was read.
     std::uint64_t end = 0;
 
     bool operator==(const UpstreamsRead &) const = default;
 };
 
-/// A configuration record was read.
+/// Records that were read from the configuration's topic.
 struct ConfigurationRead
 {
     TimePoint at;
-    ConfigurationRecord record;
+    /// Without the records of other keys.
+    std::vector<ConfigurationRecord> records;
+    /// Offset up to which the topic was read.
+    std::uint64_t end = 0;
 
     bool operator==(const ConfigurationRead &) const = default;
 };
@@ -111,9 +114,9 @@
 
     const std::optional<OperatorConfiguration> &operatorConfiguration() const;
 
-    /// Offset after the newest upstream record; empty before the first complete read.
+    /// Offset from which the upstreams' topic has to be read; empty before the first complete read.
     std::optional<std::uint64_t> nextUpstreamOffset() const;
-    /// Offset after the newest configuration record.
+    /// Offset from which the configuration's topic has to be read.
     std::uint64_t nextConfigurationOffset() const;
 
     std::optional<TimePoint> nextDeadline() const;
@@ -132,6 +135,7 @@
     void handle(const StoreLost &event);
     void handle(const StoreRecovered &event);
     void handle(const DeadlineReached &event);
+    void applyConfiguration(const ConfigurationRecord &record);
     void applyRecord(const UpstreamRecord &record, TimePoint now);
     void applyEntry(TrackedUpstream &tracked, const UpstreamRecord &record, const UpstreamEntry &entry);
     void removeUpstream(TrackedUpstream &tracked, const std::string &key, std::uint64_t offset, TimePoint now);
@@ -144,6 +148,8 @@
     std::map<std::string, TrackedUpstream> upstreams;
     std::optional<std::uint64_t> upstreamsEnd;
     std::optional<OperatorConfiguration> operatorSettings;
+    /// Offset of the newest configuration record.
+    std::optional<std::uint64_t> configurationOffset;
     std::uint64_t configurationEnd = 0;
     std::optional<TimePoint> storeLostAt;
     /// End of the last outage that was long enough for registrations to expire.
--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -95,9 +95,11 @@
     /// Applies a page that was read from an offset on; it may end before the end of the topic.
     void applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page);
     void apply(const Discovery::DirectoryEvent &event);
+    RecordCache &cacheOf(Topic topic);
     const RecordCache &cacheOf(Topic topic) const;
     static std::string_view nameOf(Topic topic);
-    static void logRelayed(Topic topic, const Endpoint &peer, bool success);
+    /// Logs the offsets before and after reading from another VM.
+    void logRelayed(Topic topic, const Endpoint &peer, std::uint64_t before, bool success) const;
     void noteStoreCall(Topic topic, bool success, const std::string &reason);
     void scheduleDeadline();
 
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -150,11 +150,19 @@
 
 void Directory::handle(const ConfigurationRead &event)
 {
-    const auto &record = event.record;
-    if (record.offset < this->configurationEnd) {
-        return;
+    for (const auto &record : event.records) {
+        if (!this->configurationOffset || record.offset > *this->configurationOffset) {
+            this->applyConfiguration(record);
+        }
     }
-    this->configurationEnd = record.offset + 1;
+    // Records without a configuration advance the offset too. Otherwise a page that holds no other records would be
+    // requested again and again.
+    this->configurationEnd = std::max(this->configurationEnd, event.end);
+}
+
+void Directory::applyConfiguration(const ConfigurationRecord &record)
+{
+    this->configurationOffset = record.offset;
     const auto *decoded = std::get_if<OperatorConfiguration>(&record.content);
     if (decoded == nullptr) {
         const auto *unreadable = std::get_if<Unreadable>(&record.content);
--- a/src/fleet/recordcache.cpp
+++ b/src/fleet/recordcache.cpp
@@ -65,7 +65,10 @@
 {
     if (newest.end >= this->end) {
         this->byKey.clear();
-        this->tail.clear();
+        if (newest.end > this->end) {
+            // The records in between were not read, so that the tail would have a gap.
+            this->tail.clear();
+        }
         for (const auto &record : newest.records) {
             this->byKey.insert_or_assign(record.key, record);
         }
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -207,14 +207,19 @@
 
 asio::awaitable<void> StoreFollower::fetchUntil(Topic topic, Endpoint peer, std::uint64_t end)
 {
+    const auto start = this->nextOffset(topic);
     bool success = true;
-    auto before = this->nextOffset(topic);
+    auto before = start;
     do {
         before = this->nextOffset(topic);
         success = co_await this->readFromPeer(topic, peer);
     } while (success && !this->stopped && this->nextOffset(topic) > before && this->nextOffset(topic) < end);
+    if (success && !this->stopped && this->nextOffset(topic) < end) {
+        // The pages of that VM do not lead to what it has, for whatever reason; all of its records do.
+        success = co_await this->readNewest(topic, peer);
+    }
     this->progressOf(topic).fetching = false;
-    logRelayed(topic, peer, success);
+    this->logRelayed(topic, peer, start, success);
 }
 
 asio::awaitable<bool> StoreFollower::readFromPeer(Topic topic, Endpoint peer)
@@ -270,15 +275,17 @@
         co_return;
     }
     const auto peer = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(this->random)];
+    const auto before = this->nextOffset(topic);
     const bool success = co_await this->readFromPeer(topic, peer);
-    logRelayed(topic, peer, success);
+    this->logRelayed(topic, peer, before, success);
 }
 
-void StoreFollower::logRelayed(Topic topic, const Endpoint &peer, bool success)
+void StoreFollower::logRelayed(Topic topic, const Endpoint &peer, std::uint64_t before, bool success) const
 {
     logChange(LogLevel::Info,
               "store_relayed topic=" + std::string(nameOf(topic)) + " from=" + toString(peer)
-                  + " success=" + (success ? "true" : "false"));
+                  + " success=" + (success ? "true" : "false") + " offset_before=" + std::to_string(before)
+                  + " offset_after=" + std::to_string(this->nextOffset(topic)));
 }
 
 std::string_view StoreFollower::nameOf(Topic topic)
@@ -291,6 +298,11 @@
                                  std::uint64_t end,
                                  bool complete)
 {
+    if (complete) {
+        this->cacheOf(topic).reset({.records = records, .end = end});
+    } else {
+        this->cacheOf(topic).append(records, end);
+    }
     if (topic == Topic::Configuration) {
         this->applyConfiguration(records, end);
     } else {
@@ -307,22 +319,17 @@
 
 void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end)
 {
-    this->configurationRecords.append(records, end);
+    Discovery::ConfigurationRead event{.at = monotonicNow(), .records = {}, .end = end};
     for (const auto &record : records) {
         if (record.key == Platform::ConfigurationKey) {
-            this->apply(
-                Discovery::ConfigurationRead{.at = monotonicNow(), .record = Platform::decodeConfiguration(record)});
+            event.records.push_back(Platform::decodeConfiguration(record));
         }
     }
+    this->apply(event);
 }
 
 void StoreFollower::applyUpstreams(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end, bool complete)
 {
-    if (complete) {
-        this->upstreamRecords.reset({.records = records, .end = end});
-    } else {
-        this->upstreamRecords.append(records, end);
-    }
     Discovery::UpstreamsRead event{.at = monotonicNow(), .records = {}, .complete = complete, .end = end};
     for (const auto &record : records) {
         event.records.push_back(Platform::decodeUpstream(record));
@@ -383,6 +390,11 @@
     });
 }
 
+RecordCache &StoreFollower::cacheOf(Topic topic)
+{
+    return topic == Topic::Configuration ? this->configurationRecords : this->upstreamRecords;
+}
+
 const RecordCache &StoreFollower::cacheOf(Topic topic) const
 {
     return topic == Topic::Configuration ? this->configurationRecords : this->upstreamRecords;
--- a/test/discovery/directorytest.cpp
+++ b/test/discovery/directorytest.cpp
@@ -36,7 +36,7 @@
     OperatorConfiguration configuration{.version = version, .services = {{.name = "vydej"}, {.name = "katalog"}}};
     configuration.routes.push_back({.host = "h", .service = "vydej"});
     configuration.routes.push_back({.host = "k", .service = "katalog", .idempotent = true});
-    return {.at = Start, .record = {.offset = offset, .content = configuration}};
+    return {.at = Start, .records = {{.offset = offset, .content = configuration}}, .end = offset + 1};
 }
 
 /// Ids of the upstreams in the current configuration.
@@ -84,6 +84,19 @@
     CHECK(directory.operatorConfiguration()->version == 8);
 }
 
+// Guards against a reader that requests the same records again and again, because none of them is a configuration.
+TEST_CASE("records without a configuration advance the offset from which the topic is read")
+{
+    Directory directory;
+    directory.apply(configurationRead(1, 3));
+    CHECK(directory.nextConfigurationOffset() == 4);
+    CHECK(directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = 9}).empty());
+    CHECK(directory.nextConfigurationOffset() == 9);
+    directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = 7});
+    CHECK(directory.nextConfigurationOffset() == 9);
+    CHECK(directory.apply(configurationRead(2, 9)).front().kind == Kind::ConfigurationApplied);
+}
+
 TEST_CASE("a draining or removed upstream is not in use, and an older record does not restore it")
 {
     auto directory = directoryWith(
--- a/test/fleet/recordcachetest.cpp
+++ b/test/fleet/recordcachetest.cpp
@@ -54,6 +54,21 @@
     CHECK(cache.recordsFrom(1990));
 }
 
+// Guards against a cache that serves empty records in place of those that it never read.
+TEST_CASE("a cache with the newest records only has no page for older offsets")
+{
+    RecordCache cache;
+    cache.reset({.records = {{.offset = 600, .key = "a", .value = "1"}}, .end = 601});
+    CHECK_FALSE(cache.recordsFrom(0));
+    CHECK_FALSE(cache.recordsFrom(600));
+    CHECK(cache.recordsFrom(601)->records.empty());
+    cache.append({{.offset = 601, .key = "a", .value = "2"}}, 602);
+    cache.reset({.records = {{.offset = 601, .key = "a", .value = "2"}}, .end = 602});
+    const auto kept = cache.recordsFrom(601);
+    REQUIRE(kept);
+    CHECK(kept->records.size() == 1);
+}
+
 TEST_CASE("the newest records contain no removed keys")
 {
     const auto newest = cacheWithThreeOffsets().newest();
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -3,6 +3,7 @@
 #include "verbenadock/net/adminserver.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace Verbenadock;
 using namespace Verbenadock::Fleet;
@@ -11,6 +12,17 @@
 namespace {
 
 constexpr Duration TestLimit = 10s;
+/// More than a page that one VM sends to another.
+constexpr std::size_t LongConfigurationBytes = 24 * 1024;
+
+Platform::KeyedRecord configurationRecord(std::uint64_t offset, std::uint64_t version, std::size_t bytes)
+{
+    const nlohmann::json configuration{{"version", "r" + std::to_string(version)},
+                                       {"resources", nlohmann::json::array()},
+                                       {"padding", std::string(bytes, 'x')}};
+    return {.offset = offset, .key = std::string(Platform::ConfigurationKey), .value = configuration.dump()};
+}
+
 /// Serves pages of the store's topics.
 class PageServer
 {
@@ -117,8 +129,74 @@
     return condition();
 }
 
+std::uint64_t versionOf(StoreFollower &follower)
+{
+    const auto &configuration = follower.directory().operatorConfiguration();
+    return configuration ? configuration->version : 0;
+}
+
 } // namespace
 
+// Guards against a VM that keeps an old configuration for good, because the only VMs that it hears started after the
+// records that it lacks were written and send it pages without them.
+TEST_CASE("a VM that lacks several versions catches up from one that read only the newest")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    store.write(configurationRecord(0, 1, 0));
+    const auto behind = makeFollower(loop, store.endpoint(), registry);
+    REQUIRE(runUntil(loop, [&behind] {
+        return versionOf(*behind) == 1;
+    }));
+    store.write(configurationRecord(1, 2, LongConfigurationBytes));
+    store.write(configurationRecord(2, 3, LongConfigurationBytes));
+    const auto restarted = makeFollower(loop, store.endpoint(), registry);
+    const PageServer peer(loop, [&restarted](std::string_view target) {
+        return restarted->page(target);
+    });
+    REQUIRE(runUntil(loop, [&restarted] {
+        return versionOf(*restarted) == 3;
+    }));
+    behind->catchUpFrom(peer.endpoint(), restarted->directory().nextConfigurationOffset(), 0);
+    CHECK(runUntil(loop, [&behind] {
+        return versionOf(*behind) == 3;
+    }));
+    behind->stop();
+    restarted->stop();
+}
+
+// Guards against endless reads of the same page when it holds nothing but records of other keys.
+TEST_CASE("a VM catches up across a page that holds no configuration")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    store.write(configurationRecord(0, 1, 0));
+    const auto behind = makeFollower(loop, store.endpoint(), registry);
+    REQUIRE(runUntil(loop, [&behind] {
+        return versionOf(*behind) == 1;
+    }));
+    for (std::uint64_t offset = 1; offset < 4; ++offset) {
+        store.write({.offset = offset, .key = "other", .value = std::string(LongConfigurationBytes, 'x')});
+    }
+    store.write(configurationRecord(4, 2, LongConfigurationBytes));
+    const PageServer peer(loop, [&store](std::string_view target) -> std::optional<std::string> {
+        const auto request = Platform::pageRequest(target);
+        if (!request || !request->from) {
+            return std::nullopt;
+        }
+        auto page = store.configuration().recordsFrom(*request->from);
+        truncatePage(*page, LongConfigurationBytes);
+        return Platform::readPage(*page);
+    });
+    behind->catchUpFrom(peer.endpoint(), 5, 0);
+    CHECK(runUntil(loop, [&behind] {
+        return versionOf(*behind) == 2;
+    }));
+    behind->stop();
+}
+
 // Guards against upstreams that are never used, or never left, because a page of the store ended before their records
 // on account of its size.
 TEST_CASE("a page that the store ended early is continued where it ended")
