Ask once more whether an upstream is in use before a request is sent to it

Cause: the upstream is selected at the head, and nothing asked again when the body was there.

Change: the host asks Reducer::maySend() before it connects and before it writes the first byte. If the upstream has left, or was ejected and the request is not idempotent, the attempt ends with nothing written, and the reducer selects another upstream as after any proof that nothing ran.

Tests: "an upload whose upstream leaves while the body arrives goes to another one", seen to fail on (2 of 6 uploads ran at upstreams that had left), and "an attempt that was not sent yet moves on when its upstream leaves or is ejected".

--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -35,6 +35,14 @@
     return RunningAttempt{.slot = *slot, .attempt = running};
 }
 
+bool Engine::maySend(RequestId request, AttemptId attempt, TimePoint at) const
+{
+    const auto slot = this->requests.find(request);
+    const auto *running = slot ? this->requests.at(*slot).find(attempt) : nullptr;
+    return running != nullptr && running->active
+           && this->serviceOf(this->requests.at(*slot)).pool.maySend(this->requests.at(*slot), running->upstream, at);
+}
+
 void Engine::endAttempt(std::uint32_t slot, Attempt &attempt, Cause cause)
 {
     auto &request = this->requests.at(slot);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -79,6 +79,11 @@
     return *this->services[request.service];
 }
 
+const ServiceState &Engine::serviceOf(const Request &request) const
+{
+    return *this->services[request.service];
+}
+
 void Engine::reportLoad(const ServiceState &service, std::uint32_t upstream)
 {
     const auto &state = service.pool.at(upstream);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -64,6 +64,7 @@
     Effects apply(const Event &event);
     std::optional<TimePoint> nextDeadline() const;
     std::optional<KeyScope> keyScope(std::string_view host, std::string_view method, std::string_view target) const;
+    bool maySend(RequestId request, AttemptId attempt, TimePoint now) const;
     bool ready() const;
     std::string dump(TimePoint at) const;
 
@@ -132,6 +133,7 @@
 
     // engine.cpp
     ServiceState &serviceOf(const Request &request);
+    const ServiceState &serviceOf(const Request &request) const;
     /// Reports this entry's requests in flight at the upstream to the other entries.
     void reportLoad(const ServiceState &service, std::uint32_t upstream);
     void record(ServiceState &service, std::uint32_t upstream, const Health::Sample &sample);
--- a/src/core/requesttable.cpp
+++ b/src/core/requesttable.cpp
@@ -1,10 +1,11 @@
 #include "requesttable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbenadock::Core::Internal {
 
-Attempt *Request::find(AttemptId attempt)
+const Attempt *Request::find(AttemptId attempt) const
 {
     const auto found = std::find_if(this->attempts.begin(), this->attempts.end(), [attempt](const Attempt &candidate) {
         return candidate.id == attempt;
@@ -12,6 +13,11 @@
     return found == this->attempts.end() ? nullptr : &*found;
 }
 
+Attempt *Request::find(AttemptId attempt)
+{
+    return const_cast<Attempt *>(std::as_const(*this).find(attempt));
+}
+
 std::size_t Request::activeAttempts() const
 {
     return static_cast<std::size_t>(
@@ -103,6 +109,11 @@
     return this->requests[slot];
 }
 
+const Request &RequestTable::at(std::uint32_t slot) const
+{
+    return this->requests[slot];
+}
+
 void RequestTable::close(std::uint32_t slot)
 {
     this->slotById.erase(this->requests[slot].id);
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -74,6 +74,7 @@
     bool callerDisconnected = false;
 
     Attempt *find(AttemptId attempt);
+    const Attempt *find(AttemptId attempt) const;
     std::size_t activeAttempts() const;
     bool excludes(std::uint32_t upstream) const;
     bool allAttemptsShed() const;
@@ -98,6 +99,7 @@
     std::uint32_t open(RequestId id);
     std::optional<std::uint32_t> find(RequestId id) const;
     Request &at(std::uint32_t slot);
+    const Request &at(std::uint32_t slot) const;
     void close(std::uint32_t slot);
 
     std::size_t size() const;
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -109,6 +109,14 @@
     return upstream.inFlight < upstream.slots && upstream.inFlight + 1 <= capacity(upstream);
 }
 
+bool UpstreamPool::maySend(const Request &request, std::uint32_t upstream, TimePoint now) const
+{
+    const auto &state = this->upstreams[upstream];
+    // An idempotent request may have been selected for an ejected upstream on purpose, as a trial or as the last
+    // resort.
+    return request.idempotent ? !isLeaving(state, now) : inService(state, now) && !state.admission.trialOnly;
+}
+
 std::uint32_t UpstreamPool::lessLoaded(std::uint32_t first, std::uint32_t second) const
 {
     const auto &firstState = this->upstreams[first];
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -65,6 +65,9 @@
     /// the own data centre as described at pickPreferringLocal().
     std::optional<std::uint32_t> pick(const Request &request, TimePoint now, Random &random) const;
 
+    /// Whether a request for which the upstream was selected earlier may be sent there now.
+    bool maySend(const Request &request, std::uint32_t upstream, TimePoint now) const;
+
     /// Whether any upstream could take the request once a slot becomes free or a backoff ends.
     bool couldServe(const Request &request, TimePoint now) const;
 
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -89,12 +89,18 @@
     this->timer.set(std::min(this->parameters.deadline, monotonicNow() + limit));
 }
 
+bool Attempt::maySend(TimePoint now) const
+{
+    // A streamed body cannot be sent to a second upstream, and no work may start after the deadline. The upstream may
+    // have left while the caller sent the body or while the connection was established.
+    return now < this->parameters.deadline && !this->exchange->bodyConsumed && this->host->maySend(this->parameters);
+}
+
 Task<bool> Attempt::open()
 {
     const auto now = monotonicNow();
     this->peer = this->host->pool().peer(this->parameters.endpoint);
-    if (!this->peer || now >= this->parameters.deadline || this->exchange->bodyConsumed) {
-        // A streamed body cannot be sent to a second upstream, and no work may start after the deadline.
+    if (!this->peer || !this->maySend(now)) {
         this->fail(Health::Cause::Cancelled);
         co_return false;
     }
@@ -134,7 +140,7 @@
 {
     this->setTimeout(this->parameters.firstByteTimeout);
     this->startedWritingAt = monotonicNow();
-    if (this->startedWritingAt >= this->parameters.deadline || this->exchange->bodyConsumed) {
+    if (!this->maySend(this->startedWritingAt)) {
         this->fail(Health::Cause::Cancelled);
         co_return false;
     }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -78,6 +78,8 @@
     }
 
 private:
+    /// Whether the first byte of the request may be written.
+    bool maySend(TimePoint now) const;
     Task<bool> open();
     Task<ErrorCode> connect();
     Task<bool> send();
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -57,6 +57,8 @@
     /// Counts the result of an attempt and records it for the log line of the request.
     void recordAttemptResult(RequestId request, AttemptId attempt, Health::Cause cause);
     std::string attemptIdText(AttemptId id) const;
+    /// Whether the upstream of the attempt may still get the request.
+    bool maySend(const Core::StartAttempt &order) const;
 
     // Called by KeyHost.
     void runCaptured(const KeyedWork &work, std::function<void(CapturedAnswer)> done);
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -51,6 +51,11 @@
     asio::co_spawn(this->executor(), attempt->run(), asio::detached);
 }
 
+bool Host::maySend(const Core::StartAttempt &order) const
+{
+    return this->reducer.maySend(order.request, order.attempt, monotonicNow());
+}
+
 void Host::carryOut(const Core::CancelAttempt &effect)
 {
     auto *exchange = this->findExchange(effect.request);
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -222,6 +222,38 @@
     CHECK(only<StartAttempt>(reducer.apply(arrival(3, "GET", at(2)))).empty());
 }
 
+// Guards against requests that reach an upstream after it left, because they waited for a body or a connection.
+TEST_CASE("an attempt that was not sent yet moves on when its upstream leaves or is ejected")
+{
+    const auto service = makeService(2, 4);
+    auto reducer = configuredReducer(service);
+    const auto waiting = started(reducer, 1, "POST", 1);
+    CHECK(reducer.maySend(1, waiting.attempt, at(2)));
+    auto remaining = service;
+    std::erase_if(remaining.upstreams, [&waiting](const Bundles::Upstream &upstream) {
+        return upstream.id == waiting.upstream.upstream;
+    });
+    SECTION("removed")
+    {
+        reducer.apply(configure(makeConfiguration(remaining, 2), at(3)));
+    }
+    SECTION("leaving")
+    {
+        reducer.apply(LeavingChanged{.at = at(3), .addresses = {toString(waiting.endpoint)}});
+    }
+    SECTION("ejected")
+    {
+        reducer.apply(HealthChanged{.at = at(3), .verdicts = {{.upstream = waiting.upstream, .share = 0}}});
+    }
+    CHECK_FALSE(reducer.maySend(1, waiting.attempt, at(4)));
+    const auto moved = only<StartAttempt>(reducer.apply(failure(waiting, Health::Cause::Cancelled, 4, true)));
+    REQUIRE(moved.size() == 1);
+    CHECK(moved.front().upstream.upstream == remaining.upstreams.front().id);
+    CHECK(reducer.maySend(1, moved.front().attempt, at(4)));
+    CHECK_FALSE(reducer.maySend(1, waiting.attempt, at(4)));
+    CHECK_FALSE(reducer.maySend(2, moved.front().attempt, at(4)));
+}
+
 // Guards against immediate retries at an upstream that sheds requests.
 TEST_CASE("an upstream that sheds a request gets no requests during its backoff")
 {
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -103,8 +103,10 @@
                                             const Endpoint &store,
                                             Telemetry::MetricsRegistry &registry)
 {
+    Settings::StoreSettings settings;
+    settings.endpoint = store;
     auto follower = std::make_shared<StoreFollower>(loop,
-                                                    Settings::StoreSettings{.endpoint = store},
+                                                    settings,
                                                     registry,
                                                     StoreFollower::Handlers{.directoryChanged = [] {},
                                                                             .peerEndpoints =
--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -1,5 +1,6 @@
 // The whole path with the platform's store, with real processes: no agent, no bundle.
 #include "harness/storefleet.h"
+#include "proxy/testsocket.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,6 +82,43 @@
     }
 }
 
+// Guards against uploads that reach an upstream long after it left, because it was selected when only the head was
+// there, and are lost as it ends.
+TEST_CASE("an upload whose upstream leaves while the body arrives goes to another one")
+{
+    StoreFleet fleet(PROGRAM_DIR, {.services = {{.name = "vydej"}}, .vms = 1});
+    fleet.start();
+    const std::string body(200000, 'x');
+    std::vector<Testing::TestSocket> callers;
+    for (int number = 0; number < 6; ++number) {
+        callers.emplace_back(fleet.vms[0].entryListen());
+        callers.back().send("POST /vydej/up HTTP/1.1\r\nHost: fleet.example\r\nVerbenadock-Request-Id: upload-"
+                            + std::to_string(number) + "\r\nVerbenadock-Deadline-Ms: 4000\r\nContent-Length: "
+                            + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, body.size() / 2));
+    }
+    waitFor("the heads to be read", std::chrono::seconds(5), [&fleet, &callers] {
+        return fleet.entryDump(0).at("open_requests") == callers.size();
+    });
+    const auto &remaining = fleet.upstreams.front();
+    for (const auto &upstream : fleet.upstreams) {
+        if (upstream.id != remaining.id) {
+            fleet.registerUpstream(upstream, true);
+        }
+    }
+    waitFor("the entry to know the leaving upstreams", DrainLimit, [&fleet] {
+        return fleet.entryDump(0).at("services").at(0).at("upstreams").size() == 1;
+    });
+    for (auto &caller : callers) {
+        caller.send(std::string_view(body).substr(body.size() / 2));
+    }
+    for (auto &caller : callers) {
+        const auto answer = caller.readMessage();
+        REQUIRE(answer.status() == 200);
+        CHECK(Json::parse(answer.body).at("upstream") == remaining.id);
+    }
+    CHECK(fleet.executions().size() == callers.size());
+}
+
 // Nothing on a VM outlives its process, and the store may be away for longer than a restart takes.
 TEST_CASE("an entry that restarts while the store is away learns everything from its peers")
 {
