Use each connection for one attempt of a request at most

Callers were told "not run, try again" for requests that an upstream ran or was running, or the request ran a second time, where an upstream wrote a refusal twice on a kept connection: the answer to the next attempt is matched by the request's id, which both attempts share.

Change: the numbers of the connections that a request was sent on are kept with the request, and the pool does not hand them out to it again. A request without any id gets a new connection, since nothing else shows which answer is its own.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -104,7 +104,8 @@
         this->fail(Health::Cause::Cancelled);
         co_return false;
     }
-    this->connection = this->host->pool().takeIdle(*this->peer, this->parameters.policy, now);
+    this->connection
+        = this->host->pool().takeIdle(*this->peer, this->connectionPolicy(), this->exchange->usedConnections, now);
     if (this->connection) {
         co_return true;
     }
@@ -119,9 +120,17 @@
     co_return true;
 }
 
+Core::ConnectionPolicy Attempt::connectionPolicy() const
+{
+    const auto &dialect = this->host->dialect();
+    // Without any id only a new connection shows to which request an answer belongs.
+    const bool unidentified = dialect.attemptId.empty() && this->exchange->requestIdText.empty();
+    return unidentified ? Core::ConnectionPolicy::Fresh : this->parameters.policy;
+}
+
 Task<ErrorCode> Attempt::connect()
 {
-    this->connection = std::make_unique<UpstreamConnection>(this->host->executor());
+    this->connection = this->host->pool().makeConnection(this->host->executor());
     auto &socket = this->connection->socket;
     this->host->metrics().upstreamConnectionsOpened.add();
     this->setTimeout(this->parameters.connectTimeout);
@@ -144,6 +153,8 @@
         this->fail(Health::Cause::Cancelled);
         co_return false;
     }
+    // Upstreams may write an answer twice. The repeated answer to an earlier attempt bears the id of this request.
+    this->exchange->usedConnections.push_back(this->connection->number);
     this->outgoing = this->requestText();
     const auto error = co_await this->writeAll(this->outgoing);
     if (this->stopped()) {
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -84,6 +84,7 @@
     Task<ErrorCode> connect();
     Task<bool> send();
     std::string requestText();
+    Core::ConnectionPolicy connectionPolicy() const;
     Task<ErrorCode> writeAll(std::string_view data);
     Task<void> upload();
     Task<bool> writeBodyPart(std::string &part, std::string &text);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -102,6 +102,8 @@
     std::string service;
     /// Reports of all attempts, in the order of their starts.
     std::vector<AttemptReport> attemptReports;
+    /// Numbers of the upstream connections on which the request was sent.
+    std::vector<std::uint64_t> usedConnections;
     /// The head of a streaming answer was forwarded.
     bool headForwarded = false;
 
--- a/src/proxy/upstreampool.cpp
+++ b/src/proxy/upstreampool.cpp
@@ -56,21 +56,33 @@
     return created;
 }
 
+std::unique_ptr<UpstreamConnection> UpstreamPool::makeConnection(const Executor &executor)
+{
+    auto connection = std::make_unique<UpstreamConnection>(executor);
+    connection->number = ++this->lastConnection;
+    return connection;
+}
+
 std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(UpstreamPeer &peer,
                                                            Core::ConnectionPolicy policy,
+                                                           const std::vector<std::uint64_t> &excluded,
                                                            TimePoint now)
 {
     peer.lastUsedAt = now;
     if (policy == Core::ConnectionPolicy::Fresh) {
         return nullptr;
     }
-    while (!peer.idle.empty()) {
-        const bool provenAlive = now - peer.idle.back()->lastAnswerAt <= this->provenAliveTime;
+    for (auto position = peer.idle.size(); position > 0; --position) {
+        const auto candidate = peer.idle.begin() + static_cast<std::ptrdiff_t>(position - 1);
+        if (std::ranges::find(excluded, (*candidate)->number) != excluded.end()) {
+            continue;
+        }
+        const bool provenAlive = now - (*candidate)->lastAnswerAt <= this->provenAliveTime;
         if (policy == Core::ConnectionPolicy::ProvenAlive && !provenAlive) {
             return nullptr;
         }
-        auto connection = std::move(peer.idle.back());
-        peer.idle.pop_back();
+        auto connection = std::move(*candidate);
+        peer.idle.erase(candidate);
         if (hasNothingToRead(*connection)) {
             connection->reused = true;
             this->metrics.upstreamConnectionsReused.add();
--- a/src/proxy/upstreampool.h
+++ b/src/proxy/upstreampool.h
@@ -9,6 +9,7 @@
 #include "verbenadock/core/effect.h"
 #include "verbenadock/settings/settings.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -23,6 +24,8 @@
     /// Closes the socket; a second call has no effect.
     void close();
 
+    /// Unique within the process.
+    std::uint64_t number = 0;
     Socket socket;
     Buffer buffer;
     TimePoint openedAt{};
@@ -52,8 +55,14 @@
     /// Returns the state of the endpoint, created on first use. Null if the address is no IP address.
     std::shared_ptr<UpstreamPeer> peer(const Endpoint &endpoint);
 
-    /// Takes an idle connection that the policy allows and that has nothing to read. Null if there is none.
-    std::unique_ptr<UpstreamConnection> takeIdle(UpstreamPeer &peer, Core::ConnectionPolicy policy, TimePoint now);
+    /// Takes an idle connection that the policy allows, that is not one of the excluded numbers and that has nothing to
+    /// read. Null if there is none.
+    std::unique_ptr<UpstreamConnection> takeIdle(UpstreamPeer &peer,
+                                                 Core::ConnectionPolicy policy,
+                                                 const std::vector<std::uint64_t> &excluded,
+                                                 TimePoint now);
+
+    std::unique_ptr<UpstreamConnection> makeConnection(const Executor &executor);
 
     /// Returns a connection that just carried a complete answer; closes it when the pool of the peer is full.
     void putBack(UpstreamPeer &peer, std::unique_ptr<UpstreamConnection> connection, TimePoint now);
@@ -74,6 +83,7 @@
     Duration provenAliveTime;
     Duration maxIdleTime;
     ProxyMetrics &metrics;
+    std::uint64_t lastConnection = 0;
     std::map<Endpoint, std::shared_ptr<UpstreamPeer>> peers;
 };
 
--- a/test/proxy/platformanswertest.cpp
+++ b/test/proxy/platformanswertest.cpp
@@ -17,6 +17,9 @@
     = "HTTP/1.1 200 OK\r\nVerbenadock-Request-Id: 9c41\r\nVerbenadock-Server-Seal: 3e1b.07\r\n"
       "Content-Length: 2\r\n\r\nok";
 
+const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\nVerbenadock-Request-Id: 9c41\r\n"
+                            "Verbenadock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// The answer of an entry whose upstream answers the first request of each connection with the given bytes.
 ReceivedMessage answerFor(const std::string &request, const std::string &bytes, bool reset = false)
 {
@@ -116,3 +119,32 @@
         == 503);
     CHECK(answerFor(Post, rejection("500 Error", "")).status() == 500);
 }
+
+// Guards against callers that are told "not run, try again" while the upstream runs the request, and against a second
+// run: the answer of an earlier attempt bears the same id.
+TEST_CASE("a refusal that is written twice does not answer the next attempt of the request")
+{
+    std::atomic<unsigned> runs = 0;
+    FakeUpstream upstream("127.0.6.1", [&runs](TestSocket &connection, unsigned number) {
+        connection.readMessage();
+        if (number == 1) {
+            connection.send(Refusal);
+            if (!connection.readMessage().complete) {
+                return;
+            }
+            ++runs;
+            connection.send(Refusal);
+            connection.waitForEnd();
+            return;
+        }
+        ++runs;
+        connection.send(CompleteAnswer);
+        connection.waitForEnd();
+    });
+    auto options = optionsFor({upstream.endpoint()});
+    options.dialect = Platform::platformDialect();
+    const EntryFixture entry(options);
+    CHECK(entry.exchange(Post).status() == 200);
+    CHECK(runs == 1);
+    CHECK(upstream.connections() == 2);
+}
