Take an answer without an id only on a new connection

An upstream may reject a request before it has read its id, so that an answer of 400 or more without an id was accepted, refusals included. On a kept connection it may belong to an earlier request: the caller is told "not run", or the request is sent again, while it runs.

Evidence: with real sockets, a claim that got such a refusal on a kept connection on was sent again and ran twice (claims 2 == 1, status 200 == 504).

Change: on a connection that was used before such an answer is a mismatched one.

Test: "a refusal without an id proves nothing on a connection that was used before", seen to fail before; test_proxy passes now.

--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -115,8 +115,12 @@
         return !this->parameters.echoesAttemptId || singleField(fields, dialect.attemptId) == this->idText;
     }
     const auto echoed = singleField(fields, dialect.requestId);
-    // A server may reject a request before it read the id.
-    return echoed ? *echoed == this->exchange->requestIdText : this->response->parser.statusCode >= FirstErrorStatus;
+    if (echoed) {
+        return *echoed == this->exchange->requestIdText;
+    }
+    // A server may reject a request before it read the id. On a connection that was used before, such an answer may
+    // belong to an earlier request.
+    return !this->connection->reused && this->response->parser.statusCode >= FirstErrorStatus;
 }
 
 bool Attempt::checkHead()
--- a/test/proxy/platformanswertest.cpp
+++ b/test/proxy/platformanswertest.cpp
@@ -148,3 +148,27 @@
     CHECK(runs == 1);
     CHECK(upstream.connections() == 2);
 }
+
+// Guards against a refusal of an earlier request that is taken for one of the current request, because it bears no id.
+TEST_CASE("a refusal without an id proves nothing on a connection that was used before")
+{
+    std::atomic<unsigned> claims = 0;
+    FakeUpstream upstream("127.0.6.1", [&claims](TestSocket &connection, unsigned) {
+        while (true) {
+            const auto request = connection.readMessage();
+            if (!request.complete) {
+                return;
+            }
+            const bool isFirstClaim = request.head.starts_with("POST") && ++claims == 1;
+            connection.send(isFirstClaim
+                                ? "HTTP/1.1 503 Unavailable\r\nVerbenadock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                                : CompleteAnswer);
+        }
+    });
+    auto options = optionsFor({upstream.endpoint()});
+    options.dialect = Platform::platformDialect();
+    const EntryFixture entry(options);
+    CHECK(entry.exchange(Get).status() == 200);
+    CHECK(entry.exchange(Post).status() == 504);
+    CHECK(claims == 1);
+}
