Decide on a refusal before a long answer is forwarded

A caller got the 408, 429 or 503 of a long answer in which the upstream did not state that the request had not run, and took it for that promise; a long refusal that stated it was forwarded in place of a further attempt.

Cause: the statuses were looked at when the answer was complete, but answers over hold_back_bytes are forwarded before.

Change: both are decided on when the head is known to be too long to be held back; the rest of the body is not read. A refusal on a kept connection to an upstream that echoes no attempt ids is no proof any more.

--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -20,6 +20,9 @@
 /// Status of an upstream that is not the expected instance and did not run the request.
 inline constexpr unsigned MisdirectedStatus = 421;
 
+/// Whether callers may interpret the status as "the request was not run".
+bool impliesNotRun(unsigned status);
+
 class Host;
 
 /// One attempt to have a request answered by an upstream.
@@ -81,10 +84,10 @@
     /// Whether the first byte of the request may be written.
     bool maySend(TimePoint now) const;
     Task<bool> open();
+    Core::ConnectionPolicy connectionPolicy() const;
     Task<ErrorCode> connect();
     Task<bool> send();
     std::string requestText();
-    Core::ConnectionPolicy connectionPolicy() const;
     Task<ErrorCode> writeAll(std::string_view data);
     Task<void> upload();
     Task<bool> writeBodyPart(std::string &part, std::string &text);
@@ -96,6 +99,10 @@
     /// Whether the answer echoes the id of this attempt, or of the request if the dialect has no attempt ids.
     bool answerIdMatches() const;
     bool checkHead();
+    /// Whether the upstream states that it did not run the request.
+    bool statesNotRun() const;
+    /// Whether callers would take the status as proof that the request was not run, which the upstream did not state.
+    bool promisesWithoutProof() const;
     Task<bool> readBody();
     Task<bool> forwardBodyPart(bool last);
     void captureBodyPart(Capture &capture);
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -11,12 +11,6 @@
 
 constexpr unsigned FirstErrorStatus = 400;
 
-/// Statuses that some callers interpret as "the request was not run".
-bool impliesNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
 // Limits the 1xx answers, which are dropped. An upstream sends at most a 100 and some 103 (early hints).
 constexpr unsigned MaxInterimAnswers = 8;
@@ -32,6 +26,11 @@
 
 } // namespace
 
+bool impliesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 Task<void> Attempt::receive()
 {
     bool interim = true;
@@ -123,6 +122,20 @@
     return !this->connection->reused && this->response->parser.statusCode >= FirstErrorStatus;
 }
 
+bool Attempt::statesNotRun() const
+{
+    const auto &dialect = this->host->dialect();
+    // Without an id the refusal may belong to an earlier request on the connection.
+    const bool identified = dialect.attemptId.empty() || this->parameters.echoesAttemptId || !this->connection->reused;
+    return identified && (this->hasFlagField(dialect.notRun) || this->response->parser.statusCode == MisdirectedStatus);
+}
+
+bool Attempt::promisesWithoutProof() const
+{
+    return this->host->dialect().statusesImplyNotRun && impliesNotRun(this->response->parser.statusCode)
+           && !this->statesNotRun();
+}
+
 bool Attempt::checkHead()
 {
     const auto &parser = this->response->parser;
@@ -165,6 +178,10 @@
         }
         if (!this->headReported && !parser.is_done()
             && (tooLongToBuffer || this->body.size() > this->parameters.holdBackBytes)) {
+            if (this->statesNotRun() || this->promisesWithoutProof()) {
+                // Such an answer is never forwarded, so that the rest of its body is not needed.
+                co_return true;
+            }
             this->headReported = true;
             this->timer.set(this->parameters.deadline);
             this->host->answerHeadReceived(
@@ -261,11 +278,10 @@
     this->finished = true;
     this->answerComplete = true;
     this->answeredAt = monotonicNow();
+    const bool notRun = this->statesNotRun();
+    const bool isFalsePromise = this->promisesWithoutProof();
     this->releaseConnection();
-    const auto status = this->response->parser.statusCode;
-    const bool notRun = this->hasFlagField(this->host->dialect().notRun) || status == MisdirectedStatus;
-    if (this->host->dialect().statusesImplyNotRun && impliesNotRun(status) && !notRun && !this->headReported) {
-        // Callers would take the status as proof that the request was not run, which the upstream did not state.
+    if (isFalsePromise) {
         this->host->attemptFailed(*this, Health::Cause::ServerError, false);
         return;
     }
@@ -276,7 +292,7 @@
 void Attempt::releaseConnection()
 {
     const auto &parser = this->response->parser;
-    const bool nothingPending = this->requestWritten && this->connection->buffer.size() == 0;
+    const bool nothingPending = this->requestWritten && parser.is_done() && this->connection->buffer.size() == 0;
     if (!this->timedOut && nothingPending && parser.httpVersion == 11 && parser.keep_alive()) {
         this->host->pool().putBack(*this->peer, std::move(this->connection), this->answeredAt);
         return;
--- a/test/proxy/platformanswertest.cpp
+++ b/test/proxy/platformanswertest.cpp
@@ -172,3 +172,19 @@
     CHECK(entry.exchange(Post).status() == 504);
     CHECK(claims == 1);
 }
+
+// Guards against a promise that the upstream did not make, in an answer that is too long to be held back.
+TEST_CASE("a long answer with a status that implies not run is forwarded only if the upstream states it")
+{
+    const std::string body(300000, 'x');
+    const auto answer = [&body](const std::string &status, const std::string &fields) {
+        return "HTTP/1.1 " + status + "\r\nVerbenadock-Request-Id: 9c41\r\n" + fields
+               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    for (const std::string status : {"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"}) {
+        INFO(status);
+        CHECK(answerFor(Post, answer(status, "")).status() == 504);
+        CHECK(answerFor(Post, answer(status, "Verbenadock-Not-Executed: 1\r\n")).status() == 503);
+    }
+    CHECK(answerFor(Post, answer("500 Error", "")).body == body);
+}
