Answer 504 for an upload that stalls after a part was sent on

The caller got 408, which it reads as "not run", although an upstream had a part of the request.

Change: a rejection of a body has status 504 in place of one that implies "not run" when an upstream may have seen a part of the request. The log line of the request shows the same status.

Test: "an upload that stalls after a part was sent on is not answered as not run", seen to fail on (408 == 504); test_proxy passes now.

--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -9,9 +9,16 @@
 namespace {
 
 constexpr Duration MaxLingerTime = std::chrono::seconds(2);
+constexpr unsigned GatewayTimeoutStatus = 504;
 
 } // namespace
 
+unsigned statusOf(const RejectBody &rejection)
+{
+    const auto status = statusOf(rejection.reason);
+    return rejection.mayHaveRun && impliesNotRun(status) ? GatewayTimeoutStatus : status;
+}
+
 Task<CallerConnection::NextStep> CallerConnection::writeDecision(Exchange &current)
 {
     if (const auto *buffered = std::get_if<ForwardBuffered>(&*current.decision)) {
@@ -84,7 +91,7 @@
 {
     this->host->metrics().countBadRequest(rejection.reason);
     const auto text
-        = localAnswerText(LocalAnswer{.status = statusOf(rejection.reason),
+        = localAnswerText(LocalAnswer{.status = statusOf(rejection),
                                       .outcome = rejection.mayHaveRun ? Core::Outcome::Unknown : Core::Outcome::NotRun,
                                       .reason = toString(rejection.reason),
                                       .close = true,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -44,6 +44,9 @@
     bool mayHaveRun = false;
 };
 
+/// Status with which the request is rejected.
+unsigned statusOf(const RejectBody &rejection);
+
 /// The caller closed its connection.
 struct CallerGone
 {
@@ -99,11 +102,11 @@
     /// Attempts that wait for bodyReady.
     std::vector<Core::StartAttempt> pendingAttempts;
     std::vector<std::shared_ptr<Attempt>> attempts;
+    /// Numbers of the upstream connections on which the request was sent.
+    std::vector<std::uint64_t> usedConnections;
     std::string service;
     /// Reports of all attempts, in the order of their starts.
     std::vector<AttemptReport> attemptReports;
-    /// Numbers of the upstream connections on which the request was sent.
-    std::vector<std::uint64_t> usedConnections;
     /// The head of a streaming answer was forwarded.
     bool headForwarded = false;
 
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -80,7 +80,7 @@
     {
         this->report.outcome = "bad-request";
         this->report.reason = toString(refusal.reason);
-        this->report.status = statusOf(refusal.reason);
+        this->report.status = statusOf(refusal);
     }
 
     void operator()(const CallerGone & /*gone*/) const
--- a/test/proxy/platformanswertest.cpp
+++ b/test/proxy/platformanswertest.cpp
@@ -188,3 +188,23 @@
     }
     CHECK(answerFor(Post, answer("500 Error", "")).body == body);
 }
+
+// Guards against a 408 for a body that stalled after the upstream had got a part of it.
+TEST_CASE("an upload that stalls after a part was sent on is not answered as not run")
+{
+    FakeUpstream upstream("127.0.6.1", [](TestSocket &connection, unsigned) {
+        connection.waitForEnd();
+    });
+    auto options = optionsFor({upstream.endpoint()});
+    options.dialect = Platform::platformDialect();
+    options.limits.callerStallTimeout = std::chrono::milliseconds(200);
+    const EntryFixture entry(options);
+    const auto stalled = [&entry](std::size_t length, std::size_t sent) {
+        TestSocket caller(entry.endpoint());
+        caller.send("POST /a HTTP/1.1\r\n" + Fields + "Content-Length: " + std::to_string(length) + "\r\n\r\n"
+                    + std::string(sent, 'x'));
+        return caller.readMessage().status();
+    };
+    CHECK(stalled(5000000, 100000) == 504);
+    CHECK(stalled(1000, 500) == 408);
+}
