Bound the cached records of a topic in bytes

No caller was seen to suffer from this; it was found by reading. The cache for other VMs kept 512 records of up to 256 KiB each, more than the memory of a small VM, and a process over its limit is killed.

Change: 4 MiB of records at most for each topic.

--- a/src/fleet/recordcache.cpp
+++ b/src/fleet/recordcache.cpp
@@ -8,6 +8,8 @@
 
 // Covers some seconds of changes while all upstreams of a large deployment are replaced.
 constexpr std::size_t MaxTailRecords = 512;
+// A record may have 256 KiB, and small VMs have 160 MB of memory.
+constexpr std::size_t MaxTailBytes = 4 * 1024 * 1024;
 
 } // namespace
 
@@ -41,9 +43,16 @@
     for (; this->end < endOffset; ++this->end) {
         this->tail.push_back({.offset = this->end, .data = {}});
     }
-    while (this->tail.size() > MaxTailRecords) {
-        this->tail.pop_front();
+    std::size_t bytes = 0;
+    std::size_t kept = 0;
+    while (kept < std::min(this->tail.size(), MaxTailRecords)) {
+        bytes += this->tail[this->tail.size() - 1 - kept].data.size();
+        if (bytes > MaxTailBytes) {
+            break;
+        }
+        ++kept;
     }
+    this->tail.erase(this->tail.begin(), this->tail.end() - static_cast<std::ptrdiff_t>(kept));
 }
 
 std::optional<Platform::StoredPage> RecordCache::recordsFrom(std::uint64_t from) const
--- a/test/fleet/recordcachetest.cpp
+++ b/test/fleet/recordcachetest.cpp
@@ -69,6 +69,20 @@
     CHECK(kept->records.size() == 1);
 }
 
+// Guards against processes that are killed for their memory after many long records.
+TEST_CASE("the cached records are bounded by their bytes, too")
+{
+    RecordCache cache;
+    const std::string value(256 * 1024, 'x');
+    for (std::uint64_t offset = 0; offset < 100; ++offset) {
+        cache.append({{.offset = offset, .key = "a", .value = value}}, offset + 1);
+    }
+    CHECK_FALSE(cache.recordsFrom(80));
+    const auto last = cache.recordsFrom(99);
+    REQUIRE(last);
+    CHECK(last->records.size() == 1);
+}
+
 TEST_CASE("the newest records contain no removed keys")
 {
     const auto newest = cacheWithThreeOffsets().newest();
