--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -55,13 +55,20 @@
     return result;
 }
 
+/// Keys and values are written by others and may be long.
+std::string_view shortened(std::string_view text)
+{
+    constexpr std::size_t MaxLoggedBytes = 200;
+    return text.substr(0, MaxLoggedBytes);
+}
+
 std::string formatChange(const Discovery::DirectoryChange &change)
 {
     std::string line = "directory_change kind=" + std::string(Discovery::toString(change.kind));
-    line.append(" upstream=").append(change.subject.empty() ? "-" : change.subject);
+    line.append(" upstream=").append(change.subject.empty() ? "-" : shortened(change.subject));
     line.append(" offset=").append(std::to_string(change.offset));
     line.append(" version=").append(std::to_string(change.version));
-    line.append(" reason=\"").append(change.reason).append("\"");
+    line.append(" reason=\"").append(shortened(change.reason)).append("\"");
     return line;
 }
 
--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -228,6 +228,11 @@
     this->append("keyed.servers", upstream.id, "");
 }
 
+void StoreFleet::writeUpstreamEntry(const std::string &key, const std::string &value) const
+{
+    this->append("keyed.servers", key, value);
+}
+
 Net::HttpRequest StoreFleet::lookup(const std::string &id)
 {
     return request("GET", "/katalog/" + id, id);
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -45,6 +45,8 @@
     /// Writes an upstream's entry as ready or draining.
     void registerUpstream(const FleetUpstream &upstream, bool draining = false);
     void removeUpstream(const FleetUpstream &upstream);
+    /// Writes any value as an upstream's entry.
+    void writeUpstreamEntry(const std::string &key, const std::string &value) const;
 
     /// A request that may be repeated, and one that may not; both get the id and a deadline.
     static Net::HttpRequest lookup(const std::string &id);
--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -119,6 +119,49 @@
     CHECK(fleet.executions().size() == callers.size());
 }
 
+// Guards against processes that end, or stop following the store, on account of entries that somebody else wrote.
+TEST_CASE("odd entries among those of the upstreams name no upstream, and the others hold")
+{
+    StoreFleet fleet(PROGRAM_DIR, {.services = {{.name = "vydej"}}, .dataCentres = {"a"}});
+    fleet.start();
+    const auto entry = [](const std::string &address, const std::string &slots) {
+        return R"({"address":")" + address + R"(","born":1,"info":{"service":"vydej","zone":"a","version":"v","slots":)"
+               + slots + R"(},"status":{"state":"ready","seq":1,"warmupLeftS":0}})";
+    };
+    const std::vector<std::string> values = {std::string(200000, '['),
+                                             R"({"info":)" + std::string(100000, '[') + std::string(100000, ']') + "}",
+                                             entry("127.0.0.1:65536", "1"),
+                                             entry("127.0.0.1:99999999999999999999", "1"),
+                                             entry("127.0.0.1:1", "99999999999999999999999"),
+                                             entry("127.0.0.1:1", "1e400"),
+                                             entry("127.0.0.1:1", "-1"),
+                                             std::string("\x00\xff\xfe{", 4)};
+    // More than one page of newest records, so that the last key of a page is an odd one.
+    constexpr int Keys = 520;
+    for (int number = 0; number < Keys; ++number) {
+        const auto &value = values[static_cast<std::size_t>(number) % values.size()];
+        const bool isLong = value.size() > 1000 && number > 40;
+        fleet.writeUpstreamEntry("odd key&after=x#" + std::to_string(1000 + number), isLong ? "[" : value);
+    }
+    fleet.vms[1].entry->signal(SIGKILL);
+    fleet.startEntry(1);
+    fleet.waitUntilReady(1);
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        CHECK(fleet.vms[vm].entry->isRunning());
+        CHECK(fleet.isReady(vm));
+    }
+    // Only a VM that still follows the store learns of these.
+    for (std::size_t index = 1; index < fleet.upstreams.size(); ++index) {
+        fleet.removeUpstream(fleet.upstreams[index]);
+    }
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        waitFor("the removals at " + fleet.vms[vm].id, DrainLimit, [&fleet, vm] {
+            return fleet.entryDump(vm).at("services").at(0).at("upstreams").size() == 1;
+        });
+        CHECK(fleet.call(vm, StoreFleet::claim("odd-" + std::to_string(vm))).status == 200);
+    }
+}
+
 // Nothing on a VM outlives its process, and the store may be away for longer than a restart takes.
 TEST_CASE("an entry that restarts while the store is away learns everything from its peers")
 {
--- a/test/standins/common/storetopics.cpp
+++ b/test/standins/common/storetopics.cpp
@@ -57,6 +57,22 @@
     return text;
 }
 
+std::string percentDecoded(const std::string &text)
+{
+    std::string decoded;
+    for (std::size_t position = 0; position < text.size(); ++position) {
+        const auto digits = text.substr(position + 1, 2);
+        if (text[position] == '%' && digits.size() == 2
+            && digits.find_first_not_of("0123456789ABCDEFabcdef") == std::string::npos) {
+            decoded.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
+            position += 2;
+        } else {
+            decoded.push_back(text[position]);
+        }
+    }
+    return decoded;
+}
+
 } // namespace
 
 StoreQuery::StoreQuery(std::string_view target)
@@ -82,7 +98,7 @@
 std::string StoreQuery::text(const std::string &name) const
 {
     const auto found = this->parameters.find(name);
-    return found == this->parameters.end() ? std::string() : found->second;
+    return found == this->parameters.end() ? std::string() : percentDecoded(found->second);
 }
 
 std::optional<std::uint64_t> StoreQuery::number(const std::string &name) const
