Let upstreams of the soak repeat refusals and leave out their ids

The soak did not meet what other operators reported: upstreams that shed work now write each refusal once more when the next request arrives on the connection, and leave out the id of every second one.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -215,7 +215,7 @@
 {
     static const std::vector<Json> Ways = {{{"failRate", 0.8}},
                                            {{"truncateRate", 0.5}},
-                                           {{"shedRate", 0.7}},
+                                           {{"shedRate", 0.7}, {"repeatRefusalRate", 1}, {"anonymousRefusalRate", 0.5}},
                                            {{"hangRate", 0.5}},
                                            {{"slowFactor", 20}},
                                            {{"crossRate", 0.5}}};
@@ -227,6 +227,8 @@
         this->fleet.setUpstreams({{"failRate", 0},
                                   {"truncateRate", 0},
                                   {"shedRate", 0},
+                                  {"repeatRefusalRate", 0},
+                                  {"anonymousRefusalRate", 0},
                                   {"hangRate", 0},
                                   {"slowFactor", 1},
                                   {"crossRate", 0}},
--- a/test/standins/common/behaviour.h
+++ b/test/standins/common/behaviour.h
@@ -27,6 +27,10 @@
     bool draining = false;
     bool refuseWork = false;
     double shedRate = 0;
+    /// A refusal is written once more when the next request arrives on its connection.
+    double repeatRefusalRate = 0;
+    /// A refusal bears no id.
+    double anonymousRefusalRate = 0;
     /// Ignores X-Deadline-Ms.
     bool ignoreDeadline = false;
     bool echoAttemptId = true;
@@ -67,6 +71,8 @@
                                    draining,
                                    refuseWork,
                                    shedRate,
+                                   repeatRefusalRate,
+                                   anonymousRefusalRate,
                                    ignoreDeadline,
                                    echoAttemptId,
                                    platform,
--- a/test/standins/common/httpserver.h
+++ b/test/standins/common/httpserver.h
@@ -47,6 +47,9 @@
     asio::awaitable<void> writeTruncated(Response response);
     void close();
 
+    /// An answer that a faulty server writes once more when the next request is there.
+    std::optional<Response> repeatedAnswer;
+
 private:
     void watchForClose();
 
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -159,24 +159,38 @@
 
 asio::awaitable<void> UpstreamServer::work(ConnectionPointer connection, Request request)
 {
+    if (auto repeated = std::exchange(connection->repeatedAnswer, std::nullopt)) {
+        co_await connection->write(std::move(*repeated));
+    }
     const auto deadline = deadlineOf(request, this->behaviour);
     const bool full = this->busy >= this->behaviour.slots && this->queue.size() >= this->behaviour.queueLimit;
     const auto expected = header(request, "Verbenadock-Expect-Instance");
     if (this->behaviour.platform && !expected.empty() && expected != this->id) {
-        co_await connection->write(this->notRun(request, "other-instance", http::status::misdirected_request));
+        co_await this->refuse(connection, this->notRun(request, "other-instance", http::status::misdirected_request));
     } else if (this->behaviour.refuseWork) {
-        co_await connection->write(this->notRun(request, "draining"));
+        co_await this->refuse(connection, this->notRun(request, "draining"));
     } else if (full || this->happens(this->behaviour.shedRate)) {
         ++this->shed;
-        co_await connection->write(this->notRun(request, "overloaded"));
+        co_await this->refuse(connection, this->notRun(request, "overloaded"));
     } else if (co_await this->acquireSlot(connection, deadline)) {
         co_await this->runInSlot(connection, request);
     } else if (connection->isClosed()) {
         ++this->cancelled;
     } else {
         ++this->late;
-        co_await connection->write(this->notRun(request, "deadline"));
+        co_await this->refuse(connection, this->notRun(request, "deadline"));
+    }
+}
+
+asio::awaitable<void> UpstreamServer::refuse(ConnectionPointer connection, Response refusal)
+{
+    if (this->happens(this->behaviour.anonymousRefusalRate)) {
+        refusal.erase(headersOf(this->behaviour).requestId);
+    }
+    if (this->happens(this->behaviour.repeatRefusalRate)) {
+        connection->repeatedAnswer = refusal;
     }
+    co_await connection->write(std::move(refusal));
 }
 
 asio::awaitable<void> UpstreamServer::runInSlot(ConnectionPointer connection, const Request &request)
--- a/test/standins/common/upstreamserver.h
+++ b/test/standins/common/upstreamserver.h
@@ -48,6 +48,7 @@
     asio::awaitable<void> handle(ConnectionPointer connection, Request request);
     asio::awaitable<void> probe(ConnectionPointer connection);
     asio::awaitable<void> work(ConnectionPointer connection, Request request);
+    asio::awaitable<void> refuse(ConnectionPointer connection, Response refusal);
     asio::awaitable<void> runInSlot(ConnectionPointer connection, const Request &request);
     asio::awaitable<void> answer(ConnectionPointer connection, Response response, Execution &execution);
     asio::awaitable<void> answerCrossed(ConnectionPointer connection, Response response);
