Share the set-up of two pairs of tests

The claims in flight of two tests of a stop, and the follower of the first version of two tests of the store follower, were written out twice.

--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -137,6 +137,19 @@
     return configuration ? configuration->version : 0;
 }
 
+/// A follower that has read version 1, which it writes to the store before.
+std::shared_ptr<StoreFollower> followerOfFirstVersion(boost::asio::io_context &loop,
+                                                      FakeStore &store,
+                                                      Telemetry::MetricsRegistry &registry)
+{
+    store.write(configurationRecord(0, 1, 0));
+    auto follower = makeFollower(loop, store.endpoint(), registry);
+    REQUIRE(runUntil(loop, [&follower] {
+        return versionOf(*follower) == 1;
+    }));
+    return follower;
+}
+
 } // namespace
 
 // Guards against a VM that keeps an old configuration for good, because the only VMs that it hears started after the
@@ -146,11 +159,7 @@
     boost::asio::io_context loop;
     Telemetry::MetricsRegistry registry;
     FakeStore store(loop);
-    store.write(configurationRecord(0, 1, 0));
-    const auto behind = makeFollower(loop, store.endpoint(), registry);
-    REQUIRE(runUntil(loop, [&behind] {
-        return versionOf(*behind) == 1;
-    }));
+    const auto behind = followerOfFirstVersion(loop, store, registry);
     store.write(configurationRecord(1, 2, LongConfigurationBytes));
     store.write(configurationRecord(2, 3, LongConfigurationBytes));
     const auto restarted = makeFollower(loop, store.endpoint(), registry);
@@ -174,11 +183,7 @@
     boost::asio::io_context loop;
     Telemetry::MetricsRegistry registry;
     FakeStore store(loop);
-    store.write(configurationRecord(0, 1, 0));
-    const auto behind = makeFollower(loop, store.endpoint(), registry);
-    REQUIRE(runUntil(loop, [&behind] {
-        return versionOf(*behind) == 1;
-    }));
+    const auto behind = followerOfFirstVersion(loop, store, registry);
     for (std::uint64_t offset = 1; offset < 4; ++offset) {
         store.write({.offset = offset, .key = "other", .value = std::string(LongConfigurationBytes, 'x')});
     }
--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -28,6 +28,23 @@
     return runs;
 }
 
+/// Statuses of claims through the first VM; returns when the upstreams run all of them.
+std::vector<std::future<unsigned>> runningClaims(const StoreFleet &fleet)
+{
+    constexpr int Requests = 6;
+    std::vector<std::future<unsigned>> statuses;
+    statuses.reserve(Requests);
+    for (int number = 0; number < Requests; ++number) {
+        statuses.push_back(std::async(std::launch::async, [&fleet, number] {
+            return fleet.call(0, StoreFleet::claim("inflight-" + std::to_string(number))).status;
+        }));
+    }
+    waitFor("the requests to run", std::chrono::seconds(5), [&fleet] {
+        return fleet.executions().size() == Requests;
+    });
+    return statuses;
+}
+
 } // namespace
 
 TEST_CASE("a request passes an entry that follows the store, and is run once by the service's upstream")
@@ -200,17 +217,7 @@
 {
     StoreFleet fleet(PROGRAM_DIR, {.behaviour = {{"serviceMs", 1500}}});
     fleet.start();
-    constexpr int Requests = 6;
-    std::vector<std::future<unsigned>> answers;
-    answers.reserve(Requests);
-    for (int number = 0; number < Requests; ++number) {
-        answers.push_back(std::async(std::launch::async, [&fleet, number] {
-            return fleet.call(0, StoreFleet::claim("inflight-" + std::to_string(number))).status;
-        }));
-    }
-    waitFor("the requests to run", std::chrono::seconds(5), [&fleet] {
-        return fleet.executions().size() == Requests;
-    });
+    auto answers = runningClaims(fleet);
     fleet.vms[0].entry->signal(SIGTERM);
     for (auto &answer : answers) {
         CHECK(answer.get() == 200);
@@ -224,17 +231,7 @@
     StoreFleet fleet(PROGRAM_DIR,
                      {.behaviour = {{"serviceMs", 1800}}, .shutdown = "drain_delay = \"300 ms\"\nlimit = \"1 s\"\n"});
     fleet.start();
-    constexpr int Requests = 6;
-    std::vector<std::future<unsigned>> answers;
-    answers.reserve(Requests);
-    for (int number = 0; number < Requests; ++number) {
-        answers.push_back(std::async(std::launch::async, [&fleet, number] {
-            return fleet.call(0, StoreFleet::claim("abandoned-" + std::to_string(number))).status;
-        }));
-    }
-    waitFor("the requests to run", std::chrono::seconds(5), [&fleet] {
-        return fleet.executions().size() == Requests;
-    });
+    auto answers = runningClaims(fleet);
     fleet.vms[0].entry->signal(SIGTERM);
     for (auto &answer : answers) {
         unsigned status = 0;
