Correct the cause of the fault with odd keys, and let its test show it

Change: the test kills all VMs, so that none can get the list elsewhere. The checks that the VMs run and are ready come before that.

--- a/test/integration/storefleettest.cpp
+++ b/test/integration/storefleettest.cpp
@@ -160,13 +160,20 @@
         const bool isLong = value.size() > 1000 && number > 40;
         fleet.writeUpstreamEntry("odd key&after=x#" + std::to_string(1000 + number), isLong ? "[" : value);
     }
-    fleet.vms[1].entry->signal(SIGKILL);
-    fleet.startEntry(1);
-    fleet.waitUntilReady(1);
     for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
         CHECK(fleet.vms[vm].entry->isRunning());
         CHECK(fleet.isReady(vm));
     }
+    // After the loss of all of them, no VM can get the list from another one.
+    for (auto &vm : fleet.vms) {
+        vm.entry->signal(SIGKILL);
+    }
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        fleet.startEntry(vm);
+    }
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        fleet.waitUntilReady(vm);
+    }
     // Only a VM that still follows the store learns of these.
     for (std::size_t index = 1; index < fleet.upstreams.size(); ++index) {
         fleet.removeUpstream(fleet.upstreams[index]);
