Show in logs and metrics what upstreams announce in their answers

Callers: no change; which upstreams a request goes to is decided as before. Only the header Server-Leaving no longer reaches callers.

Each head that answers an attempt is now read for Server-Leaving and, on a 503, Retry-After, in one place, interim answers and answers that are discarded later included. A 421 is left out, since another instance speaks there. Values that cannot be read are counted with a reason. request_ended gains announced=UPSTREAM/KIND, and there are two counters.

--- a/include/verbenadock/proxy/dialect.h
+++ b/include/verbenadock/proxy/dialect.h
@@ -22,8 +22,13 @@
     std::string expectedInstance = {};
     /// Present on an answer, with a value other than "false", if the request was not run.
     std::string notRun = "X-Not-Run";
-    /// Present on the answers of a draining upstream, with a value other than "false".
-    std::string draining = "X-Draining";
+    /// Present on the answers of an upstream that is leaving.
+    std::string leaving = "X-Draining";
+    /// The value with which an upstream announces that it is leaving; any value other than "false" if empty.
+    std::string leavingValue = {};
+    /// Whether Retry-After on a 503 of an upstream, in seconds, asks this entry to send the upstream nothing for this
+    /// time.
+    bool pausesByRetryAfter = false;
     /// Whether the entry assigns an id to a request without one.
     bool assignsRequestIds = true;
     /// Whether callers interpret 408, 421, 429 and 503 as "not run". If so, an upstream's answer with such a status is
--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -24,6 +24,11 @@
     Duration duration{0};
     /// Nothing while the attempt runs.
     std::optional<Health::Cause> result;
+    /// What the upstream announced about itself in its answer.
+    bool announcedLeaving = false;
+    Duration announcedPause{0};
+    /// Reasons why parts of the announcement were not taken as they stand.
+    std::vector<std::string_view> announcementErrors;
 };
 
 /// A finished request of a caller, as written to the log.
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -20,6 +20,28 @@
            + " services=" + std::to_string(change.services) + " routes=" + std::to_string(change.routes);
 }
 
+/// The announcements of the upstreams that were tried; empty if there are none.
+std::string announcementsField(const std::vector<Proxy::AttemptReport> &attempts)
+{
+    std::string text;
+    const auto append = [&text](const std::string &upstream, std::string_view kind) {
+        text.append(text.empty() ? " announced=" : ",").append(upstream).append("/").append(kind);
+    };
+    for (const auto &attempt : attempts) {
+        if (attempt.announcedLeaving) {
+            append(attempt.upstream, "leaving");
+        }
+        if (attempt.announcedPause > Duration(0)) {
+            const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.announcedPause);
+            append(attempt.upstream, "pause_ms:" + std::to_string(pause.count()));
+        }
+        for (const auto error : attempt.announcementErrors) {
+            append(attempt.upstream, error);
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 std::string requestLine(const Proxy::RequestReport &report)
@@ -54,6 +76,7 @@
         line.append(" in_service=").append(std::to_string(rejection.inService));
         line.append("/").append(std::to_string(rejection.configured));
     }
+    line.append(announcementsField(report.attempts));
     line.append(" ms=").append(milliseconds(report.duration));
     line.append(" deadline_ms=").append(report.callerDeadline ? milliseconds(*report.callerDeadline) : "-");
     return line;
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -99,6 +99,8 @@
     /// Whether the answer echoes the id of this attempt, or of the request if the dialect has no attempt ids.
     bool answerIdMatches() const;
     bool checkHead();
+    /// Reports what the upstream announces in the head. The head has to be an answer to this attempt.
+    void reportAnnouncement();
     /// Whether the upstream states that it did not run the request.
     bool statesNotRun() const;
     /// Whether callers would take the status as proof that the request was not run, which the upstream did not state.
@@ -116,6 +118,7 @@
     void releaseConnection();
     BodyFraming answerFraming() const;
     bool hasFlagField(std::string_view name) const;
+    bool announcesDrain() const;
 
     std::shared_ptr<Host> host;
     std::shared_ptr<Exchange> exchange;
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -1,4 +1,5 @@
 // Attempt: reading and forwarding the answer.
+#include "announcement.h"
 #include "attempt.h"
 #include "callerconnection.h"
 #include "host.h"
@@ -50,10 +51,14 @@
         // Interim answers precede the final one. 101 is no interim answer, and no protocol upgrade was requested.
         const auto status = this->response->parser.statusCode;
         interim = status / 100 == 1 && status != 101;
+        if (interim && this->answerIdMatches()) {
+            this->reportAnnouncement();
+        }
     }
     if (!this->checkHead()) {
         co_return;
     }
+    this->reportAnnouncement();
     const bool bodyRead = co_await this->readBody();
     if (bodyRead) {
         this->complete();
@@ -166,6 +171,25 @@
     return true;
 }
 
+bool Attempt::announcesDrain() const
+{
+    // On the platform the store alone says which upstreams drain.
+    return this->host->dialect().leavingValue.empty() && this->hasFlagField(this->host->dialect().leaving);
+}
+
+void Attempt::reportAnnouncement()
+{
+    const auto &parser = this->response->parser;
+    if (parser.statusCode == MisdirectedStatus) {
+        // Another instance than the selected one speaks for itself.
+        return;
+    }
+    const auto reading = readAnnouncement(parser.fields, parser.statusCode, this->host->dialect());
+    if (reading != AnnouncementReading{}) {
+        this->host->announcementReceived(*this, reading);
+    }
+}
+
 Task<bool> Attempt::readBody()
 {
     auto &parser = this->response->parser;
@@ -184,8 +208,7 @@
             }
             this->headReported = true;
             this->timer.set(this->parameters.deadline);
-            this->host->answerHeadReceived(
-                *this, parser.statusCode, this->hasFlagField(this->host->dialect().draining));
+            this->host->answerHeadReceived(*this, parser.statusCode, this->announcesDrain());
         }
         if (this->headReported) {
             const bool forwarded = co_await this->forwardBodyPart(parser.is_done());
@@ -285,8 +308,7 @@
         this->host->attemptFailed(*this, Health::Cause::ServerError, false);
         return;
     }
-    this->host->attemptCompleted(
-        *this, this->response->parser.statusCode, notRun, this->hasFlagField(this->host->dialect().draining));
+    this->host->attemptCompleted(*this, this->response->parser.statusCode, notRun, this->announcesDrain());
 }
 
 void Attempt::releaseConnection()
--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -83,7 +83,7 @@
                || hasName(dialect.expectedInstance);
     }
     return hasName("Verbenadock-Outcome") || hasName("Verbenadock-Replayed") || hasName(dialect.attemptId)
-           || hasName(dialect.notRun) || hasName(dialect.draining);
+           || hasName(dialect.notRun) || hasName(dialect.leaving);
 }
 
 bool isNamedByConnection(const std::vector<Field> &fields, const Field &candidate)
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_PROXY_HOST_H
 #define VERBENADOCK_PROXY_HOST_H
 
+#include "announcement.h"
 #include "callerconnection.h"
 #include "drainlog.h"
 #include "evidencepool.h"
@@ -51,6 +52,8 @@
     void recordLatency(const Exchange &exchange, const Attempt &attempt);
 
     // Called by Attempt.
+    /// The upstream announced something about itself in an answer to the attempt.
+    void announcementReceived(const Attempt &attempt, const AnnouncementReading &reading);
     void answerHeadReceived(const Attempt &attempt, unsigned status, bool draining);
     void attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining);
     void attemptFailed(const Attempt &attempt, Health::Cause cause, bool nothingWritten);
--- a/src/proxy/hostattempts.cpp
+++ b/src/proxy/hostattempts.cpp
@@ -6,6 +6,25 @@
 
 namespace Verbenadock::Proxy::internal {
 
+void Host::announcementReceived(const Attempt &attempt, const AnnouncementReading &reading)
+{
+    this->proxyMetrics.countAnnouncement(reading);
+    auto *exchange = this->findExchange(attempt.startParameters().request);
+    const auto id = attempt.id();
+    if (!exchange) {
+        return;
+    }
+    for (auto &entry : exchange->attemptReports) {
+        if (entry.id == id) {
+            entry.announcedLeaving = entry.announcedLeaving || reading.announcement.leaving;
+            entry.announcedPause = std::max(entry.announcedPause, reading.announcement.pause);
+            for (const auto error : reading.errors) {
+                entry.announcementErrors.push_back(toString(error));
+            }
+        }
+    }
+}
+
 void Host::answerHeadReceived(const Attempt &attempt, unsigned status, bool draining)
 {
     const auto &order = attempt.startParameters();
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -8,6 +8,8 @@
 
 constexpr auto RequestsName = "verbenadock_requests_total";
 constexpr auto RequestsHelp = "Requests by outcome and refusal.";
+constexpr auto AnnouncementsName = "verbenadock_upstream_announcements_total";
+constexpr auto AnnouncementsHelp = "Answers in which an upstream announced its leaving or a pause.";
 constexpr auto UpstreamConnectionsName = "verbenadock_upstream_connections_total";
 constexpr auto UpstreamConnectionsHelp = "Connections taken for attempts, opened or reused.";
 
@@ -46,7 +48,15 @@
     , registry(metrics)
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
     , replayed(metrics.counter("verbenadock_replayed_answers_total", "Answers to repeated idempotency keys."))
+    , leavingAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "leaving"}}))
+    , pauseAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "pause"}}))
 {
+    for (std::size_t index = 0; index < AnnouncementErrorCount; ++index) {
+        const std::string reason(internal::toString(static_cast<AnnouncementError>(index)));
+        this->announcementErrors[index] = &metrics.counter("verbenadock_upstream_announcement_errors_total",
+                                                           "Announcements that were not taken as they stand.",
+                                                           {{"reason", reason}});
+    }
     for (std::size_t index = 0; index < BadRequestCount; ++index) {
         const std::string reason(internal::toString(static_cast<BadRequest>(index)));
         this->badRequests[index] = &metrics.counter(
@@ -107,6 +117,15 @@
     this->attempts[static_cast<std::size_t>(cause)]->add();
 }
 
+void ProxyMetrics::countAnnouncement(const AnnouncementReading &reading)
+{
+    this->leavingAnnouncements.add(reading.announcement.leaving ? 1 : 0);
+    this->pauseAnnouncements.add(reading.announcement.pause > Duration(0) ? 1 : 0);
+    for (const auto error : reading.errors) {
+        this->announcementErrors[static_cast<std::size_t>(error)]->add();
+    }
+}
+
 void ProxyMetrics::countClosed(CloseReason reason)
 {
     this->closedConnections[static_cast<std::size_t>(reason)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_PROXY_PROXYMETRICS_H
 #define VERBENADOCK_PROXY_PROXYMETRICS_H
 
+#include "announcement.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/core/effect.h"
@@ -37,6 +38,7 @@
     void countBadRequest(BadRequest reason);
     void countAttempt(Health::Cause cause);
     void countClosed(CloseReason reason);
+    void countAnnouncement(const AnnouncementReading &reading);
 
     Telemetry::Counter &aborted;
     Telemetry::Counter &callerDisconnected;
@@ -57,6 +59,9 @@
     Telemetry::MetricsRegistry &registry;
     Telemetry::Counter &answered;
     Telemetry::Counter &replayed;
+    Telemetry::Counter &leavingAnnouncements;
+    Telemetry::Counter &pauseAnnouncements;
+    std::array<Telemetry::Counter *, AnnouncementErrorCount> announcementErrors{};
     std::array<std::array<Telemetry::Counter *, RefusalCount>, OutcomeCount> localAnswers{};
     std::array<Telemetry::Counter *, BadRequestCount> badRequests{};
     std::array<Telemetry::Counter *, CauseCount> attempts{};
