--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -24,7 +24,11 @@
 constexpr std::size_t LongestSeeds = 50;
 constexpr auto Start = std::int64_t(1'700'000'000'000);
 
-Json route(const std::string &name, const std::string &prefix, const std::string &service, bool idempotent)
+Json route(const std::string &name,
+           const std::string &prefix,
+           const std::string &service,
+           bool idempotent,
+           double timeoutSeconds)
 {
     return {{"entryKind", "routes"},
             {"metadata", {{"name", name}}},
@@ -32,7 +36,7 @@
              {{"host", Host},
               {"pathPrefix", prefix},
               {"kind", idempotent ? "safe" : "unsafe"},
-              {"timeoutS", 2},
+              {"timeoutS", timeoutSeconds},
               {"targetLatencyS", 1},
               {"priority", 1},
               {"service", service},
@@ -198,10 +202,11 @@
         resources.push_back({{"entryKind", "services"},
                              {"metadata", {{"name", service.name}}},
                              {"spec", {{"healthPath", "/health"}, {"maxConnections", 300}}}});
-        resources.push_back(route(service.name, "/" + service.name + "/", service.name, service.name != "vydej"));
+        resources.push_back(
+            route(service.name, "/" + service.name + "/", service.name, service.name != "vydej", this->spec.timeoutS));
     }
     const auto own = "v" + std::to_string(version);
-    resources.push_back(route(own, "/" + own + "/", "vydej", false));
+    resources.push_back(route(own, "/" + own + "/", "vydej", false, this->spec.timeoutS));
     resources.push_back(
         {{"entryKind", "limits"},
          {"metadata", Json::object()},
@@ -211,12 +216,12 @@
         "keyed.op", "config", Json{{"version", "r" + std::to_string(version)}, {"resources", resources}}.dump());
 }
 
-void StoreFleet::registerUpstream(const FleetUpstream &upstream, bool draining)
+void StoreFleet::registerUpstream(const FleetUpstream &upstream, bool draining, unsigned lifetime)
 {
     const auto service = std::ranges::find(this->spec.services, upstream.service, &ServiceSpec::name);
     const Json entry = {
         {"address", toString({upstream.address, Ports::Upstream})},
-        {"born", Start},
+        {"born", Start + lifetime},
         {"info",
          {{"service", upstream.service}, {"zone", upstream.dataCentre}, {"version", "v1"}, {"slots", service->slots}}},
         {"status", {{"state", draining ? "draining" : "ready"}, {"seq", 1}, {"warmupLeftS", 0}}}};
@@ -264,6 +269,11 @@
     return getJson(this->control(Ports::UpstreamControl), "/executions");
 }
 
+Json StoreFleet::arrivals() const
+{
+    return getJson(this->control(Ports::UpstreamControl), "/arrivals");
+}
+
 void StoreFleet::setStore(const Json &faults) const
 {
     postJson(this->control(Ports::LogControl), "/set", faults);
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -16,6 +16,8 @@
     unsigned vms = 3;
     /// Starting behaviour of all upstreams (common/behaviour.h of the stand-ins).
     Json behaviour = Json::object();
+    /// Longest time of a request in seconds, by its route.
+    double timeoutS = 2;
     /// The [shutdown] table of the entries' settings.
     std::string shutdown = "drain_delay = \"500 ms\"\nlimit = \"5700 ms\"\n";
 };
@@ -42,8 +44,8 @@
 
     /// Publishes a version with the path prefix /vN/ for vydej beside the services' own prefixes.
     void configure(std::uint64_t version);
-    /// Writes an upstream's entry as ready or draining.
-    void registerUpstream(const FleetUpstream &upstream, bool draining = false);
+    /// Writes an upstream's entry as ready or draining; `lifetime` counts its starts.
+    void registerUpstream(const FleetUpstream &upstream, bool draining = false, unsigned lifetime = 1);
     void removeUpstream(const FleetUpstream &upstream);
     /// Writes any value as an upstream's entry.
     void writeUpstreamEntry(const std::string &key, const std::string &value) const;
@@ -56,6 +58,8 @@
 
     void setUpstreams(const Json &behaviour, const std::vector<std::string> &ids = {}) const;
     Json executions() const;
+    /// Requests that reached an upstream, run or not (common/behaviour.h of the stand-ins).
+    Json arrivals() const;
     void setStore(const Json &faults) const;
     void setRoutes(const Json &faults, const std::vector<std::string> &names) const;
     void silenceRoutes(const std::vector<std::string> &names) const;
--- a/test/standins/common/behaviour.h
+++ b/test/standins/common/behaviour.h
@@ -23,10 +23,14 @@
     /// After a start the work is slower by the factor, falling to 1 over this time.
     std::int64_t coldStartMs = 0;
     double coldFactor = 5;
-    /// Announces X-Draining; with refuseWork it also refuses new work as not run.
+    /// Announces that it leaves, in all its answers; with refuseWork it also refuses new work as not run.
     bool draining = false;
+    /// Value of the header that announces the leaving on the platform.
+    std::string leavingValue = "1";
     bool refuseWork = false;
     double shedRate = 0;
+    /// Value of Retry-After on each refusal with 503; none when empty.
+    std::string retryAfter;
     /// A refusal is written once more when the next request arrives on its connection.
     double repeatRefusalRate = 0;
     /// A refusal bears no id.
@@ -69,8 +73,10 @@
                                    coldStartMs,
                                    coldFactor,
                                    draining,
+                                   leavingValue,
                                    refuseWork,
                                    shedRate,
+                                   retryAfter,
                                    repeatRefusalRate,
                                    anonymousRefusalRate,
                                    ignoreDeadline,
@@ -120,6 +126,22 @@
                                    bytes,
                                    hash)
 
+/// One request that reached an upstream, run or not.
+struct Arrival
+{
+    std::string upstream;
+    std::string requestId;
+    /// Microseconds since 1970.
+    std::int64_t atUs = 0;
+    /// The answer announced that the upstream leaves.
+    bool saidLeaving = false;
+    /// Retry-After of the answer; empty for none.
+    std::string askedPause;
+    /// Time of the answer in microseconds since 1970; zero before.
+    std::int64_t answeredUs = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Arrival, upstream, requestId, atUs, saidLeaving, askedPause, answeredUs)
+
 } // namespace Verbenadock::Standins
 
 #endif
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -46,12 +46,17 @@
     const char *requestId;
     const char *deadline;
     const char *notRun;
+    const char *leaving;
 };
 
-constexpr HeaderNames ProductHeaders{.requestId = "X-Request-Id", .deadline = "X-Deadline-Ms", .notRun = "X-Not-Run"};
+constexpr HeaderNames ProductHeaders{.requestId = "X-Request-Id",
+                                     .deadline = "X-Deadline-Ms",
+                                     .notRun = "X-Not-Run",
+                                     .leaving = "X-Draining"};
 constexpr HeaderNames PlatformHeaders{.requestId = "Verbenadock-Request-Id",
                                       .deadline = "Verbenadock-Deadline-Ms",
-                                      .notRun = "Verbenadock-Not-Executed"};
+                                      .notRun = "Verbenadock-Not-Executed",
+                                      .leaving = "Server-Leaving"};
 
 const HeaderNames &headersOf(const Behaviour &behaviour)
 {
@@ -82,9 +87,11 @@
                                std::string idValue,
                                const Endpoint &endpoint,
                                const Behaviour &behaviourValue,
-                               ExecutionLog &logValue)
+                               ExecutionLog &logValue,
+                               ArrivalLog &arrivalsValue)
     : id(std::move(idValue))
     , log(logValue)
+    , arrivals(arrivalsValue)
     , server(std::make_shared<HttpServer>(context,
                                           endpoint,
                                           [this](ConnectionPointer connection, Request request) {
@@ -159,6 +166,10 @@
 
 asio::awaitable<void> UpstreamServer::work(ConnectionPointer connection, Request request)
 {
+    auto &arrival
+        = this->arrivals.emplace_back(Arrival{.upstream = this->id,
+                                              .requestId = header(request, headersOf(this->behaviour).requestId),
+                                              .atUs = unixMicroseconds()});
     if (auto repeated = std::exchange(connection->repeatedAnswer, std::nullopt)) {
         co_await connection->write(std::move(*repeated));
     }
@@ -166,23 +177,24 @@
     const bool full = this->busy >= this->behaviour.slots && this->queue.size() >= this->behaviour.queueLimit;
     const auto expected = header(request, "Verbenadock-Expect-Instance");
     if (this->behaviour.platform && !expected.empty() && expected != this->id) {
-        co_await this->refuse(connection, this->notRun(request, "other-instance", http::status::misdirected_request));
+        co_await this->refuse(
+            connection, this->notRun(request, "other-instance", http::status::misdirected_request), arrival);
     } else if (this->behaviour.refuseWork) {
-        co_await this->refuse(connection, this->notRun(request, "draining"));
+        co_await this->refuse(connection, this->notRun(request, "draining"), arrival);
     } else if (full || this->happens(this->behaviour.shedRate)) {
         ++this->shed;
-        co_await this->refuse(connection, this->notRun(request, "overloaded"));
+        co_await this->refuse(connection, this->notRun(request, "overloaded"), arrival);
     } else if (co_await this->acquireSlot(connection, deadline)) {
-        co_await this->runInSlot(connection, request);
+        co_await this->runInSlot(connection, request, arrival);
     } else if (connection->isClosed()) {
         ++this->cancelled;
     } else {
         ++this->late;
-        co_await this->refuse(connection, this->notRun(request, "deadline"));
+        co_await this->refuse(connection, this->notRun(request, "deadline"), arrival);
     }
 }
 
-asio::awaitable<void> UpstreamServer::refuse(ConnectionPointer connection, Response refusal)
+asio::awaitable<void> UpstreamServer::refuse(ConnectionPointer connection, Response refusal, Arrival &arrival)
 {
     if (this->happens(this->behaviour.anonymousRefusalRate)) {
         refusal.erase(headersOf(this->behaviour).requestId);
@@ -190,10 +202,18 @@
     if (this->happens(this->behaviour.repeatRefusalRate)) {
         connection->repeatedAnswer = refusal;
     }
+    noteAnswer(arrival, refusal);
     co_await connection->write(std::move(refusal));
 }
 
-asio::awaitable<void> UpstreamServer::runInSlot(ConnectionPointer connection, const Request &request)
+void UpstreamServer::noteAnswer(Arrival &arrival, const Response &response)
+{
+    arrival.answeredUs = unixMicroseconds();
+    arrival.saidLeaving = response["Server-Leaving"] == "1";
+    arrival.askedPause = std::string(response[http::field::retry_after]);
+}
+
+asio::awaitable<void> UpstreamServer::runInSlot(ConnectionPointer connection, const Request &request, Arrival &arrival)
 {
     auto &execution = this->record(request);
     const bool gray = this->grayNow(execution.target);
@@ -217,6 +237,7 @@
     if (gray && this->behaviour.lateMs > 0) {
         co_await connection->pause(std::chrono::milliseconds(this->behaviour.lateMs));
     }
+    noteAnswer(arrival, response);
     co_await this->answer(connection, std::move(response), execution);
 }
 
@@ -295,7 +316,8 @@
     Response response(status, 11);
     response.set("X-Upstream-Id", this->id);
     if (this->behaviour.draining) {
-        response.set("X-Draining", "true");
+        response.set(headersOf(this->behaviour).leaving,
+                     this->behaviour.platform ? this->behaviour.leavingValue : "true");
     }
     return response;
 }
@@ -315,6 +337,9 @@
     auto response = this->head(status);
     this->mark(response, request);
     response.set(headersOf(this->behaviour).notRun, "true");
+    if (status == http::status::service_unavailable && !this->behaviour.retryAfter.empty()) {
+        response.set(http::field::retry_after, this->behaviour.retryAfter);
+    }
     response.body() = reason + "\n";
     return response;
 }
--- a/test/standins/common/upstreamserver.h
+++ b/test/standins/common/upstreamserver.h
@@ -11,6 +11,7 @@
 
 /// All executions of a process; a deque keeps references to its elements valid.
 using ExecutionLog = std::deque<Execution>;
+using ArrivalLog = std::deque<Arrival>;
 
 /// One upstream: slots, queue, drain, cold start and gray modes.
 class UpstreamServer
@@ -20,7 +21,8 @@
                    std::string id,
                    const Endpoint &endpoint,
                    const Behaviour &behaviour,
-                   ExecutionLog &log);
+                   ExecutionLog &log,
+                   ArrivalLog &arrivals);
 
     const Behaviour &currentBehaviour() const;
     void apply(const Behaviour &newBehaviour);
@@ -48,10 +50,11 @@
     asio::awaitable<void> handle(ConnectionPointer connection, Request request);
     asio::awaitable<void> probe(ConnectionPointer connection);
     asio::awaitable<void> work(ConnectionPointer connection, Request request);
-    asio::awaitable<void> refuse(ConnectionPointer connection, Response refusal);
-    asio::awaitable<void> runInSlot(ConnectionPointer connection, const Request &request);
+    asio::awaitable<void> refuse(ConnectionPointer connection, Response refusal, Arrival &arrival);
+    asio::awaitable<void> runInSlot(ConnectionPointer connection, const Request &request, Arrival &arrival);
     asio::awaitable<void> answer(ConnectionPointer connection, Response response, Execution &execution);
     asio::awaitable<void> answerCrossed(ConnectionPointer connection, Response response);
+    static void noteAnswer(Arrival &arrival, const Response &response);
     asio::awaitable<bool> acquireSlot(ConnectionPointer connection, TimePoint deadline);
     void releaseSlot();
 
@@ -70,6 +73,7 @@
     std::string id;
     Behaviour behaviour;
     ExecutionLog &log;
+    ArrivalLog &arrivals;
     std::shared_ptr<HttpServer> server;
     TimePoint started = monotonicNow();
     TimePoint behaviourSince = monotonicNow();
--- a/test/standins/upstream.cpp
+++ b/test/standins/upstream.cpp
@@ -18,7 +18,7 @@
 
 Control port: POST /set with {"upstreams": [ids, all when missing], "behaviour": {...}} changes the named keys;
 POST /restart with {"upstreams": [...]} closes connections and starts cold; GET /state; GET /executions;
-GET /doubles (runs per X-Work-Id that ran more than once).
+GET /arrivals (requests that reached an upstream, run or not); GET /doubles (runs per X-Work-Id that ran more than once).
 )";
 
 class Upstreams
@@ -29,8 +29,8 @@
         const auto behaviour = patched(Behaviour(), Json::parse(arguments.at("--behaviour").asString()));
         for (const auto &text : arguments.at("UPSTREAM").asStringList()) {
             const auto [id, endpoint] = splitAssignment(text);
-            this->servers[id]
-                = std::make_unique<UpstreamServer>(context, id, parseEndpoint(endpoint), behaviour, this->log);
+            this->servers[id] = std::make_unique<UpstreamServer>(
+                context, id, parseEndpoint(endpoint), behaviour, this->log, this->arrivals);
         }
         this->controlServer = serveControl(context,
                                            parseEndpoint(arguments.at("--control").asString()),
@@ -45,6 +45,9 @@
         if (path == "/executions") {
             return this->log;
         }
+        if (path == "/arrivals") {
+            return this->arrivals;
+        }
         if (path == "/doubles") {
             return this->doubles();
         }
@@ -94,6 +97,7 @@
     }
 
     ExecutionLog log;
+    ArrivalLog arrivals;
     std::map<std::string, std::unique_ptr<UpstreamServer>> servers;
     std::shared_ptr<HttpServer> controlServer;
 };
