Stop using an upstream that announces its leaving in any answer

Cause: no code read the announcement on the platform; its dialect named no header for it. The way of the product's own X-Draining had gaps of the same class, a statement about the upstream that was tied to the fate of one attempt: it was delivered only by an attempt that completed or streamed while its request was open, only to an upstream that was configured at that moment, ended after 60 s, and was lost when slots or data centre changed.

Ruled out as the cause of the report (logs with announced=): announcements that are read but lost with their attempt, requests bound to the upstream before it spoke. Both were still open as gaps.

Change: the announcement is an event of its own, read at the head of each answer to an attempt. The core keeps it by upstream id, apart from the state of the upstream. Where ids name processes (platform: id and start time) it holds until the id has been absent from the configuration for 60 s; another start under the id or the address is another id and is used at once. Queued requests have no upstream yet; attempts that wait for a body or a connection ask again before their first byte. Other VMs are not told: the rule binds the VM that passed the answer on, each learns it from its own first answer, and one faulty upstream can withdraw nobody else.

--- a/include/verbenadock/bundle/bundle.h
+++ b/include/verbenadock/bundle/bundle.h
@@ -105,6 +105,9 @@
     bool echoesAttemptId = true;
     /// Requests leave the entry's data centre only when that data centre has too little healthy capacity.
     bool prefersOwnDataCentre = false;
+    /// Whether the id of an upstream names a single process, so that its announcement to leave holds for good.
+    /// Otherwise the announcement expires, in case the upstream stays after all.
+    bool idsNameProcesses = false;
 
     auto operator<=>(const Service &) const = default;
 };
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -191,8 +191,16 @@
     auto operator<=>(const ConfigurationInForce &) const = default;
 };
 
+/// An upstream announced that it is leaving; the host writes a log line.
+struct UpstreamLeaving
+{
+    UpstreamKey upstream;
+
+    auto operator<=>(const UpstreamLeaving &) const = default;
+};
+
 /// State changes that are reported to the operators.
-using StateChange = std::variant<HealthStateChanged, ConfigurationInForce>;
+using StateChange = std::variant<HealthStateChanged, ConfigurationInForce, UpstreamLeaving>;
 
 struct ReportStateChange
 {
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -51,7 +51,6 @@
     RequestId request = 0;
     AttemptId attempt = 0;
     unsigned status = 0;
-    bool draining = false;
 
     auto operator<=>(const ResponseHeadReceived &) const = default;
 };
@@ -65,14 +64,22 @@
     unsigned status = 0;
     /// The upstream reported that it did not run the request.
     bool notRun = false;
-    /// The upstream announced that it is draining.
-    bool draining = false;
     /// The server at the address is not the expected instance; it did not run the request.
     bool misdirected = false;
 
     auto operator<=>(const AttemptCompleted &) const = default;
 };
 
+/// An upstream announced something about itself in the head of an answer, which may have been discarded otherwise.
+struct UpstreamAnnounced
+{
+    TimePoint at;
+    UpstreamKey upstream;
+    bool leaving = false;
+
+    auto operator<=>(const UpstreamAnnounced &) const = default;
+};
+
 /// An attempt ended without a complete answer.
 struct AttemptFailed
 {
@@ -203,6 +210,7 @@
                            ResponseHeadReceived,
                            AttemptCompleted,
                            AttemptFailed,
+                           UpstreamAnnounced,
                            CallerDisconnected,
                            ConfigurationChanged,
                            HealthChanged,
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -1,5 +1,7 @@
 #include "engine.h"
 
+#include "verbenadock/base/drain.h"
+
 #include <algorithm>
 
 namespace Verbenadock::Core::Internal {
@@ -107,16 +109,31 @@
     request.forwardedAttempt = attempt;
 }
 
-void Engine::noteDraining(ServiceState &service, std::uint32_t upstream)
+void Engine::leavingChanged(ServiceState &service)
 {
-    if (!service.pool.at(upstream).configured || !service.pool.noteDraining(upstream, this->now)) {
-        return;
-    }
     service.detector->setLeaving(service.pool.leavingIds(this->now));
     this->evaluate(service);
     service.pool.refreshAdmissions(*service.detector, this->now);
 }
 
+void Engine::on(const UpstreamAnnounced &event)
+{
+    const auto found = this->serviceIndices.find({event.upstream.bundle, event.upstream.service});
+    if (found == this->serviceIndices.end()) {
+        return;
+    }
+    auto &service = *this->services[found->second];
+    if (event.leaving) {
+        const auto until = service.service.idsNameProcesses ? TimePoint::max() : this->now + DrainAnnouncementLifetime;
+        if (service.pool.noteLeaving(event.upstream.upstream, until, this->now)) {
+            this->effects.emplace_back(ReportStateChange{.change = UpstreamLeaving{.upstream = event.upstream}});
+            if (service.configured) {
+                this->leavingChanged(service);
+            }
+        }
+    }
+}
+
 void Engine::on(const ResponseHeadReceived &event)
 {
     const auto running = this->findRunningAttempt(event.request, event.attempt);
@@ -125,9 +142,6 @@
     }
     auto &request = this->requests.at(running->slot);
     running->attempt->headLatency = std::max(Duration(1), event.at - running->attempt->startedAt);
-    if (event.draining) {
-        this->noteDraining(this->serviceOf(request), running->attempt->upstream);
-    }
     for (auto &attempt : request.attempts) {
         if (attempt.active && attempt.id != event.attempt) {
             this->effects.emplace_back(CancelAttempt{.request = request.id, .attempt = attempt.id});
@@ -149,9 +163,12 @@
     auto &attempt = *running->attempt;
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
-    if (event.draining || event.misdirected) {
-        this->noteDraining(service, attempt.upstream);
-    } else if (event.notRun) {
+    const auto &upstream = service.pool.at(attempt.upstream);
+    if (event.misdirected) {
+        if (upstream.configured && service.pool.noteMisdirected(attempt.upstream, this->now)) {
+            this->leavingChanged(service);
+        }
+    } else if (event.notRun && upstream.drainingUntil <= this->now) {
         service.pool.noteShed(attempt.upstream, this->now, this->random);
     }
     const bool failed = event.status >= FirstServerError;
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -47,8 +47,9 @@
     if (existing != this->serviceIndices.end()) {
         return existing->second;
     }
-    const auto unused = std::find_if(this->services.begin(), this->services.end(), [](const auto &state) {
-        return !state->configured && state->openRequests == 0 && !state->dispatchScheduled;
+    const auto unused = std::find_if(this->services.begin(), this->services.end(), [this](const auto &state) {
+        return !state->configured && state->openRequests == 0 && !state->dispatchScheduled
+               && !state->pool.remembersAnnouncements(this->now);
     });
     auto index = static_cast<std::uint32_t>(unused - this->services.begin());
     if (unused == this->services.end()) {
@@ -73,7 +74,7 @@
     state.bundle = bundle;
     state.service = service;
     state.configured = true;
-    state.pool.configure(bundle, &service, this->settings.dataCentre);
+    state.pool.configure(bundle, &service, this->settings.dataCentre, this->now);
     state.pool.setLeaving(this->leaving);
     if (state.detector) {
         state.detector->reconfigure(Health::detectorSettings(service), Health::upstreamCapacities(service));
@@ -93,7 +94,7 @@
 void Engine::removeService(ServiceState &service)
 {
     service.configured = false;
-    service.pool.configure(service.bundle, nullptr, this->settings.dataCentre);
+    service.pool.configure(service.bundle, nullptr, this->settings.dataCentre, this->now);
     service.detector->reconfigure(Health::detectorSettings(service.service), {});
     while (!service.queue.empty()) {
         this->failRequest(service.queue.begin()->slot, RejectionReason::NotConfigured);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -73,6 +73,7 @@
     void on(const ResponseHeadReceived &event);
     void on(const AttemptCompleted &event);
     void on(const AttemptFailed &event);
+    void on(const UpstreamAnnounced &event);
     void on(const CallerDisconnected &event);
     void on(const ConfigurationChanged &event);
     void on(const HealthChanged &event);
@@ -129,7 +130,8 @@
     /// `reserved` attempts remain there.
     bool takeAttemptToken(ServiceState &service, std::size_t reserved = 0);
     bool mayRetry(const Request &request, bool provenNotRun) const;
-    void noteDraining(ServiceState &service, std::uint32_t upstream);
+    /// Takes over which upstreams of the service are leaving.
+    void leavingChanged(ServiceState &service);
 
     // engine.cpp
     ServiceState &serviceOf(const Request &request);
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -88,7 +88,8 @@
     Field{"hold_back_bytes", &Bundles::Service::holdBackBytes},
     Field{"replay_bytes", &Bundles::Service::replayBytes},
     Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId},
-    Field{"prefers_own_data_centre", &Bundles::Service::prefersOwnDataCentre}};
+    Field{"prefers_own_data_centre", &Bundles::Service::prefersOwnDataCentre},
+    Field{"ids_name_processes", &Bundles::Service::idsNameProcesses}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::WeightedService>{Field{"service", &Bundles::WeightedService::service},
                                                                Field{"weight", &Bundles::WeightedService::weight}};
@@ -151,8 +152,7 @@
 inline constexpr std::tuple FieldsOf<ResponseHeadReceived>{Field{"at", &ResponseHeadReceived::at},
                                                            Field{"request", &ResponseHeadReceived::request},
                                                            Field{"attempt", &ResponseHeadReceived::attempt},
-                                                           Field{"status", &ResponseHeadReceived::status},
-                                                           Field{"draining", &ResponseHeadReceived::draining}};
+                                                           Field{"status", &ResponseHeadReceived::status}};
 template<>
 inline constexpr std::string_view NameOf<AttemptCompleted> = "AttemptCompleted";
 template<>
@@ -161,9 +161,14 @@
                                                        Field{"attempt", &AttemptCompleted::attempt},
                                                        Field{"status", &AttemptCompleted::status},
                                                        Field{"not_run", &AttemptCompleted::notRun},
-                                                       Field{"draining", &AttemptCompleted::draining},
                                                        Field{"misdirected", &AttemptCompleted::misdirected}};
 template<>
+inline constexpr std::string_view NameOf<UpstreamAnnounced> = "UpstreamAnnounced";
+template<>
+inline constexpr std::tuple FieldsOf<UpstreamAnnounced>{Field{"at", &UpstreamAnnounced::at},
+                                                        Field{"upstream", &UpstreamAnnounced::upstream},
+                                                        Field{"leaving", &UpstreamAnnounced::leaving}};
+template<>
 inline constexpr std::string_view NameOf<AttemptFailed> = "AttemptFailed";
 template<>
 inline constexpr std::tuple FieldsOf<AttemptFailed>{Field{"at", &AttemptFailed::at},
@@ -295,6 +300,10 @@
                                                            Field{"services", &ConfigurationInForce::services},
                                                            Field{"routes", &ConfigurationInForce::routes}};
 template<>
+inline constexpr std::string_view NameOf<UpstreamLeaving> = "UpstreamLeaving";
+template<>
+inline constexpr std::tuple FieldsOf<UpstreamLeaving>{Field{"upstream", &UpstreamLeaving::upstream}};
+template<>
 inline constexpr std::string_view NameOf<StopAccepting> = "StopAccepting";
 template<>
 inline constexpr std::string_view NameOf<Terminate> = "Terminate";
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -24,17 +24,23 @@
 /// Upstreams that drop idle connections early or reset requests do so for some seconds.
 constexpr Duration StaleConnectionSuspectTime = std::chrono::seconds(4);
 
+/// Time for which the announcements of an upstream are kept after its removal from the configuration. The entry of an
+/// upstream that is alive can end and return, for example in an outage of the store.
+constexpr Duration AbsentNoticeLifetime = std::chrono::seconds(60);
+
 } // namespace
 
 void UpstreamPool::configure(const std::string &bundle,
                              const Bundles::Service *service,
-                             const std::string &ownDataCentre)
+                             const std::string &ownDataCentre,
+                             TimePoint now)
 {
     for (const auto index : std::exchange(this->configuredIndices, {})) {
         this->upstreams[index].configured = false;
     }
     this->indexById.clear();
     if (service == nullptr) {
+        this->restoreNotices(now);
         return;
     }
     this->prefersLocal = service->prefersOwnDataCentre;
@@ -66,6 +72,42 @@
         this->indexById.emplace(upstream.id, index);
     }
     this->dataCentres = dataCentreNames.size();
+    this->restoreNotices(now);
+}
+
+void UpstreamPool::restoreNotices(TimePoint now)
+{
+    this->forgetOldNotices(now);
+    for (const auto index : this->configuredIndices) {
+        // A final announcement holds only as long as its notice is kept.
+        auto &state = this->upstreams[index];
+        state.drainingUntil = state.drainingUntil == TimePoint::max() ? TimePoint{} : state.drainingUntil;
+    }
+    for (auto &[id, notice] : this->notices) {
+        const auto found = this->indexById.find(id);
+        if (found == this->indexById.end()) {
+            notice.absentSince = notice.absentSince.value_or(now);
+            continue;
+        }
+        notice.absentSince.reset();
+        if (notice.leavingUntil > now) {
+            this->keepLeaving(found->second, notice.leavingUntil);
+        }
+    }
+}
+
+void UpstreamPool::forgetOldNotices(TimePoint now)
+{
+    std::erase_if(this->notices, [now](const auto &entry) {
+        const auto &notice = entry.second;
+        return notice.leavingUntil <= now || (notice.absentSince && now - *notice.absentSince >= AbsentNoticeLifetime);
+    });
+}
+
+bool UpstreamPool::remembersAnnouncements(TimePoint now)
+{
+    this->forgetOldNotices(now);
+    return !this->notices.empty();
 }
 
 std::uint32_t UpstreamPool::indexFor(const Bundles::Upstream &upstream)
@@ -181,15 +223,33 @@
     }
 }
 
-bool UpstreamPool::noteDraining(std::uint32_t upstream, TimePoint now)
+bool UpstreamPool::noteMisdirected(std::uint32_t upstream, TimePoint now)
 {
-    auto &state = this->upstreams[upstream];
-    const bool isNew = state.drainingUntil <= now;
-    state.drainingUntil = now + DrainAnnouncementLifetime;
-    this->lastDrainEnd = state.drainingUntil;
+    const bool isNew = this->upstreams[upstream].drainingUntil <= now;
+    this->keepLeaving(upstream, now + DrainAnnouncementLifetime);
+    return isNew;
+}
+
+bool UpstreamPool::noteLeaving(const std::string &upstream, TimePoint until, TimePoint now)
+{
+    auto &notice = this->notices[upstream];
+    const bool isNew = notice.leavingUntil <= now;
+    notice.leavingUntil = std::max(notice.leavingUntil, until);
+    if (const auto found = this->indexById.find(upstream); found != this->indexById.end()) {
+        this->keepLeaving(found->second, notice.leavingUntil);
+    } else {
+        notice.absentSince = notice.absentSince.value_or(now);
+    }
     return isNew;
 }
 
+void UpstreamPool::keepLeaving(std::uint32_t upstream, TimePoint until)
+{
+    auto &state = this->upstreams[upstream];
+    state.drainingUntil = std::max(state.drainingUntil, until);
+    this->lastDrainEnd = std::max(this->lastDrainEnd, until);
+}
+
 void UpstreamPool::setLeaving(const std::unordered_set<std::string> &addresses)
 {
     for (const auto index : this->configuredIndices) {
@@ -198,6 +258,7 @@
             = addresses.contains(state.endpoint.address) || addresses.contains(toString(state.endpoint));
         if (state.leaving && !isLeaving) {
             state.drainingUntil = TimePoint{};
+            this->notices.erase(state.key.upstream);
         }
         state.leaving = isLeaving;
     }
@@ -230,7 +291,7 @@
     std::optional<TimePoint> earliest;
     for (const auto index : this->configuredIndices) {
         const auto candidate = this->upstreams[index].*time;
-        if (candidate > now && (!earliest || candidate < *earliest)) {
+        if (candidate > now && candidate != TimePoint::max() && (!earliest || candidate < *earliest)) {
             earliest = candidate;
         }
     }
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -32,7 +32,7 @@
     bool ownDataCentre = false;
     bool configured = true;
     bool leaving = false;
-    /// The upstream announced that it is draining; it gets no new requests before this time.
+    /// The upstream announced that it is leaving; it gets no new requests before this time.
     TimePoint drainingUntil{};
     /// Backoff after shed requests or failed connections; the upstream gets no new requests before this time.
     TimePoint backOffUntil{};
@@ -52,6 +52,15 @@
     TimePoint pathSuspectUntil{};
 };
 
+/// What an upstream announced about itself. It is kept apart from the state, because the state is reset when the
+/// upstream is configured differently, and because an upstream may be absent from the configuration for a while.
+struct UpstreamNotice
+{
+    TimePoint leavingUntil{};
+    /// Time at which the upstream was removed from the configuration.
+    std::optional<TimePoint> absentSince;
+};
+
 /// Upstreams of one service with load balancing, which is implemented in upstreamchoice.cpp.
 ///
 /// Usage: configure(); pick() an upstream, then start() on it and finish() when the attempt ends.
@@ -59,7 +68,10 @@
 {
 public:
     /// Replaces the upstreams; those whose id, endpoint, slots and data centre are unchanged keep their state.
-    void configure(const std::string &bundle, const Bundles::Service *service, const std::string &ownDataCentre);
+    void configure(const std::string &bundle,
+                   const Bundles::Service *service,
+                   const std::string &ownDataCentre,
+                   TimePoint now);
 
     /// Selects an upstream that may take the request now: the less loaded of two random ones, or with a preference for
     /// the own data centre as described at pickPreferringLocal().
@@ -95,8 +107,12 @@
     /// A request got no answer within the usual latency.
     void noteOverdue(std::uint32_t upstream, TimePoint now);
     void noteStaleConnection(const std::string &upstream, TimePoint now);
-    /// Returns true when the upstream was not draining before.
-    bool noteDraining(std::uint32_t upstream, TimePoint now);
+    /// The server at the upstream's address is another one. Returns true when the upstream was in use before.
+    bool noteMisdirected(std::uint32_t upstream, TimePoint now);
+    /// The upstream announced that it is leaving. Returns true when it had not announced this before.
+    bool noteLeaving(const std::string &upstream, TimePoint until, TimePoint now);
+    /// Whether announcements of upstreams that are not configured have to be kept.
+    bool remembersAnnouncements(TimePoint now);
 
     /// Replaces the leaving addresses and endpoints (ADDRESS:PORT). An upstream that stops leaving also stops draining.
     void setLeaving(const std::unordered_set<std::string> &addresses);
@@ -150,6 +166,9 @@
     void refreshAdmission(const Health::ServiceDetector &detector, std::uint32_t upstream, TimePoint now);
     std::uint32_t lessLoaded(std::uint32_t first, std::uint32_t second) const;
     std::uint32_t indexFor(const Bundles::Upstream &upstream);
+    void keepLeaving(std::uint32_t upstream, TimePoint until);
+    void forgetOldNotices(TimePoint now);
+    void restoreNotices(TimePoint now);
     std::optional<TimePoint> earliestAfter(TimePoint now, TimePoint UpstreamState::*time) const;
     static void lengthenBackOff(UpstreamState &upstream,
                                 Duration first,
@@ -161,6 +180,8 @@
     std::vector<std::uint32_t> configuredIndices;
     /// Indices of the configured upstreams by id.
     std::unordered_map<std::string, std::uint32_t> indexById;
+    /// By id.
+    std::unordered_map<std::string, UpstreamNotice> notices;
     bool prefersLocal = false;
     std::size_t dataCentres = 0;
     struct DataCentreLoad
--- a/src/discovery/servicepolicy.cpp
+++ b/src/discovery/servicepolicy.cpp
@@ -89,6 +89,7 @@
     service.holdBackBytes = HoldBackBytes;
     service.replayBytes = ReplayBytes;
     service.prefersOwnDataCentre = true;
+    service.idsNameProcesses = true;
     return service;
 }
 
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -14,6 +14,12 @@
     return text;
 }
 
+std::string formatChange(const Core::UpstreamLeaving &change)
+{
+    return "upstream_leaving bundle=" + change.upstream.bundle + " service=" + change.upstream.service
+           + " upstream=" + change.upstream.upstream + " source=answer";
+}
+
 std::string formatChange(const Core::ConfigurationInForce &change)
 {
     return "configuration_in_force revision=" + std::to_string(change.revision)
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -118,7 +118,6 @@
     void releaseConnection();
     BodyFraming answerFraming() const;
     bool hasFlagField(std::string_view name) const;
-    bool announcesDrain() const;
 
     std::shared_ptr<Host> host;
     std::shared_ptr<Exchange> exchange;
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -54,11 +54,17 @@
         if (interim && this->answerIdMatches()) {
             this->reportAnnouncement();
         }
+        if (this->stopped()) {
+            co_return;
+        }
     }
     if (!this->checkHead()) {
         co_return;
     }
     this->reportAnnouncement();
+    if (this->stopped()) {
+        co_return;
+    }
     const bool bodyRead = co_await this->readBody();
     if (bodyRead) {
         this->complete();
@@ -171,12 +177,6 @@
     return true;
 }
 
-bool Attempt::announcesDrain() const
-{
-    // On the platform the store alone says which upstreams drain.
-    return this->host->dialect().leavingValue.empty() && this->hasFlagField(this->host->dialect().leaving);
-}
-
 void Attempt::reportAnnouncement()
 {
     const auto &parser = this->response->parser;
@@ -208,7 +208,7 @@
             }
             this->headReported = true;
             this->timer.set(this->parameters.deadline);
-            this->host->answerHeadReceived(*this, parser.statusCode, this->announcesDrain());
+            this->host->answerHeadReceived(*this, parser.statusCode);
         }
         if (this->headReported) {
             const bool forwarded = co_await this->forwardBodyPart(parser.is_done());
@@ -308,7 +308,7 @@
         this->host->attemptFailed(*this, Health::Cause::ServerError, false);
         return;
     }
-    this->host->attemptCompleted(*this, this->response->parser.statusCode, notRun, this->announcesDrain());
+    this->host->attemptCompleted(*this, this->response->parser.statusCode, notRun);
 }
 
 void Attempt::releaseConnection()
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -54,8 +54,8 @@
     // Called by Attempt.
     /// The upstream announced something about itself in an answer to the attempt.
     void announcementReceived(const Attempt &attempt, const AnnouncementReading &reading);
-    void answerHeadReceived(const Attempt &attempt, unsigned status, bool draining);
-    void attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining);
+    void answerHeadReceived(const Attempt &attempt, unsigned status);
+    void attemptCompleted(const Attempt &attempt, unsigned status, bool notRun);
     void attemptFailed(const Attempt &attempt, Health::Cause cause, bool nothingWritten);
     /// Counts the result of an attempt and records it for the log line of the request.
     void recordAttemptResult(RequestId request, AttemptId attempt, Health::Cause cause);
--- a/src/proxy/hostattempts.cpp
+++ b/src/proxy/hostattempts.cpp
@@ -6,16 +6,12 @@
 
 namespace Verbenadock::Proxy::internal {
 
-void Host::announcementReceived(const Attempt &attempt, const AnnouncementReading &reading)
+namespace {
+
+void addToReport(Exchange &exchange, AttemptId attempt, const AnnouncementReading &reading)
 {
-    this->proxyMetrics.countAnnouncement(reading);
-    auto *exchange = this->findExchange(attempt.startParameters().request);
-    const auto id = attempt.id();
-    if (!exchange) {
-        return;
-    }
-    for (auto &entry : exchange->attemptReports) {
-        if (entry.id == id) {
+    for (auto &entry : exchange.attemptReports) {
+        if (entry.id == attempt) {
             entry.announcedLeaving = entry.announcedLeaving || reading.announcement.leaving;
             entry.announcedPause = std::max(entry.announcedPause, reading.announcement.pause);
             for (const auto error : reading.errors) {
@@ -25,26 +21,33 @@
     }
 }
 
-void Host::answerHeadReceived(const Attempt &attempt, unsigned status, bool draining)
+} // namespace
+
+void Host::announcementReceived(const Attempt &attempt, const AnnouncementReading &reading)
 {
+    this->proxyMetrics.countAnnouncement(reading);
+    const auto now = monotonicNow();
     const auto &order = attempt.startParameters();
-    if (draining) {
-        this->drainLog.record(order.endpoint, monotonicNow());
+    if (auto *exchange = this->findExchange(order.request)) {
+        addToReport(*exchange, attempt.id(), reading);
+    }
+    if (reading.announcement.leaving) {
+        this->drainLog.record(order.endpoint, now);
+        this->apply(Core::UpstreamAnnounced{.at = now, .upstream = order.upstream, .leaving = true});
     }
-    this->apply(Core::ResponseHeadReceived{.at = monotonicNow(),
-                                           .request = order.request,
-                                           .attempt = order.attempt,
-                                           .status = status,
-                                           .draining = draining});
 }
 
-void Host::attemptCompleted(const Attempt &attempt, unsigned status, bool notRun, bool draining)
+void Host::answerHeadReceived(const Attempt &attempt, unsigned status)
+{
+    const auto &order = attempt.startParameters();
+    this->apply(Core::ResponseHeadReceived{
+        .at = monotonicNow(), .request = order.request, .attempt = order.attempt, .status = status});
+}
+
+void Host::attemptCompleted(const Attempt &attempt, unsigned status, bool notRun)
 {
     const auto request = attempt.startParameters().request;
     const auto id = attempt.id();
-    if (draining) {
-        this->drainLog.record(attempt.startParameters().endpoint, monotonicNow());
-    }
     const bool misdirected = status == MisdirectedStatus;
     const auto cause
         = notRun ? Health::Cause::Shed : (status >= 500 ? Health::Cause::ServerError : Health::Cause::Success);
@@ -56,7 +59,6 @@
                                        .attempt = id,
                                        .status = status,
                                        .notRun = notRun,
-                                       .draining = draining,
                                        .misdirected = misdirected});
     exchange = this->findExchange(request);
     if (exchange) {
--- a/test/core/propertytest.cpp
+++ b/test/core/propertytest.cpp
@@ -152,6 +152,9 @@
                                                                                       : Health::Cause::Reset,
                                      .nothingWritten = step == StepKind::NothingWritten && !forwarded});
         } else {
+            if (step == StepKind::Draining) {
+                this->feed(UpstreamAnnounced{.at = this->time, .upstream = finished.upstream, .leaving = true});
+            }
             const unsigned status = step == StepKind::ServerError            ? 500
                                     : step == StepKind::NotRun && !forwarded ? 503
                                                                              : 200;
@@ -159,8 +162,7 @@
                                         .request = finished.request,
                                         .attempt = finished.attempt,
                                         .status = status,
-                                        .notRun = step == StepKind::NotRun && !forwarded,
-                                        .draining = step == StepKind::Draining});
+                                        .notRun = step == StepKind::NotRun && !forwarded});
         }
     }
 
--- a/test/core/reducertest.cpp
+++ b/test/core/reducertest.cpp
@@ -190,9 +190,9 @@
 TEST_CASE("a draining upstream gets no requests until the drain time ends or it returns to the VM list")
 {
     auto reducer = configuredReducer(makeService(1, 1));
-    auto drainingAnswer = answer(started(reducer, 1, "GET", 1), 200, 2);
-    drainingAnswer.draining = true;
-    reducer.apply(drainingAnswer);
+    const auto first = started(reducer, 1, "GET", 1);
+    reducer.apply(UpstreamAnnounced{.at = at(2), .upstream = first.upstream, .leaving = true});
+    reducer.apply(answer(first, 200, 2));
     auto changed = makeConfiguration(makeService(1, 1), 2);
     changed.bundles.front().services.front().queueLimit = 3;
     reducer.apply(configure(changed, at(3)));
