Send nothing to an upstream for the pause that it asks for

Cause: Retry-After on a 503 of an upstream was read nowhere. A refused request only led to a back-off of 5 to 250 ms, so that an upstream that is idle because it refuses was soon preferred again. Ruled out: requests that were on their way or queued at the upstream (all were new attempts, after:0 in the log).

Change: a pause is kept like an announcement to leave, by upstream id, apart from the state that a changed configuration resets. A paused upstream is not selected, an attempt that waits for a body or a connection moves on, and the pause is no evidence of sickness and does not count for the floor. While all upstreams that could take a request are paused, as many requests wait as the first upstream has slots, if the rest of their time is enough for the work. The others are rejected at once (upstreams-paused), with a Retry-After from the end of the first pause to 1.4 times the wait, at random. Queued requests that no upstream can take any more, because the last one paused, left or was removed, are rejected at once too.

--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -111,6 +111,8 @@
     CallerOverLimit,
     QueueFull,
     NoCapacity,
+    /// All upstreams that could take the request asked for a pause.
+    UpstreamsPaused,
     DeadlineExceeded,
     AllAttemptsFailed,
     ShuttingDown,
@@ -199,8 +201,17 @@
     auto operator<=>(const UpstreamLeaving &) const = default;
 };
 
+/// An upstream in use asked this entry for a pause; the host writes a log line.
+struct UpstreamPaused
+{
+    UpstreamKey upstream;
+    Duration pause{0};
+
+    auto operator<=>(const UpstreamPaused &) const = default;
+};
+
 /// State changes that are reported to the operators.
-using StateChange = std::variant<HealthStateChanged, ConfigurationInForce, UpstreamLeaving>;
+using StateChange = std::variant<HealthStateChanged, ConfigurationInForce, UpstreamLeaving, UpstreamPaused>;
 
 struct ReportStateChange
 {
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -76,6 +76,8 @@
     TimePoint at;
     UpstreamKey upstream;
     bool leaving = false;
+    /// Time for which the upstream wants no requests from this entry; zero for none.
+    Duration pause{0};
 
     auto operator<=>(const UpstreamAnnounced &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -36,6 +36,16 @@
     return std::max(Duration(1), wait);
 }
 
+Duration Engine::retryAfter(const Request &request)
+{
+    if (const auto pause = this->serviceOf(request).pool.endOfFullPause(this->now)) {
+        const auto wait = pause->at - this->now;
+        // Callers return after the end of the pause, and not all together.
+        return wait + std::chrono::duration_cast<Duration>(wait * (RetryAfterSpread * this->random.fraction()));
+    }
+    return this->retryAfter(request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt);
+}
+
 void Engine::reject(RequestId request,
                     unsigned status,
                     RejectionReason refusal,
@@ -169,9 +179,7 @@
                            .retryAfter = Duration(0),
                            .seen = this->rejectionView(request)});
     } else {
-        const auto timeLeft
-            = request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt;
-        this->reject(request.id, ServiceUnavailable, refusal, this->retryAfter(timeLeft), this->rejectionView(request));
+        this->reject(request.id, ServiceUnavailable, refusal, this->retryAfter(request), this->rejectionView(request));
     }
     this->closeRequest(slot);
 }
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -114,6 +114,7 @@
     service.detector->setLeaving(service.pool.leavingIds(this->now));
     this->evaluate(service);
     service.pool.refreshAdmissions(*service.detector, this->now);
+    this->rejectUnservable(service);
 }
 
 void Engine::on(const UpstreamAnnounced &event)
@@ -132,6 +133,14 @@
             }
         }
     }
+    if (event.pause > Duration(0)) {
+        if (service.pool.notePause(event.upstream.upstream, this->now + event.pause, this->now)) {
+            this->effects.emplace_back(
+                ReportStateChange{.change = UpstreamPaused{.upstream = event.upstream, .pause = event.pause}});
+            this->rejectUnservable(service);
+        }
+        this->scheduleDispatch(service);
+    }
 }
 
 void Engine::on(const ResponseHeadReceived &event)
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -86,9 +86,7 @@
         state.hedges = AttemptBudget(hedgeSettings(service.budgets));
     }
     state.reserve.configure(service.budgets.fleetReserve, service.budgets.fleetWindow);
-    state.detector->setLeaving(state.pool.leavingIds(this->now));
-    this->evaluate(state);
-    state.pool.refreshAdmissions(*state.detector, this->now);
+    this->leavingChanged(state);
 }
 
 void Engine::removeService(ServiceState &service)
@@ -255,9 +253,7 @@
             continue;
         }
         service->pool.setLeaving(this->leaving);
-        service->detector->setLeaving(service->pool.leavingIds(this->now));
-        this->evaluate(*service);
-        service->pool.refreshAdmissions(*service->detector, this->now);
+        this->leavingChanged(*service);
     }
 }
 
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Verbenadock::Core::Internal {
 
 namespace {
@@ -23,6 +25,7 @@
                 {"concurrency", upstream.concurrency},
                 {"leaving", upstream.leaving},
                 {"draining", upstream.drainingUntil > at},
+                {"paused_ms", std::max(0.0, toMilliseconds(upstream.pausedUntil - at))},
                 {"backing_off", upstream.backOffUntil > at},
                 {"allowed", upstream.admission.allowed},
                 {"trial_only", upstream.admission.trialOnly},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -176,6 +176,7 @@
     consider(service.pool.nextDrainEnd(this->now));
     if (!service.queue.empty()) {
         consider(service.pool.nextBackOffEnd(this->now));
+        consider(service.pool.nextPauseEnd(this->now));
     }
     if (earliest && service.configured) {
         this->serviceTimers.set(service.index, *earliest);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -90,6 +90,8 @@
     std::uint32_t chooseSplitService(const std::vector<SplitPart> &parts);
     /// Value of Retry-After for a caller that waits this long at most.
     Duration retryAfter(std::optional<Duration> timeLeft);
+    /// Value of Retry-After for a request that was not run.
+    Duration retryAfter(const Request &request);
     void reject(RequestId request,
                 unsigned status,
                 RejectionReason refusal,
@@ -103,6 +105,14 @@
     // scheduling.cpp
     void schedule(std::uint32_t slot);
     void enqueue(std::uint32_t slot);
+    /// Allows upstreams again at which the request failed, if no other one is left and they may be tried again.
+    void readmitUpstreams(Request &request) const;
+    /// Whether an upstream can take the request now or after a wait that leaves enough time for the work. `ahead` is
+    /// the number of requests that wait in front of it.
+    bool isServable(const Request &request, std::size_t ahead) const;
+    RejectionReason unservableReason(const Request &request) const;
+    /// Rejects queued requests that no upstream can take any more.
+    void rejectUnservable(ServiceState &service);
     void dequeue(std::uint32_t slot);
     void dispatch(ServiceState &service);
     ConnectionPolicy connectionPolicy(const Request &request, const UpstreamState &upstream) const;
--- a/src/core/names.cpp
+++ b/src/core/names.cpp
@@ -28,6 +28,8 @@
         return "queue-full";
     case RejectionReason::NoCapacity:
         return "no-capacity";
+    case RejectionReason::UpstreamsPaused:
+        return "upstreams-paused";
     case RejectionReason::DeadlineExceeded:
         return "deadline-exceeded";
     case RejectionReason::AllAttemptsFailed:
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -20,12 +20,7 @@
 {
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
-    if (!service.pool.couldServe(request, this->now) && !request.attempts.empty() && request.allAttemptsShed()) {
-        // Every upstream has shed the request once, so all are allowed again after their backoff.
-        request.firstExcludingAttempt = request.attempts.size();
-    } else if (request.hadStaleConnection() && !service.pool.couldServe(request, this->now)) {
-        request.readmitAfterStaleConnections();
-    }
+    this->readmitUpstreams(request);
     if (service.queue.empty()) {
         const auto upstream = service.pool.pick(request, this->now, this->random);
         if (upstream && service.pool.isFull(*upstream, this->now)) {
@@ -40,11 +35,68 @@
             return;
         }
     }
-    if (service.pool.couldServe(request, this->now)) {
+    const auto ahead = std::ranges::count_if(service.queue, [&request](const QueuePosition &position) {
+        return position.priority <= request.priority;
+    });
+    if (this->isServable(request, static_cast<std::size_t>(ahead))) {
         this->enqueue(slot);
     } else {
-        this->failRequest(slot,
-                          request.attempts.empty() ? RejectionReason::NoCapacity : RejectionReason::AllAttemptsFailed);
+        this->failRequest(slot, this->unservableReason(request));
+    }
+}
+
+void Engine::readmitUpstreams(Request &request) const
+{
+    const auto &service = this->serviceOf(request);
+    if (service.pool.couldServe(request, this->now)) {
+        return;
+    }
+    if (!request.attempts.empty() && request.allAttemptsShed()) {
+        // Every upstream has shed the request once, so all are allowed again after their backoff.
+        request.firstExcludingAttempt = request.attempts.size();
+    } else if (request.hadStaleConnection()) {
+        request.readmitAfterStaleConnections();
+    }
+}
+
+bool Engine::isServable(const Request &request, std::size_t ahead) const
+{
+    const auto &service = this->serviceOf(request);
+    if (service.pool.couldServe(request, this->now)) {
+        return true;
+    }
+    // Only as many requests wait for the end of a pause as can start then. The others are better off when they ask
+    // again, since the upstream may have asked only this entry for a pause.
+    const auto pause = service.pool.nextPauseEnd(request, this->now);
+    const auto typical = service.latency.typical();
+    const auto workTime = typical > Duration(0) ? typical : request.targetLatency;
+    return pause && pause->at + workTime <= request.deadline && ahead < pause->slots;
+}
+
+RejectionReason Engine::unservableReason(const Request &request) const
+{
+    if (!request.attempts.empty()) {
+        return RejectionReason::AllAttemptsFailed;
+    }
+    return this->serviceOf(request).pool.nextPauseEnd(request, this->now) ? RejectionReason::UpstreamsPaused
+                                                                          : RejectionReason::NoCapacity;
+}
+
+void Engine::rejectUnservable(ServiceState &service)
+{
+    std::vector<std::uint32_t> unservable;
+    std::size_t ahead = 0;
+    for (const auto &position : service.queue) {
+        auto &request = this->requests.at(position.slot);
+        this->readmitUpstreams(request);
+        if (this->isServable(request, ahead)) {
+            ++ahead;
+        } else {
+            unservable.push_back(position.slot);
+        }
+    }
+    for (const auto slot : unservable) {
+        this->failRequest(slot, this->unservableReason(this->requests.at(slot)));
     }
 }
 
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -167,7 +167,8 @@
 template<>
 inline constexpr std::tuple FieldsOf<UpstreamAnnounced>{Field{"at", &UpstreamAnnounced::at},
                                                         Field{"upstream", &UpstreamAnnounced::upstream},
-                                                        Field{"leaving", &UpstreamAnnounced::leaving}};
+                                                        Field{"leaving", &UpstreamAnnounced::leaving},
+                                                        Field{"pause", &UpstreamAnnounced::pause}};
 template<>
 inline constexpr std::string_view NameOf<AttemptFailed> = "AttemptFailed";
 template<>
@@ -304,6 +305,11 @@
 template<>
 inline constexpr std::tuple FieldsOf<UpstreamLeaving>{Field{"upstream", &UpstreamLeaving::upstream}};
 template<>
+inline constexpr std::string_view NameOf<UpstreamPaused> = "UpstreamPaused";
+template<>
+inline constexpr std::tuple FieldsOf<UpstreamPaused>{Field{"upstream", &UpstreamPaused::upstream},
+                                                     Field{"pause", &UpstreamPaused::pause}};
+template<>
 inline constexpr std::string_view NameOf<StopAccepting> = "StopAccepting";
 template<>
 inline constexpr std::string_view NameOf<Terminate> = "Terminate";
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -84,16 +84,27 @@
     return !upstream.configured || upstream.leaving || upstream.drainingUntil > now;
 }
 
+bool isPaused(const UpstreamState &upstream, TimePoint now)
+{
+    return upstream.pausedUntil > now;
+}
+
 bool inService(const UpstreamState &upstream, TimePoint now)
 {
-    return !isLeaving(upstream, now) && upstream.admission.allowed;
+    return !isLeaving(upstream, now) && !isPaused(upstream, now) && upstream.admission.allowed;
+}
+
+/// Whether only its pause keeps the upstream out of service.
+bool isOnlyPaused(const UpstreamState &upstream, TimePoint now)
+{
+    return isPaused(upstream, now) && !isLeaving(upstream, now) && upstream.admission.allowed;
 }
 
 /// An ejected upstream usually fails only a part of its requests, mostly at once, and an idempotent request is retried.
 bool isLastResort(const UpstreamState &upstream, const Request &request, TimePoint now)
 {
     return upstream.admission.lastResort && upstream.ownDataCentre && !isLeaving(upstream, now)
-           && upstream.backOffUntil <= now && mayTakeTrial(upstream, request);
+           && !isPaused(upstream, now) && upstream.backOffUntil <= now && mayTakeTrial(upstream, request);
 }
 
 } // namespace
@@ -114,6 +125,9 @@
     const auto &state = this->upstreams[upstream];
     // An idempotent request may have been selected for an ejected upstream on purpose, as a trial or as the last
     // resort.
+    if (isPaused(state, now)) {
+        return false;
+    }
     return request.idempotent ? !isLeaving(state, now) : inService(state, now) && !state.admission.trialOnly;
 }
 
@@ -302,6 +316,35 @@
     });
 }
 
+std::optional<PauseEnd> UpstreamPool::nextPauseEnd(const Request &request, TimePoint now) const
+{
+    std::optional<PauseEnd> first;
+    for (const auto index : this->configuredIndices) {
+        const auto &upstream = this->upstreams[index];
+        const bool allowed = !upstream.admission.trialOnly || mayBeTrial(request);
+        if (isOnlyPaused(upstream, now) && allowed && !request.excludes(index)
+            && (!first || upstream.pausedUntil < first->at)) {
+            first = PauseEnd{.at = upstream.pausedUntil, .slots = upstream.slots};
+        }
+    }
+    return first;
+}
+
+std::optional<PauseEnd> UpstreamPool::endOfFullPause(TimePoint now) const
+{
+    std::optional<PauseEnd> first;
+    for (const auto index : this->configuredIndices) {
+        const auto &upstream = this->upstreams[index];
+        if (inService(upstream, now)) {
+            return std::nullopt;
+        }
+        if (isOnlyPaused(upstream, now) && (!first || upstream.pausedUntil < first->at)) {
+            first = PauseEnd{.at = upstream.pausedUntil, .slots = upstream.slots};
+        }
+    }
+    return first;
+}
+
 std::size_t UpstreamPool::countInService(TimePoint now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->configuredIndices, [&](std::uint32_t index) {
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -93,6 +93,7 @@
         if (notice.leavingUntil > now) {
             this->keepLeaving(found->second, notice.leavingUntil);
         }
+        this->upstreams[found->second].pausedUntil = notice.pausedUntil;
     }
 }
 
@@ -100,7 +101,8 @@
 {
     std::erase_if(this->notices, [now](const auto &entry) {
         const auto &notice = entry.second;
-        return notice.leavingUntil <= now || (notice.absentSince && now - *notice.absentSince >= AbsentNoticeLifetime);
+        const bool isOver = notice.leavingUntil <= now && notice.pausedUntil <= now;
+        return isOver || (notice.absentSince && now - *notice.absentSince >= AbsentNoticeLifetime);
     });
 }
 
@@ -243,6 +245,19 @@
     return isNew;
 }
 
+bool UpstreamPool::notePause(const std::string &upstream, TimePoint until, TimePoint now)
+{
+    auto &notice = this->notices[upstream];
+    const bool isNew = notice.pausedUntil <= now;
+    notice.pausedUntil = std::max(notice.pausedUntil, until);
+    if (const auto found = this->indexById.find(upstream); found != this->indexById.end()) {
+        this->upstreams[found->second].pausedUntil = notice.pausedUntil;
+    } else {
+        notice.absentSince = notice.absentSince.value_or(now);
+    }
+    return isNew;
+}
+
 void UpstreamPool::keepLeaving(std::uint32_t upstream, TimePoint until)
 {
     auto &state = this->upstreams[upstream];
@@ -258,7 +273,9 @@
             = addresses.contains(state.endpoint.address) || addresses.contains(toString(state.endpoint));
         if (state.leaving && !isLeaving) {
             state.drainingUntil = TimePoint{};
-            this->notices.erase(state.key.upstream);
+            if (const auto notice = this->notices.find(state.key.upstream); notice != this->notices.end()) {
+                notice->second.leavingUntil = TimePoint{};
+            }
         }
         state.leaving = isLeaving;
     }
@@ -286,6 +303,11 @@
     return this->lastDrainEnd > now ? this->earliestAfter(now, &UpstreamState::drainingUntil) : std::nullopt;
 }
 
+std::optional<TimePoint> UpstreamPool::nextPauseEnd(TimePoint now) const
+{
+    return this->notices.empty() ? std::nullopt : this->earliestAfter(now, &UpstreamState::pausedUntil);
+}
+
 std::optional<TimePoint> UpstreamPool::earliestAfter(TimePoint now, TimePoint UpstreamState::*time) const
 {
     std::optional<TimePoint> earliest;
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -34,6 +34,8 @@
     bool leaving = false;
     /// The upstream announced that it is leaving; it gets no new requests before this time.
     TimePoint drainingUntil{};
+    /// The upstream asked this entry for a pause; it gets no requests before this time.
+    TimePoint pausedUntil{};
     /// Backoff after shed requests or failed connections; the upstream gets no new requests before this time.
     TimePoint backOffUntil{};
     Duration backOff{0};
@@ -57,10 +59,21 @@
 struct UpstreamNotice
 {
     TimePoint leavingUntil{};
+    TimePoint pausedUntil{};
     /// Time at which the upstream was removed from the configuration.
     std::optional<TimePoint> absentSince;
 };
 
+/// End of the first pause of an upstream.
+struct PauseEnd
+{
+    TimePoint at;
+    /// Slots of the upstream.
+    unsigned slots = 0;
+
+    auto operator<=>(const PauseEnd &) const = default;
+};
+
 /// Upstreams of one service with load balancing, which is implemented in upstreamchoice.cpp.
 ///
 /// Usage: configure(); pick() an upstream, then start() on it and finish() when the attempt ends.
@@ -83,6 +96,12 @@
     /// Whether any upstream could take the request once a slot becomes free or a backoff ends.
     bool couldServe(const Request &request, TimePoint now) const;
 
+    /// The first end of a pause after which an upstream could take the request.
+    std::optional<PauseEnd> nextPauseEnd(const Request &request, TimePoint now) const;
+
+    /// The first end of a pause, if all upstreams that would otherwise get requests are paused.
+    std::optional<PauseEnd> endOfFullPause(TimePoint now) const;
+
     std::size_t countInService(TimePoint now) const;
 
     /// Whether the load is so high that a further request would miss its target latency.
@@ -111,6 +130,8 @@
     bool noteMisdirected(std::uint32_t upstream, TimePoint now);
     /// The upstream announced that it is leaving. Returns true when it had not announced this before.
     bool noteLeaving(const std::string &upstream, TimePoint until, TimePoint now);
+    /// The upstream asked for a pause. Returns true when it had not paused before.
+    bool notePause(const std::string &upstream, TimePoint until, TimePoint now);
     /// Whether announcements of upstreams that are not configured have to be kept.
     bool remembersAnnouncements(TimePoint now);
 
@@ -122,6 +143,7 @@
 
     std::optional<TimePoint> nextBackOffEnd(TimePoint now) const;
     std::optional<TimePoint> nextDrainEnd(TimePoint now) const;
+    std::optional<TimePoint> nextPauseEnd(TimePoint now) const;
 
     /// Reads the admissions again from the detector: of the restricted upstreams, or of all.
     void refreshRestricted(const Health::ServiceDetector &detector, TimePoint now);
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -20,6 +20,13 @@
            + " upstream=" + change.upstream.upstream + " source=answer";
 }
 
+std::string formatChange(const Core::UpstreamPaused &change)
+{
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(change.pause);
+    return "upstream_paused bundle=" + change.upstream.bundle + " service=" + change.upstream.service
+           + " upstream=" + change.upstream.upstream + " pause_ms=" + std::to_string(pause.count());
+}
+
 std::string formatChange(const Core::ConfigurationInForce &change)
 {
     return "configuration_in_force revision=" + std::to_string(change.revision)
--- a/src/proxy/hostattempts.cpp
+++ b/src/proxy/hostattempts.cpp
@@ -31,9 +31,13 @@
     if (auto *exchange = this->findExchange(order.request)) {
         addToReport(*exchange, attempt.id(), reading);
     }
-    if (reading.announcement.leaving) {
+    const auto &announcement = reading.announcement;
+    if (announcement.leaving) {
         this->drainLog.record(order.endpoint, now);
-        this->apply(Core::UpstreamAnnounced{.at = now, .upstream = order.upstream, .leaving = true});
+    }
+    if (announcement != Announcement{}) {
+        this->apply(Core::UpstreamAnnounced{
+            .at = now, .upstream = order.upstream, .leaving = announcement.leaving, .pause = announcement.pause});
     }
 }
 
