Send no request to an upstream when a stop leaves too little time for its work

Cause: the end of accepting decides at the head of a request, and nothing asked again before the work began: for a request whose body arrives later, that waits for a slot, or that is due for a retry, the limit of the stop was no bound. A request whose body was still missing at the limit was also answered as unknown although nothing had been sent.

Change: at the end of accepting each service gets the last time at which work can begin that ends before the limit, from the longest of the last 128 to 256 latencies. Where fewer than 20 are known, only requests whose deadline (route's time-out or caller's) precedes the limit may begin. At that time queued requests are rejected and attempts that have not been sent are withdrawn, with 503, as not run; retries and hedges need the same room, else the upstream's own answer is passed on. Requests that were sent go on as before.

--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -220,6 +220,15 @@
     bool operator==(const ReportStateChange &) const = default;
 };
 
+/// Ends the attempts of the request that have not begun to send it, for example because its body is not complete; each
+/// is reported as failed with nothing written. Attempts under way go on.
+struct WithdrawUnsentAttempts
+{
+    RequestId request = 0;
+
+    auto operator<=>(const WithdrawUnsentAttempts &) const = default;
+};
+
 /// Closes the listening socket and the idle connections of callers.
 struct StopAccepting
 {
@@ -243,6 +252,7 @@
                             ReportLoad,
                             ReportReserveUse,
                             ReportStateChange,
+                            WithdrawUnsentAttempts,
                             StopAccepting,
                             Terminate>;
 
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -38,7 +38,9 @@
 
 Duration Engine::retryAfter(const Request &request)
 {
-    if (const auto pause = this->serviceOf(request).pool.endOfFullPause(this->now)) {
+    const auto pause = this->serviceOf(request).pool.endOfFullPause(this->now);
+    // Another entry, which serves the caller after a shutdown of this one, need not be asked for a pause.
+    if (pause && !this->shutdown) {
         const auto wait = pause->at - this->now;
         // Callers return after the end of the pause, and not all together.
         return wait + std::chrono::duration_cast<Duration>(wait * (RetryAfterSpread * this->random.fraction()));
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -41,7 +41,7 @@
 {
     const auto slot = this->requests.find(request);
     const auto *running = slot ? this->requests.at(*slot).find(attempt) : nullptr;
-    return running != nullptr && running->active
+    return running != nullptr && running->active && this->endsBeforeShutdown(this->requests.at(*slot), at)
            && this->serviceOf(this->requests.at(*slot)).pool.maySend(this->requests.at(*slot), running->upstream, at);
 }
 
@@ -240,7 +240,8 @@
 {
     const auto limit = provenNotRun && !request.mayHaveRun() ? MaxAttemptsWithoutRun : MaxAttemptsAfterPossibleRun;
     return request.allowsAnotherAttempt() && (request.idempotent || !request.mayHaveRun()) && !request.bodyConsumed
-           && !request.callerDisconnected && request.attempts.size() < limit && this->now < request.deadline;
+           && !request.callerDisconnected && request.attempts.size() < limit && this->now < request.deadline
+           && this->endsBeforeShutdown(request, this->now);
 }
 
 bool Engine::retryInsteadOfForwarding(std::uint32_t slot)
@@ -277,7 +278,9 @@
     if (allowed) {
         this->schedule(slot);
     } else {
-        this->failRequest(slot, RejectionReason::AllAttemptsFailed);
+        this->failRequest(slot,
+                          this->endsBeforeShutdown(request, this->now) ? RejectionReason::AllAttemptsFailed
+                                                                       : RejectionReason::ShuttingDown);
     }
 }
 
--- a/src/core/budgets.cpp
+++ b/src/core/budgets.cpp
@@ -1,6 +1,7 @@
 #include "budgets.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbenadock::Core::Internal {
 
@@ -8,6 +9,8 @@
 
 /// Samples needed before the estimates are used.
 constexpr std::uint64_t MinSampleCount = 20;
+/// The longest latency is that of the last one to two windows of this many samples.
+constexpr unsigned LongestWindowSamples = 128;
 /// Smallest relative step of the estimate; it follows a change by a factor of 2 in about 70 samples.
 constexpr double MinRelativeStep = 0.02;
 
@@ -98,6 +101,12 @@
 {
     this->median.add(latency);
     this->highQuantile.add(latency);
+    if (this->windowSamples == LongestWindowSamples) {
+        this->longestBefore = std::exchange(this->longestInWindow, Duration(0));
+        this->windowSamples = 0;
+    }
+    ++this->windowSamples;
+    this->longestInWindow = std::max(this->longestInWindow, latency);
 }
 
 bool LatencyTracker::hasEnoughSamples() const
@@ -110,6 +119,11 @@
     return this->hasEnoughSamples() ? this->median.value() : Duration(0);
 }
 
+Duration LatencyTracker::longest() const
+{
+    return this->hasEnoughSamples() ? std::max(this->longestInWindow, this->longestBefore) : Duration(0);
+}
+
 Duration LatencyTracker::hedgeDelay() const
 {
     if (!this->hasEnoughSamples()) {
--- a/src/core/budgets.h
+++ b/src/core/budgets.h
@@ -61,7 +61,7 @@
     std::uint64_t samples = 0;
 };
 
-/// Median latency of a service, and the delay after which a request is hedged.
+/// Median and longest latency of a service, and the delay after which a request is hedged.
 class LatencyTracker
 {
 public:
@@ -70,6 +70,9 @@
     /// Median, or zero without enough samples.
     Duration typical() const;
 
+    /// Longest of the recent latencies, or zero without enough samples.
+    Duration longest() const;
+
     /// Delay before a hedge, or zero without enough samples.
     Duration hedgeDelay() const;
 
@@ -78,6 +81,10 @@
 
     QuantileEstimate median{0.5};
     QuantileEstimate highQuantile{0.95};
+    /// Longest latencies of the current and of the previous window of samples.
+    Duration longestInWindow{0};
+    Duration longestBefore{0};
+    unsigned windowSamples = 0;
 };
 
 } // namespace Verbenadock::Core::Internal
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -65,6 +65,11 @@
         if (!this->shutdown->stoppedAccepting) {
             consider(this->shutdown->stopAcceptingAt);
         }
+        for (const auto &service : this->services) {
+            if (service->lastStartAt && !service->startsEnded) {
+                consider(*service->lastStartAt + Duration(1));
+            }
+        }
     }
     return earliest;
 }
@@ -215,14 +220,51 @@
     }
     if (!this->shutdown->stoppedAccepting && this->now >= this->shutdown->stopAcceptingAt) {
         this->shutdown->stoppedAccepting = true;
+        this->setLastStarts();
         this->effects.emplace_back(StopAccepting{});
     }
+    for (const auto &service : this->services) {
+        if (service->lastStartAt && !service->startsEnded && this->now > *service->lastStartAt) {
+            this->withdrawUnsent(*service);
+        }
+    }
     const bool finished = this->shutdown->stoppedAccepting && this->requests.size() == 0;
     if (finished || this->now >= this->shutdown->limitAt) {
         this->terminate();
     }
 }
 
+void Engine::setLastStarts()
+{
+    for (const auto &service : this->services) {
+        const auto longest = service->latency.longest();
+        // Nothing is known about the work without earlier answers, so that only the deadline of a request limits it.
+        service->lastStartAt = longest > Duration(0) ? this->shutdown->limitAt - longest : TimePoint{};
+    }
+}
+
+bool Engine::endsBeforeShutdown(const Request &request, TimePoint at) const
+{
+    const auto &lastStartAt = this->serviceOf(request).lastStartAt;
+    return !lastStartAt || at <= *lastStartAt || request.deadline <= this->shutdown->limitAt;
+}
+
+void Engine::withdrawUnsent(ServiceState &service)
+{
+    service.startsEnded = true;
+    for (const auto slot : this->requests.openSlots()) {
+        const auto &request = this->requests.at(slot);
+        if (request.service != service.index || this->endsBeforeShutdown(request, this->now)) {
+            continue;
+        }
+        if (request.queued) {
+            this->failRequest(slot, RejectionReason::ShuttingDown);
+        } else {
+            this->effects.emplace_back(WithdrawUnsentAttempts{.request = request.id});
+        }
+    }
+}
+
 void Engine::terminate()
 {
     const bool clean = this->requests.size() == 0;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -42,6 +42,10 @@
     AttemptBudget hedges;
     FleetReserve reserve;
     LatencyTracker latency;
+    /// Once a shutdown accepts no more requests: the last time at which work can begin that ends before the limit.
+    std::optional<TimePoint> lastStartAt;
+    /// The requests that had not been sent by then were withdrawn.
+    bool startsEnded = false;
     RequestQueue queue;
     std::size_t openRequests = 0;
 };
@@ -157,6 +161,10 @@
     void runScheduledDispatches();
     void updateTimer(const ServiceState &service);
     void advanceShutdown();
+    /// Whether work on the request that begins now ends before the limit of a shutdown, as far as is known.
+    bool endsBeforeShutdown(const Request &request, TimePoint at) const;
+    void setLastStarts();
+    void withdrawUnsent(ServiceState &service);
     void terminate();
 
     // configuration.cpp
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -142,6 +142,10 @@
             this->failRequest(slot, RejectionReason::DeadlineExceeded);
             continue;
         }
+        if (!this->endsBeforeShutdown(request, this->now)) {
+            this->failRequest(slot, RejectionReason::ShuttingDown);
+            continue;
+        }
         const auto upstream = service.pool.pick(request, this->now, this->random);
         if (upstream) {
             this->dequeue(slot);
@@ -239,7 +243,8 @@
     }
     // Under load a hedge would only take the slot of a queued request.
     const bool hedged = request.activeAttempts() > 1;
-    if (!request.idempotent || hedged || !service.queue.empty() || !request.allowsAnotherAttempt()) {
+    if (!request.idempotent || hedged || !service.queue.empty() || !request.allowsAnotherAttempt()
+        || !this->endsBeforeShutdown(request, this->now)) {
         return;
     }
     const auto hedgeUpstream = service.pool.pick(request, this->now, this->random);
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -310,6 +310,10 @@
 inline constexpr std::tuple FieldsOf<UpstreamPaused>{Field{"upstream", &UpstreamPaused::upstream},
                                                      Field{"pause", &UpstreamPaused::pause}};
 template<>
+inline constexpr std::string_view NameOf<WithdrawUnsentAttempts> = "WithdrawUnsentAttempts";
+template<>
+inline constexpr std::tuple FieldsOf<WithdrawUnsentAttempts>{Field{"request", &WithdrawUnsentAttempts::request}};
+template<>
 inline constexpr std::string_view NameOf<StopAccepting> = "StopAccepting";
 template<>
 inline constexpr std::string_view NameOf<Terminate> = "Terminate";
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -287,19 +287,24 @@
     }
     this->apply(Core::CallerDisconnected{.at = monotonicNow(), .request = id});
     // Attempts that were not cancelled can continue only with the whole body, so those that still wait for it fail.
+    this->failPendingAttempts(exchange);
+    const auto attempts = exchange.attempts;
+    for (const auto &attempt : attempts) {
+        attempt->callerGone();
+    }
+}
+
+void Host::failPendingAttempts(Exchange &exchange)
+{
     const auto pendingAttempts = std::exchange(exchange.pendingAttempts, {});
     for (const auto &order : pendingAttempts) {
-        this->proxyMetrics.countAttempt(Health::Cause::Cancelled);
+        this->recordAttemptResult(order.request, order.attempt, Health::Cause::Cancelled);
         this->apply(Core::AttemptFailed{.at = monotonicNow(),
-                                        .request = id,
+                                        .request = order.request,
                                         .attempt = order.attempt,
                                         .cause = Health::Cause::Cancelled,
                                         .nothingWritten = true});
     }
-    const auto attempts = exchange.attempts;
-    for (const auto &attempt : attempts) {
-        attempt->callerGone();
-    }
 }
 
 void Host::bodyFailed(Exchange &exchange, BodyState state)
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -107,6 +107,7 @@
     void carryOut(const Core::ReportLoad &effect);
     void carryOut(const Core::ReportReserveUse &effect);
     void carryOut(const Core::ReportStateChange &effect);
+    void carryOut(const Core::WithdrawUnsentAttempts &effect);
     void carryOut(const Core::StopAccepting &effect);
     void carryOut(const Core::Terminate &effect);
 
@@ -118,6 +119,8 @@
     Exchange *findExchange(RequestId id) const;
     void startAttempt(const std::shared_ptr<Exchange> &exchange, const Core::StartAttempt &order);
     void abandonRequest(Exchange &exchange);
+    /// Reports the attempts that wait for the body as failed with nothing written.
+    void failPendingAttempts(Exchange &exchange);
     void reportRequestEnd(const Exchange &exchange) const;
     void removeExchange(Exchange &exchange);
     void decide(Exchange &exchange, Decision decision);
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -139,6 +139,14 @@
     }
 }
 
+void Host::carryOut(const Core::WithdrawUnsentAttempts &effect)
+{
+    // Attempts that wait for a connection ask again whether they may send.
+    if (auto *exchange = this->findExchange(effect.request)) {
+        this->failPendingAttempts(*exchange);
+    }
+}
+
 void Host::carryOut(const Core::StopAccepting & /*effect*/)
 {
     this->acceptStopped = true;
