Let upstreams of the soak announce their leaving and pauses, and callers send in pieces

Upstreams announce their leaving in answers only, or in the store too, and come back as another process; one, half or all upstreams of a service refuse with Retry-After of 0.2 to 3.1 s. One request in 25 is sent in two pieces, up to 2 s apart. What callers got is compared with what reached the upstreams.

--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
@@ -10,6 +11,8 @@
 
 #include <map>
 #include <memory>
+#include <sstream>
+#include <string_view>
 
 namespace Verbenadock::Soak {
 
@@ -21,6 +24,10 @@
 
 constexpr auto CallLimit = std::chrono::seconds(6);
 constexpr auto Pause = std::chrono::milliseconds(5);
+/// One request in so many is sent in two pieces, with up to this time between them.
+constexpr int PieceChance = 25;
+constexpr auto LongestPieceGap = std::chrono::seconds(2);
+constexpr std::uint64_t PieceSeed = 0x9;
 
 /// One open connection of a caller.
 class Connection
@@ -41,8 +48,9 @@
         }
     }
 
-    /// Returns the whole answer; throws when the connection ends before.
-    http::response<http::string_body> exchange(const Net::HttpRequest &request, bool &written)
+    /// Sends the last byte of the request after the pause. Returns the whole answer; throws when the connection ends
+    /// before.
+    http::response<http::string_body> exchange(const Net::HttpRequest &request, Duration pause, CallRecord &record)
     {
         http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
         for (const auto &[name, value] : request.headers) {
@@ -50,18 +58,22 @@
         }
         message.body() = request.body;
         message.prepare_payload();
+        std::ostringstream text;
+        text << message;
+        const auto bytes = text.str();
+        if (pause > Duration(0)) {
+            this->send(std::string_view(bytes).substr(0, bytes.size() - 1));
+            std::this_thread::sleep_for(pause);
+        }
+        record.sentAt = monotonicNow();
+        record.sentUnixUs = unixMicroseconds();
+        record.written = this->send(pause > Duration(0) ? std::string_view(bytes).substr(bytes.size() - 1) : bytes);
+        // The entry may have answered before the request was complete.
         http::response<http::string_body> answer;
         boost::system::error_code error;
         this->stream.expires_after(CallLimit);
-        http::async_write(this->stream, message, [&](boost::system::error_code result, std::size_t) {
-            error = result;
-            written = !result;
-            if (!result) {
-                http::async_read(
-                    this->stream, this->buffer, answer, [&error](boost::system::error_code ending, std::size_t) {
-                        error = ending;
-                    });
-            }
+        http::async_read(this->stream, this->buffer, answer, [&error](boost::system::error_code ending, std::size_t) {
+            error = ending;
         });
         this->settle();
         if (error) {
@@ -71,6 +83,17 @@
     }
 
 private:
+    bool send(std::string_view bytes)
+    {
+        boost::system::error_code error;
+        this->stream.expires_after(CallLimit);
+        asio::async_write(this->stream, asio::buffer(bytes), [&error](boost::system::error_code result, std::size_t) {
+            error = result;
+        });
+        this->settle();
+        return !error;
+    }
+
     void settle()
     {
         this->context.restart();
@@ -139,17 +162,24 @@
 {
     std::mt19937_64 random(seed * 1000 + number);
     std::map<std::size_t, std::unique_ptr<Connection>> open;
+    std::mt19937_64 pieces(seed * 1000 + number + PieceSeed);
     for (int count = 0; !this->stopping; ++count) {
         CallRecord record{.id = "c" + std::to_string(number) + "-" + std::to_string(count)};
         record.vm = std::uniform_int_distribution<std::size_t>(0, this->fleet.vms.size() - 1)(random);
         const auto request = this->nextRequest(random, record);
         record.sentAt = monotonicNow();
+        record.sentUnixUs = unixMicroseconds();
+        const bool inPieces = std::uniform_int_distribution<int>(0, PieceChance - 1)(pieces) == 0;
+        const auto pause
+            = inPieces
+                  ? Duration(std::uniform_int_distribution<Duration::rep>(0, Duration(LongestPieceGap).count())(pieces))
+                  : Duration(0);
         auto &connection = open[record.vm];
         try {
             if (!connection) {
                 connection = std::make_unique<Connection>(this->fleet.vms[record.vm].entryListen());
             }
-            const auto answer = connection->exchange(request, record.written);
+            const auto answer = connection->exchange(request, pause, record);
             record.status = answer.result_int();
             record.own = record.status != 200 || isOwn(answer, record.id);
             if (!answer.keep_alive()) {
@@ -160,6 +190,7 @@
             connection.reset();
         }
         record.endedAt = monotonicNow();
+        record.endedUnixUs = unixMicroseconds();
         {
             const std::lock_guard lock(this->mutex);
             this->done.push_back(record);
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -19,12 +19,13 @@
 constexpr auto StopLimit = std::chrono::seconds(6);
 constexpr int EndedBySignal = 128 + SIGTERM;
 constexpr auto LeaveTime = std::chrono::seconds(5);
+/// Time in which upstreams that ask for pauses refuse all requests.
+constexpr auto PauseFaultTime = std::chrono::milliseconds(1500);
 
-std::int64_t unixMicroseconds()
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
+constexpr auto ShortestAnnouncementGapMs = 500;
+constexpr auto LongestAnnouncementGapMs = 2500;
+/// Seed of the announcements, added to that of the faults, so that the faults of a seed stay what they were.
+constexpr std::uint64_t AnnouncementSeed = 0x5eed;
 
 } // namespace
 
@@ -33,7 +34,11 @@
     , newestVersion(newest)
     , run(record)
     , random(seed)
+    , announcementRandom(seed + AnnouncementSeed)
 {
+    for (const auto &upstream : this->fleet.upstreams) {
+        this->lifetimes[upstream.id] = 1;
+    }
 }
 
 std::size_t Faults::pick(std::size_t count)
@@ -64,6 +69,75 @@
                               std::uniform_int_distribution<int>(ShortestGapMs, LongestGapMs)(this->random));
         this->start();
     }
+    if (now >= this->nextAnnouncement) {
+        this->nextAnnouncement = now
+                                 + std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                                     ShortestAnnouncementGapMs, LongestAnnouncementGapMs)(this->announcementRandom));
+        this->announce();
+    }
+}
+
+void Faults::announce()
+{
+    const auto draw = [this](std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->announcementRandom);
+    };
+    const auto &upstream = this->fleet.upstreams[draw(this->fleet.upstreams.size())];
+    const auto kind = draw(5);
+    if (kind < 2) {
+        this->announceLeaving(upstream, kind == 0);
+        return;
+    }
+    // One upstream, half of a service, or all of it.
+    const std::size_t share = kind == 2 ? 1 : (kind == 3 ? 2 : 4);
+    std::vector<std::string> ids{upstream.id};
+    for (const auto &other : this->fleet.upstreams) {
+        if (other.service == upstream.service && other.id != upstream.id && share > 1 && draw(4) < share) {
+            ids.push_back(other.id);
+        }
+    }
+    std::erase_if(ids, [this](const std::string &id) {
+        return this->busy[id] > 0;
+    });
+    if (!ids.empty()) {
+        this->askForPause(ids, 0.2 + 0.1 * static_cast<double>(draw(30)));
+    }
+}
+
+void Faults::announceLeaving(const FleetUpstream &upstream, bool alsoInStore)
+{
+    if (this->busy[upstream.id] > 0 || this->busy["store"] > 0) {
+        return;
+    }
+    if (alsoInStore) {
+        this->fleet.registerUpstream(upstream, true, this->lifetimes[upstream.id]);
+    }
+    const auto position = this->run.announcedLeavings.size();
+    this->run.announcedLeavings.push_back({.upstream = upstream.id, .fromUnixUs = unixMicroseconds()});
+    this->fleet.setUpstreams({{"draining", true}}, {upstream.id});
+    ++this->busy[upstream.id];
+    this->pending.push_back({.at = monotonicNow() + LeaveTime, .undo = [this, upstream, position] {
+                                 this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}});
+                                 // The process that left is gone and another one has its id and its address.
+                                 this->run.announcedLeavings[position].untilUnixUs = unixMicroseconds();
+                                 this->fleet.setUpstreams({{"draining", false}}, {upstream.id});
+                                 this->fleet.registerUpstream(upstream, false, ++this->lifetimes[upstream.id]);
+                                 --this->busy[upstream.id];
+                             }});
+}
+
+void Faults::askForPause(const std::vector<std::string> &ids, double seconds)
+{
+    this->fleet.setUpstreams({{"shedRate", 1}, {"retryAfter", std::to_string(seconds)}}, ids);
+    for (const auto &id : ids) {
+        ++this->busy[id];
+    }
+    this->pending.push_back({.at = monotonicNow() + PauseFaultTime, .undo = [this, ids] {
+                                 this->fleet.setUpstreams({{"shedRate", 0}, {"retryAfter", ""}}, ids);
+                                 for (const auto &id : ids) {
+                                     --this->busy[id];
+                                 }
+                             }});
 }
 
 void Faults::restore()
@@ -242,7 +316,7 @@
         return;
     }
     if (this->pick(2) == 0) {
-        this->fleet.registerUpstream(upstream, true);
+        this->fleet.registerUpstream(upstream, true, this->lifetimes[upstream.id]);
     } else {
         this->fleet.removeUpstream(upstream);
     }
@@ -253,7 +327,7 @@
     this->pending.push_back({.at = monotonicNow() + LeaveTime, .undo = [this, upstream, position] {
                                  this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}});
                                  this->run.leavings[position].untilUnixUs = unixMicroseconds();
-                                 this->fleet.registerUpstream(upstream);
+                                 this->fleet.registerUpstream(upstream, false, this->lifetimes[upstream.id]);
                                  --this->busy[upstream.id];
                              }});
 }
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -36,6 +36,10 @@
     };
 
     void start();
+    /// Lets upstreams announce something in their answers.
+    void announce();
+    void announceLeaving(const Test::FleetUpstream &upstream, bool alsoInStore);
+    void askForPause(const std::vector<std::string> &ids, double seconds);
     bool isBusy(std::size_t vm) const;
     /// Records the disturbance, brings it about with `act`, and takes it back after its length.
     void disturb(const std::string &subject,
@@ -60,10 +64,14 @@
     std::atomic<std::uint64_t> &newestVersion;
     RunRecord &run;
     std::mt19937_64 random;
+    std::mt19937_64 announcementRandom;
     TimePoint nextStart{};
+    TimePoint nextAnnouncement{};
     std::vector<Pending> pending;
     /// Subjects with a fault under way.
     std::map<std::string, int> busy;
+    /// Starts of the process of an upstream; the fleet registers the first one.
+    std::map<std::string, unsigned> lifetimes;
 };
 
 } // namespace Verbenadock::Soak
--- a/test/soak/judge.cpp
+++ b/test/soak/judge.cpp
@@ -1,5 +1,7 @@
 #include "soak/judge.h"
 
+#include "soak/announcementjudge.h"
+
 #include <algorithm>
 #include <map>
 
@@ -109,7 +111,7 @@
 
 } // namespace
 
-std::vector<std::string> brokenPromises(const RunRecord &run, const Json &executions)
+std::vector<std::string> brokenPromises(const RunRecord &run, const Json &executions, const Json &arrivals)
 {
     std::vector<std::string> broken;
     auto runs = runsById(executions);
@@ -123,6 +125,7 @@
     }
     judgeLeavings(run, executions, broken);
     judgeVersions(run, broken);
+    judgeAnnouncements(run, arrivals, broken);
     return broken;
 }
 
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -9,8 +9,8 @@
 
 namespace Verbenadock::Soak {
 
-/// One sentence for each promise that was broken. The executions are those of the stand-in for upstreams.
-std::vector<std::string> brokenPromises(const RunRecord &run, const Test::Json &executions);
+/// One sentence for each promise that was broken. The executions and arrivals are those of the stand-in for upstreams.
+std::vector<std::string> brokenPromises(const RunRecord &run, const Test::Json &executions, const Test::Json &arrivals);
 
 } // namespace Verbenadock::Soak
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -47,6 +47,7 @@
             CallRecord record{
                 .id = "recovery-" + std::to_string(vm) + "-" + std::to_string(number), .vm = vm, .claim = true};
             record.sentAt = monotonicNow();
+            record.sentUnixUs = unixMicroseconds();
             try {
                 status
                     = fleet.call(vm, Test::StoreFleet::claim(record.id, "/v" + std::to_string(version) + "/")).status;
@@ -55,6 +56,7 @@
                 status = 0;
             }
             record.endedAt = monotonicNow();
+            record.endedUnixUs = unixMicroseconds();
             record.status = status;
             run.calls.push_back(record);
         }
@@ -77,6 +79,9 @@
     fleet.start();
     std::atomic<std::uint64_t> newest = 1;
     RunRecord run;
+    for (const auto &vm : fleet.vms) {
+        run.vms.push_back(vm.id);
+    }
     Faults faults(fleet, seed, newest, run);
     Callers callers(fleet, static_cast<std::size_t>(arguments["--callers"].asLong()), seed, newest);
     const auto until = monotonicNow() + std::chrono::seconds(arguments["--seconds"].asLong());
@@ -88,11 +93,16 @@
     callers.stop();
     run.calls = callers.records();
     auto broken = judgeRecovery(fleet, newest, run);
-    const auto promises = brokenPromises(run, fleet.executions());
+    const auto arrivals = fleet.arrivals();
+    const auto pauses = std::ranges::count_if(arrivals, [](const Test::Json &arrival) {
+        return arrival.at("askedPause") != "";
+    });
+    const auto promises = brokenPromises(run, fleet.executions(), arrivals);
     broken.insert(broken.end(), promises.begin(), promises.end());
 
     const auto served = std::ranges::count(run.calls, 200U, &CallRecord::status);
     std::cout << "seed=" << seed << "\ncalls=" << run.calls.size() << "\nserved=" << served
+              << "\nannounced_leavings=" << run.announcedLeavings.size() << "\npauses=" << pauses
               << "\ndisturbances=" << run.disturbances.size() << "\nleavings=" << run.leavings.size()
               << "\nversions=" << newest << "\nbroken=" << broken.size() << '\n';
     for (const auto &line : broken) {
--- a/test/soak/record.h
+++ b/test/soak/record.h
@@ -18,8 +18,12 @@
     bool claim = false;
     /// Version of the configuration whose own prefix the request used; zero for a prefix of all versions.
     std::uint64_t version = 0;
+    /// Time of the last byte.
     TimePoint sentAt;
     TimePoint endedAt;
+    /// The same in microseconds since 1970.
+    std::int64_t sentUnixUs = 0;
+    std::int64_t endedUnixUs = 0;
     /// Zero when the connection ended without an answer.
     unsigned status = 0;
     /// The request was written, as far as the caller can tell.
@@ -55,12 +59,29 @@
     auto operator<=>(const Leaving &) const = default;
 };
 
+/// A time in which an upstream announced in its answers that it leaves.
+struct AnnouncedLeaving
+{
+    std::string upstream;
+    /// Microseconds since 1970; the end is that of the process.
+    std::int64_t fromUnixUs = 0;
+    std::int64_t untilUnixUs = INT64_MAX;
+
+    auto operator<=>(const AnnouncedLeaving &) const = default;
+};
+
+/// Microseconds since 1970.
+std::int64_t unixMicroseconds();
+
 /// Everything that a run leaves behind to be judged.
 struct RunRecord
 {
+    /// Ids of the VMs, in the order in which calls number them.
+    std::vector<std::string> vms;
     std::vector<CallRecord> calls;
     std::vector<Disturbance> disturbances;
     std::vector<Leaving> leavings;
+    std::vector<AnnouncedLeaving> announcedLeavings;
     /// Entries that were told to stop and did not end with status 0 in time, without another cause.
     std::vector<std::string> badStops;
 };
