End a stop soon after its limit also when a caller does not read its answer

Cause: the bound for writing the last answers applied only when requests were abandoned.

Also: findings of the linter in the new tests.

--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -168,7 +168,9 @@
     while (!this->pendingEvents.empty()) {
         const auto next = std::move(this->pendingEvents.front());
         this->pendingEvents.pop_front();
-        this->shutdownRequested = this->shutdownRequested || std::holds_alternative<Core::ShutdownRequested>(next);
+        if (const auto *shutdown = std::get_if<Core::ShutdownRequested>(&next)) {
+            this->shutdownLimitAt = this->shutdownLimitAt.value_or(shutdown->at + shutdown->limit);
+        }
         for (const auto &effect : this->reducer.apply(next)) {
             this->carryOut(effect);
         }
@@ -413,7 +415,7 @@
 
 bool Host::stopping() const
 {
-    return this->shutdownRequested;
+    return this->shutdownLimitAt.has_value();
 }
 
 bool Host::stopsAccepting() const
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -151,9 +151,10 @@
     std::deque<Core::Event> pendingEvents;
     std::shared_ptr<KeyHost> keyHost;
     std::optional<bool> cleanTermination;
+    /// Limit of the shutdown that was requested.
+    std::optional<TimePoint> shutdownLimitAt;
     RequestId lastRequest = 0;
     bool applying = false;
-    bool shutdownRequested = false;
     bool finalAnswersOverdue = false;
     bool acceptStopped = false;
     bool stopped = false;
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -173,9 +173,10 @@
 void Host::carryOut(const Core::Terminate &effect)
 {
     this->cleanTermination = effect.clean;
-    if (!effect.clean) {
-        this->finalAnswersTimer.setAfter(FinalAnswersTime);
-    }
+    // All answers may be decided long before the limit, and a caller that reads slowly has until then.
+    const auto now = monotonicNow();
+    const auto limit = effect.clean ? std::max(now, this->shutdownLimitAt.value_or(now)) : now;
+    this->finalAnswersTimer.set(limit + FinalAnswersTime);
 }
 
 void Host::terminateWhenDone()
@@ -186,7 +187,7 @@
     const bool due = this->cleanTermination && answersWritten && (keyHandlingDone || !*this->cleanTermination);
     if (due && this->handlers.terminated && !this->stopped) {
         const auto handler = std::exchange(this->handlers.terminated, nullptr);
-        handler(*this->cleanTermination);
+        handler(*this->cleanTermination && this->exchanges.empty());
     }
 }
 
--- a/test/integration/plannedstoptest.cpp
+++ b/test/integration/plannedstoptest.cpp
@@ -79,6 +79,7 @@
         }));
     }
     std::vector<unsigned> statuses;
+    statuses.reserve(answers.size());
     for (auto &answer : answers) {
         statuses.push_back(answer.get());
     }
@@ -153,6 +154,7 @@
     });
     fleet.vms[0].entry->signal(SIGTERM);
     std::vector<unsigned> statuses;
+    statuses.reserve(answers.size());
     for (auto &answer : answers) {
         statuses.push_back(answer.get());
     }
--- a/test/integration/upstreamannouncementstest.cpp
+++ b/test/integration/upstreamannouncementstest.cpp
@@ -62,6 +62,7 @@
     std::mutex mutex;
     std::vector<Call> calls;
     std::vector<std::thread> callers;
+    callers.reserve(Callers);
     const auto until = monotonicNow() + time;
     for (int caller = 0; caller < Callers; ++caller) {
         callers.emplace_back([&, caller] {
@@ -121,7 +122,7 @@
 {
     std::ptrdiff_t most = 0;
     for (const auto &asking : arrivals) {
-        if (asking.at("upstream") != upstream || asking.at("askedPause") == "") {
+        if (asking.at("upstream") != upstream || asking.at("askedPause").get<std::string>().empty()) {
             continue;
         }
         const auto from = asking.at("answeredUs").get<std::int64_t>();
@@ -153,7 +154,7 @@
     const auto calls = callFor(fleet, std::chrono::milliseconds(4000), "while");
     CHECK(countServed(calls) == calls.size());
     CHECK(std::ranges::count(calls, true, &Call::announcedLeaving) == 0);
-    CHECK(requestsAfterLeaving(calls, fleet.arrivals(), leaving.id) == std::vector<std::string>());
+    CHECK(requestsAfterLeaving(calls, fleet.arrivals(), leaving.id).empty());
 
     SECTION("also when its entry changes, ends and returns")
     {
@@ -165,7 +166,7 @@
         CHECK(countServed(later) == later.size());
         auto all = calls;
         all.insert(all.end(), later.begin(), later.end());
-        CHECK(requestsAfterLeaving(all, fleet.arrivals(), leaving.id) == std::vector<std::string>());
+        CHECK(requestsAfterLeaving(all, fleet.arrivals(), leaving.id).empty());
     }
     SECTION("until a new process takes its place")
     {
@@ -196,7 +197,7 @@
     const auto arrivals = fleet.arrivals();
     CHECK(mostRequestsInPause(arrivals, pausing.id, PauseSeconds) <= RequestsInPause);
     const auto askedAgain = std::ranges::count_if(arrivals, [&](const Json &arrival) {
-        return arrival.at("upstream") == pausing.id && arrival.at("askedPause") != "";
+        return arrival.at("upstream") == pausing.id && !arrival.at("askedPause").get<std::string>().empty();
     });
     // After each pause the upstream is asked again.
     CHECK(askedAgain >= 2);
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -49,6 +49,7 @@
     Proxy::EntryHandlers handlers;
     handlers.terminated = [this](bool clean) {
         this->terminated = clean;
+        this->ended = true;
     };
     this->server = std::make_unique<Proxy::EntryServer>(this->context, entry, this->registry, handlers);
     this->server->apply(
@@ -79,14 +80,18 @@
     return caller.readMessage(request.starts_with("HEAD"));
 }
 
-void EntryFixture::shutDown(Duration drainDelay)
+void EntryFixture::shutDown(Duration drainDelay, Duration limit)
 {
-    this->runOnLoop([this, drainDelay] {
-        this->server->apply(
-            Core::ShutdownRequested{.at = monotonicNow(), .drainDelay = drainDelay, .limit = std::chrono::seconds(20)});
+    this->runOnLoop([this, drainDelay, limit] {
+        this->server->apply(Core::ShutdownRequested{.at = monotonicNow(), .drainDelay = drainDelay, .limit = limit});
     });
 }
 
+bool EntryFixture::hasTerminated() const
+{
+    return this->ended;
+}
+
 bool EntryFixture::terminatedCleanly() const
 {
     return this->terminated;
--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -39,8 +39,10 @@
     /// Sends one request on a new connection and reads the answer.
     ReceivedMessage exchange(const std::string &request) const;
 
-    void shutDown(Duration drainDelay);
+    void shutDown(Duration drainDelay, Duration limit = std::chrono::seconds(20));
 
+    /// Whether the shutdown ended.
+    bool hasTerminated() const;
     /// Whether the shutdown ended without abandoned work.
     bool terminatedCleanly() const;
 
@@ -55,6 +57,7 @@
     Telemetry::MetricsRegistry registry;
     std::unique_ptr<Proxy::EntryServer> server;
     std::atomic<bool> terminated = false;
+    std::atomic<bool> ended = false;
     std::thread thread;
 };
 
--- a/test/soak/announcementjudge.cpp
+++ b/test/soak/announcementjudge.cpp
@@ -114,8 +114,9 @@
             return request.arrivedUs > from && request.arrivedUs < until;
         }));
         if (count > RequestsInPause && !isDisturbed(run, {vm, upstream}, asking.arrivedUs, until)) {
-            broken.push_back("pause: " + std::to_string(count) + " requests of " + vm + " reached " + upstream
-                             + " in its pause after " + asking.requestId);
+            std::string text = "pause: " + std::to_string(count);
+            text.append(" requests of ").append(vm).append(" reached ").append(upstream);
+            broken.push_back(text.append(" in its pause after ").append(asking.requestId));
         }
     }
 }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -95,7 +95,7 @@
     auto broken = judgeRecovery(fleet, newest, run);
     const auto arrivals = fleet.arrivals();
     const auto pauses = std::ranges::count_if(arrivals, [](const Test::Json &arrival) {
-        return arrival.at("askedPause") != "";
+        return !arrival.at("askedPause").get<std::string>().empty();
     });
     const auto promises = brokenPromises(run, fleet.executions(), arrivals);
     broken.insert(broken.end(), promises.begin(), promises.end());
