--- a/test/proxy/announcementanswertest.cpp
+++ b/test/proxy/announcementanswertest.cpp
@@ -90,6 +90,7 @@
     CHECK(seenAfter(answer).announcements == 0);
 }
 
+// Guards against the other cases passing because an upstream gets no second request anyway.
 TEST_CASE("an upstream that announces nothing is used again")
 {
     CHECK(seenAfter(Whole).laterRequests > 0);
--- a/test/proxy/announcementtest.cpp
+++ b/test/proxy/announcementtest.cpp
@@ -40,6 +40,7 @@
 
 } // namespace
 
+// Guards against an announcement that counts on successes only.
 TEST_CASE("an upstream announces its leaving with the value 1 on an answer of any status")
 {
     CHECK(read({leavingField("1")}, 200) == AnnouncementReading{.announcement = {.leaving = true}});
@@ -57,6 +58,7 @@
     }
 }
 
+// Guards against a pause that is cut to whole seconds, and against one that another status asks for.
 TEST_CASE("Retry-After on a 503 is a pause in seconds, with or without a fraction")
 {
     CHECK(pauseOf("4") == std::chrono::seconds(4));
