Log which VMs read the store, and pages that are ignored

Cause: not known at this point. Change: store_reader_changed, directory_change kind=page-ignored (once for successive pages), and the offsets and the role in /dump. No decision changes.

--- a/include/verbenadock/discovery/directory.h
+++ b/include/verbenadock/discovery/directory.h
@@ -81,6 +81,8 @@
         /// A removal soon after a store outage is delayed, because live upstreams register again.
         RemovalHeld,
         RecordUnreadable,
+        /// A page ends before the offset that is known already. Reported for the first of successive ones.
+        PageIgnored,
     };
 
     Kind kind = Kind::RecordUnreadable;
@@ -155,6 +157,8 @@
     /// End of the last outage that was long enough for registrations to expire.
     std::optional<TimePoint> storeRecoveredAt;
     bool isChanged = false;
+    /// The last page was ignored.
+    bool ignoresPages = false;
     std::uint64_t revision = 0;
     std::vector<DirectoryChange> changes;
 };
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -99,6 +99,8 @@
     void sendToLocalVms(const Mesh::Message &message);
     void sendHeartbeat();
     void scheduleHeartbeat();
+    /// Logs when this VM begins or ends to read the store.
+    void logReaderChange();
     /// Drops the load of silent VMs, and updates the pooled states and the hubs with the current load.
     void refreshLoad();
     void recordOutcome(const Health::ObservedOutcome &outcome);
@@ -130,6 +132,8 @@
     boost::asio::steady_timer loadReportTimer;
     bool loadReportScheduled = false;
     unsigned heartbeatCount = 0;
+    /// Whether this VM read the store at the last heartbeat.
+    bool wasReader = false;
     bool stopped = false;
     Telemetry::Counter &sentMessages;
     Telemetry::Counter &receivedMessages;
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -41,6 +41,8 @@
         return "removal-held";
     case Kind::RecordUnreadable:
         return "record-unreadable";
+    case Kind::PageIgnored:
+        return "page-ignored";
     }
     return "unknown";
 }
@@ -73,8 +75,12 @@
 {
     if (this->upstreamsEnd && event.end < *this->upstreamsEnd) {
         // The source has older records than this directory.
+        if (!std::exchange(this->ignoresPages, true)) {
+            this->addChange(Kind::PageIgnored, {}, event.end, "ends-before-" + std::to_string(*this->upstreamsEnd));
+        }
         return;
     }
+    this->ignoresPages = false;
     this->isChanged = this->isChanged || !this->upstreamsEnd;
     for (const auto &record : event.records) {
         this->applyRecord(record, event.at);
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -293,6 +293,7 @@
     this->heartbeatTimer.expires_after(HeartbeatInterval);
     this->heartbeatTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (!error && !self->stopped) {
+            self->logReaderChange();
             self->sendHeartbeat();
             self->refreshLoad();
             self->scheduleHeartbeat();
@@ -300,6 +301,17 @@
     });
 }
 
+void FleetLink::logReaderChange()
+{
+    const auto now = monotonicNow();
+    if (const bool isReader = this->election.isReader(now); isReader != this->wasReader) {
+        this->wasReader = isReader;
+        logChange(LogLevel::Info,
+                  std::string("store_reader_changed reads=") + (isReader ? "true" : "false")
+                      + " fresh=" + (this->follower->isFresh(now) ? "true" : "false"));
+    }
+}
+
 void FleetLink::sendHeartbeat()
 {
     const auto now = monotonicNow();
@@ -445,7 +457,13 @@
 
 std::string FleetLink::dump() const
 {
-    return Json{{"vms", this->members.size()}, {"addresses", this->members.addresses()}}.dump();
+    const auto &directory = this->follower->directory();
+    return Json{{"vms", this->members.size()},
+                {"addresses", this->members.addresses()},
+                {"reads_store", this->election.isReader(monotonicNow())},
+                {"configuration_end", directory.nextConfigurationOffset()},
+                {"upstreams_end", directory.nextUpstreamOffset().value_or(0)}}
+        .dump();
 }
 
 } // namespace Verbenadock::Fleet
