--- a/cmake/verbenadock.cmake
+++ b/cmake/verbenadock.cmake
@@ -89,7 +89,8 @@
     if(NOT tests)
         return()
     endif()
-    add_executable(test_integration ${tests} ${PROJECT_SOURCE_DIR}/test/proxy/testsocket.cpp ${PROJECT_SOURCE_DIR}/test/main.cpp)
+    add_executable(test_integration ${tests} ${PROJECT_SOURCE_DIR}/test/proxy/testsocket.cpp
+        ${PROJECT_SOURCE_DIR}/test/proxy/fakeupstream.cpp ${PROJECT_SOURCE_DIR}/test/main.cpp)
     target_compile_definitions(test_integration PRIVATE PROGRAM_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}" SAMPLES_DIR="${PROJECT_SOURCE_DIR}/samples"
         TEST_DATA_DIR="${PROJECT_SOURCE_DIR}/test/integration")
     target_link_libraries(test_integration PRIVATE verbenadock_test_harness verbenadock_bundle verbenadock_platform Catch2::Catch2)
--- a/test/fleet/recordcachetest.cpp
+++ b/test/fleet/recordcachetest.cpp
@@ -120,3 +120,17 @@
     truncatePage(*lastPage, 10);
     CHECK(lastPage->records.size() == 1);
 }
+
+// Guards against a VM that learns from another one that an upstream is ready which has left since, because pages and
+// datagrams reached that VM in another order than they were written.
+TEST_CASE("a page that arrives late does not replace newer records")
+{
+    RecordCache cache;
+    cache.append({{.offset = 0, .key = "a", .value = "ready"}, {.offset = 1, .key = "b", .value = "ready"}}, 2);
+    cache.append({{.offset = 2, .key = "a", .value = "draining"}, {.offset = 3, .key = "b", .value = std::nullopt}}, 4);
+    cache.append({{.offset = 0, .key = "a", .value = "ready"}, {.offset = 1, .key = "b", .value = "ready"}}, 2);
+    const auto newest = cache.newest();
+    REQUIRE(newest.records.size() == 1);
+    CHECK(newest.records.front() == KeyedRecord{.offset = 2, .key = "a", .value = "draining"});
+    CHECK(newest.end == 4);
+}
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -234,3 +234,22 @@
     }));
     behind->stop();
 }
+
+// Guards against a VM that goes on with old records although it knows of newer ones, because the VMs that have them are
+// too busy to send them.
+TEST_CASE("a VM that cannot get the records that it lacks from another VM reads the store")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    const auto behind = followerOfFirstVersion(loop, store, registry);
+    store.write(configurationRecord(1, 2, 0));
+    const PageServer busy(loop, [](std::string_view) -> std::optional<std::string> {
+        return std::nullopt;
+    });
+    behind->catchUpFrom(busy.endpoint(), 2, 0);
+    CHECK(runUntil(loop, [&behind] {
+        return versionOf(*behind) == 2;
+    }));
+    behind->stop();
+}
--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -224,7 +224,8 @@
         {"born", Start + lifetime},
         {"info",
          {{"service", upstream.service}, {"zone", upstream.dataCentre}, {"version", "v1"}, {"slots", service->slots}}},
-        {"status", {{"state", draining ? "draining" : "ready"}, {"seq", 1}, {"warmupLeftS", 0}}}};
+        {"status",
+         {{"state", draining ? "draining" : "ready"}, {"seq", std::uint64_t(++this->statements)}, {"warmupLeftS", 0}}}};
     this->append("keyed.servers", upstream.id, entry.dump());
 }
 
@@ -279,6 +280,28 @@
     postJson(this->control(Ports::LogControl), "/set", faults);
 }
 
+void StoreFleet::copyStore() const
+{
+    postJson(this->control(Ports::LogControl), "/copy", Json::object());
+}
+
+void StoreFleet::restoreStore() const
+{
+    postJson(this->control(Ports::LogControl), "/restore", Json::object());
+}
+
+Json StoreFleet::storeState() const
+{
+    return getJson(this->control(Ports::LogControl), "/state");
+}
+
+void StoreFleet::forgetMembers(const std::vector<std::string> &ids) const
+{
+    for (const auto &id : ids) {
+        this->append(std::string(Platform::MembersTopic), id, "");
+    }
+}
+
 void StoreFleet::setRoutes(const Json &faults, const std::vector<std::string> &names) const
 {
     auto body = faults;
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -3,6 +3,7 @@
 
 #include "harness/fleet.h"
 
+#include <atomic>
 #include <map>
 #include <set>
 
@@ -61,6 +62,12 @@
     /// Requests that reached an upstream, run or not (common/behaviour.h of the stand-ins).
     Json arrivals() const;
     void setStore(const Json &faults) const;
+    /// Keeps a copy of the store's records, and brings back the last copy; what was written in between is gone.
+    void copyStore() const;
+    void restoreStore() const;
+    Json storeState() const;
+    /// Removes the registrations of VMs from the store.
+    void forgetMembers(const std::vector<std::string> &ids) const;
     void setRoutes(const Json &faults, const std::vector<std::string> &names) const;
     void silenceRoutes(const std::vector<std::string> &names) const;
 
@@ -82,6 +89,8 @@
     AddressBlock addresses;
     std::string platformAddress;
     std::vector<std::unique_ptr<Process>> platform;
+    /// Counts what the upstreams write of themselves.
+    std::atomic<std::uint64_t> statements = 0;
 };
 
 } // namespace Verbenadock::Test
--- a/test/standins/common/storetopics.cpp
+++ b/test/standins/common/storetopics.cpp
@@ -133,7 +133,8 @@
 bool StoreTopics::holds(const StoreQuery &query) const
 {
     const auto found = this->partitions.find(query.partition());
-    return found != this->partitions.end() && query.number("from").value_or(0) < found->second.end();
+    const auto from = query.number("from").value_or(0);
+    return found == this->partitions.end() ? from > 0 : from != found->second.end();
 }
 
 Response StoreTopics::answer(std::string_view method, const StoreQuery &query, const std::string &body)
@@ -229,7 +230,7 @@
     const auto found = this->partitions.find(query.partition());
     const auto &partition = found == this->partitions.end() ? Empty : found->second;
     const auto from = query.number("from").value_or(0);
-    if (from < partition.first) {
+    if (from < partition.first || from > partition.end()) {
         return jsonResponse({{"first", partition.first}}, http::status::gone);
     }
     const auto limit = query.number("maxKb") ? *query.number("maxKb") * 1024 : DefaultReadBytes;
--- a/test/standins/common/storetopics.h
+++ b/test/standins/common/storetopics.h
@@ -35,7 +35,7 @@
     /// Number of records kept in a partition; keyed topics keep the newest of each key besides.
     void retain(std::size_t records);
 
-    /// Whether a read would find a record now.
+    /// Whether a read has an answer now, with records or that the offset does not exist.
     bool holds(const StoreQuery &query) const;
 
     Response answer(std::string_view method, const StoreQuery &query, const std::string &body);
--- a/test/standins/log.cpp
+++ b/test/standins/log.cpp
@@ -13,7 +13,10 @@
 
 Control port: POST /set with any of {"outage": "none"|"error"|"hang"|"refuse", "delayMs", "loseAppendAnswers" (the next
 appends take effect, but the connection is closed without an answer), "retain" (records kept per partition),
-"writesPerS", "readsPerS" (calls beyond get 429)}; GET /state.
+"writesPerS", "readsPerS" (calls beyond get 429)}; POST /copy keeps a copy of all records; POST /restore brings it back;
+GET /state.
+
+All answers carry Store-Era, which rises by one with each restored copy.
 )";
 
 struct Faults
@@ -51,10 +54,16 @@
             this->faults = patched(this->faults, body);
             this->server->refuse(this->faults.outage == "refuse");
             this->topics.retain(this->faults.retain);
+        } else if (path == "/copy") {
+            this->copy = this->topics;
+        } else if (path == "/restore") {
+            this->topics = this->copy;
+            ++this->era;
         }
         Json state = this->faults;
         state["appends"] = this->appends;
         state["reads"] = this->reads;
+        state["era"] = this->era;
         for (const auto &[name, extent] : this->topics.extents()) {
             state["streams"][name] = {{"first", extent.first}, {"next", extent.second}};
         }
@@ -69,12 +78,12 @@
             co_return;
         }
         if (this->faults.outage == "error") {
-            co_await connection->write(errorResponse("outage", http::status::service_unavailable));
+            co_await this->respond(*connection, errorResponse("outage", http::status::service_unavailable));
             co_return;
         }
         const StoreQuery query(request.target());
         if (this->overLimit(query)) {
-            co_await connection->write(errorResponse("over the limit", http::status::too_many_requests));
+            co_await this->respond(*connection, errorResponse("over the limit", http::status::too_many_requests));
             co_return;
         }
         if (query.path() == "/v1/log-read") {
@@ -87,7 +96,13 @@
             connection->close();
             co_return;
         }
-        co_await connection->write(std::move(response));
+        co_await this->respond(*connection, std::move(response));
+    }
+
+    asio::awaitable<void> respond(Connection &connection, Response response) const
+    {
+        response.set("Store-Era", std::to_string(this->era));
+        co_await connection.write(std::move(response));
     }
 
     /// Counts the call and says whether it comes too early after the others of this second.
@@ -117,6 +132,8 @@
 
     Faults faults;
     StoreTopics topics;
+    StoreTopics copy;
+    std::uint64_t era = 1;
     TimePoint secondSince{};
     std::uint64_t writesInSecond = 0;
     std::uint64_t readsInSecond = 0;
