Keep newer records in the cache when a page arrives late

Cause: RecordCache::append() wrote each record of a page over newer ones of the same key; a VM that fetched all newest records took the older one with the newer end. Evidence: test_fleet "a page that arrives late does not replace newer records" failed before (a removed key was back). Change: records before the cache's end are skipped, and none replaces one with a higher offset. Measured: the test passes.

--- a/src/fleet/recordcache.cpp
+++ b/src/fleet/recordcache.cpp
@@ -16,6 +16,11 @@
 void RecordCache::append(const std::vector<Platform::KeyedRecord> &records, std::uint64_t endOffset)
 {
     for (const auto &record : records) {
+        const auto known = this->byKey.find(record.key);
+        // Records arrive in datagrams and in pages, and a page may be late. All records before the end are known.
+        if (record.offset < this->end || (known != this->byKey.end() && known->second.offset > record.offset)) {
+            continue;
+        }
         if (record.value) {
             this->byKey.insert_or_assign(record.key, record);
         } else {
