Read the store when other VMs cannot send the records that a VM lacks

Cause: after a failed fetch a VM only asked the same readers again at the next heartbeat. 58 VMs fetch a configuration at once, and a reader takes 32 connections and 300 ms a call. Evidence: test_fleet "a VM that cannot get the records that it lacks from another VM reads the store" failed before (still behind after 10 s). Change: a VM whose fetch did not lead to the end that it heard of reads the store until it has it. Measured: test_fleet passes, 32 cases.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -74,6 +74,8 @@
         bool complete = false;
         /// A page is being fetched from another VM.
         bool fetching = false;
+        /// End of the last records that were fetched from another VM. If not all of them arrived, the store is read.
+        std::uint64_t missedEnd = 0;
         /// Start of the last call that the store answered.
         std::optional<TimePoint> calledAt;
     };
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -139,7 +139,9 @@
 {
     auto retryDelay = InitialRetryDelay;
     while (!this->stopped) {
-        if (this->progressOf(topic).complete && !this->handlers.readsStore()) {
+        const auto &progress = this->progressOf(topic);
+        const bool lacksRecords = this->nextOffset(topic) < progress.missedEnd;
+        if (progress.complete && !lacksRecords && !this->handlers.readsStore()) {
             co_await this->sleepFor(this->settings.pollInterval);
             continue;
         }
@@ -226,6 +228,8 @@
         success = co_await this->readNewest(topic, peer);
     }
     this->progressOf(topic).fetching = false;
+    // The other VMs may be too busy to serve pages to all VMs that lack them.
+    this->progressOf(topic).missedEnd = end;
     this->logRelayed(topic, peer, start, success);
 }
 
