Let VMs read the store as soon as an answer to their readers is overdue

Cause: a reader called itself fresh for 2.7 s after the start of its last answered call. With the heartbeat interval and the check of the role the others read 2.0 to 2.5 s after a confirmation. Evidence: test_integration "VMs whose readers are cut off from the store learn of a leaving and of a version within 2 s": 24 of 24 checks failed before. Change: freshness follows the running call: 1 s of waiting for records (was 1.2 s) and 250 ms for the answer. The end of it is told at once.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -37,6 +37,8 @@
         std::function<bool()> readsStore;
         /// The store returned new records of a topic, starting at offset `from`.
         std::function<void(std::string_view topic, std::uint64_t from, const Platform::StoredPage &)> recordsRead;
+        /// The store failed to answer a call, or is late with an answer; isFresh() is false.
+        std::function<void()> freshnessLost;
     };
 
     StoreFollower(boost::asio::io_context &loop,
@@ -49,7 +51,8 @@
 
     Discovery::Directory &directory();
 
-    /// Whether the store answered recently for all topics, so that this VM has the newest records.
+    /// Whether the store answered the last calls for all topics and no answer is overdue, so that this VM has the
+    /// newest records.
     bool isFresh(TimePoint now) const;
 
     /// Notes the offsets up to which another VM has read, and fetches missing records from that VM.
@@ -76,8 +79,10 @@
         bool fetching = false;
         /// End of the last records that were fetched from another VM. If not all of them arrived, the store is read.
         std::uint64_t missedEnd = 0;
-        /// Start of the last call that the store answered.
-        std::optional<TimePoint> calledAt;
+        /// The store answered the last call that ended.
+        bool answered = false;
+        /// Time by which the store should have answered the running call; empty without one.
+        std::optional<TimePoint> overdueAt;
     };
 
     boost::asio::awaitable<void> follow(Topic topic);
@@ -102,7 +107,10 @@
     static std::string_view nameOf(Topic topic);
     /// Logs the offsets before and after reading from another VM.
     void logRelayed(Topic topic, const Endpoint &peer, std::uint64_t before, bool success) const;
-    void noteStoreCall(Topic topic, bool success, const std::string &reason);
+    /// Starts the time of a call; the timer has to live until the call ends.
+    void beginStoreCall(Topic topic, Duration wait, boost::asio::steady_timer &overdueTimer);
+    /// Notes the result of a call; the failure is empty for an answer.
+    void endStoreCall(Topic topic, const std::string &failure);
     void scheduleDeadline();
 
     boost::asio::io_context &context;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -112,6 +112,10 @@
                         this->sendToLocalVms(message);
                     }
                     this->sendHeartbeat();
+                },
+            .freshnessLost =
+                [this] {
+                    this->sendHeartbeat();
                 }};
 }
 
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -25,9 +25,10 @@
 constexpr Duration StoreTimeout = std::chrono::milliseconds(700);
 constexpr Duration PeerTimeout = std::chrono::milliseconds(300);
 /// Maximum time that a call waits for new records. With a longer wait, a dead connection would be detected too late.
-constexpr Duration LongPollTime = std::chrono::milliseconds(1200);
-/// The last answered call may have waited for the long-poll time, while the next one is still running.
-constexpr Duration MaxFreshAge = std::chrono::milliseconds(2700);
+constexpr Duration LongPollTime = std::chrono::milliseconds(1000);
+/// Time that the store takes for an answer under load. After it the call counts as unanswered for the other VMs, which
+/// then read for themselves, long before the call fails.
+constexpr Duration AnswerTime = std::chrono::milliseconds(250);
 /// Initial backoff after a failed call; other VMs are asked in the meantime.
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(400);
 /// Limit of the exponential backoff. A VM with a shorter delay notices the return of the store and tells the others.
@@ -168,11 +169,10 @@
     std::string failure;
     const std::string name(nameOf(topic));
     const auto from = this->nextOffset(topic);
-    const auto calledAt = monotonicNow();
+    asio::steady_timer overdueTimer(this->context);
     try {
-        this->storeCalls.add();
+        this->beginStoreCall(topic, LongPollTime, overdueTimer);
         const auto page = co_await this->store.read(name, from, LongPollTime);
-        this->progressOf(topic).calledAt = calledAt;
         this->applyPage(topic, from, page);
         const auto newRecords = this->cacheOf(topic).recordsFrom(from);
         if (!page.records.empty() && newRecords) {
@@ -183,14 +183,14 @@
     } catch (const Platform::PlatformError &error) {
         failure = error.what();
     }
-    this->noteStoreCall(topic, failure.empty(), failure);
+    this->endStoreCall(topic, failure);
     co_return failure.empty();
 }
 
 bool StoreFollower::isFresh(TimePoint now) const
 {
     const auto fresh = [now](const Progress &progress) {
-        return progress.complete && progress.calledAt && now - *progress.calledAt <= MaxFreshAge;
+        return progress.complete && progress.answered && (!progress.overdueAt || now < *progress.overdueAt);
     };
     return fresh(this->configurationProgress) && fresh(this->upstreamsProgress);
 }
@@ -259,22 +259,22 @@
     const bool fromStore = source == this->settings.endpoint;
     const std::string name(nameOf(topic));
     std::string failure;
-    const auto calledAt = monotonicNow();
+    asio::steady_timer overdueTimer(this->context);
     try {
-        (fromStore ? this->storeCalls : this->pagesFromPeers).add();
+        if (fromStore) {
+            this->beginStoreCall(topic, Duration(0), overdueTimer);
+        } else {
+            this->pagesFromPeers.add();
+        }
         const Platform::StoreClient client(source, fromStore ? StoreTimeout : PeerTimeout);
         const auto newest = co_await client.newest(name);
         this->applyRecords(topic, newest.records, newest.end, true);
-        auto &progress = this->progressOf(topic);
-        progress.complete = true;
-        if (fromStore) {
-            progress.calledAt = calledAt;
-        }
+        this->progressOf(topic).complete = true;
     } catch (const Platform::PlatformError &error) {
         failure = error.what();
     }
     if (fromStore) {
-        this->noteStoreCall(topic, failure.empty(), failure);
+        this->endStoreCall(topic, failure);
     }
     co_return failure.empty();
 }
@@ -362,10 +362,26 @@
     this->scheduleDeadline();
 }
 
-void StoreFollower::noteStoreCall(Topic topic, bool success, const std::string &reason)
+void StoreFollower::beginStoreCall(Topic topic, Duration wait, asio::steady_timer &overdueTimer)
+{
+    this->storeCalls.add();
+    const auto limit = wait + AnswerTime;
+    this->progressOf(topic).overdueAt = monotonicNow() + limit;
+    overdueTimer.expires_after(limit);
+    overdueTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->stopped) {
+            self->handlers.freshnessLost();
+        }
+    });
+}
+
+void StoreFollower::endStoreCall(Topic topic, const std::string &failure)
 {
     const auto now = monotonicNow();
-    if (success) {
+    auto &progress = this->progressOf(topic);
+    progress.overdueAt.reset();
+    const bool wasAnswered = std::exchange(progress.answered, failure.empty());
+    if (failure.empty()) {
         this->failingSince.reset();
         if (this->storeLost) {
             this->storeLost = false;
@@ -374,9 +390,12 @@
         }
         return;
     }
+    if (wasAnswered && !this->stopped) {
+        this->handlers.freshnessLost();
+    }
     this->storeFailures.add();
     logChange(LogLevel::Warning,
-              "store_call_failed topic=" + std::string(nameOf(topic)) + " reason=\"" + reason + "\"");
+              "store_call_failed topic=" + std::string(nameOf(topic)) + " reason=\"" + failure + "\"");
     if (!this->failingSince) {
         this->failingSince = now;
     }
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -117,7 +117,8 @@
                                                                                 [] {
                                                                                     return false;
                                                                                 },
-                                                                            .recordsRead = [](auto...) {}});
+                                                                            .recordsRead = [](auto...) {},
+                                                                            .freshnessLost = [] {}});
     follower->start();
     return follower;
 }
