--- a/include/verbenadock/discovery/directory.h
+++ b/include/verbenadock/discovery/directory.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_DISCOVERY_DIRECTORY_H
 #define VERBENADOCK_DISCOVERY_DIRECTORY_H
 
+#include "verbenadock/base/storeposition.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/core/event.h"
 #include "verbenadock/discovery/records.h"
@@ -25,8 +26,8 @@
     std::vector<UpstreamRecord> records;
     /// Whether the records are the newest of all keys, so that missing keys have been removed.
     bool complete = false;
-    /// Offset up to which the topic was read.
-    std::uint64_t end = 0;
+    /// Position up to which the topic was read. The first page of an era has to be complete.
+    StorePosition end;
 
     bool operator==(const UpstreamsRead &) const = default;
 };
@@ -37,8 +38,8 @@
     TimePoint at;
     /// Without the records of other keys.
     std::vector<ConfigurationRecord> records;
-    /// Offset up to which the topic was read.
-    std::uint64_t end = 0;
+    /// Position up to which the topic was read.
+    StorePosition end;
 
     bool operator==(const ConfigurationRead &) const = default;
 };
@@ -81,8 +82,12 @@
         /// A removal soon after a store outage is delayed, because live upstreams register again.
         RemovalHeld,
         RecordUnreadable,
-        /// A page ends before the offset that is known already. Reported for the first of successive ones.
+        /// A page ends before the position that is known already. Reported for the first of successive ones.
         PageIgnored,
+        /// The store returned from an older copy.
+        EraBegun,
+        /// The store lists an entry that is older than the known one, which is kept for now.
+        OutdatedEntryKept,
     };
 
     Kind kind = Kind::RecordUnreadable;
@@ -116,20 +121,44 @@
 
     const std::optional<OperatorConfiguration> &operatorConfiguration() const;
 
-    /// Offset from which the upstreams' topic has to be read; empty before the first complete read.
-    std::optional<std::uint64_t> nextUpstreamOffset() const;
-    /// Offset from which the configuration's topic has to be read.
-    std::uint64_t nextConfigurationOffset() const;
+    /// Position from which the upstreams' topic has to be read; empty before the first complete read.
+    std::optional<StorePosition> nextUpstreamPosition() const;
+    /// Position from which the configuration's topic has to be read.
+    StorePosition nextConfigurationPosition() const;
 
     std::optional<TimePoint> nextDeadline() const;
 
 private:
+    /// Identifies an entry among those that an upstream wrote.
+    struct Statement
+    {
+        std::int64_t startedAt = 0;
+        std::uint64_t sequence = 0;
+
+        auto operator<=>(const Statement &) const = default;
+    };
+
+    /// An entry of a restored copy that is no newer than what is known.
+    struct OutdatedEntry
+    {
+        UpstreamEntry entry;
+        /// Time at which it is used if the store still lists it.
+        TimePoint useAt;
+    };
+
     struct TrackedUpstream
     {
-        std::uint64_t offset = 0;
+        StorePosition position;
         std::optional<UpstreamEntry> entry;
         /// Time at which a held removal takes effect.
         std::optional<TimePoint> removeAt;
+        /// The last known entry, also after its removal.
+        std::optional<Statement> lastStatement;
+        /// The last known entry said that its process leaves.
+        bool wasDraining = false;
+        /// Nothing newer than the last known entry was read since the store returned from a copy.
+        bool isFromEarlierEra = false;
+        std::optional<OutdatedEntry> outdated;
     };
 
     void handle(const UpstreamsRead &event);
@@ -138,9 +167,11 @@
     void handle(const StoreRecovered &event);
     void handle(const DeadlineReached &event);
     void applyConfiguration(const ConfigurationRecord &record);
-    void applyRecord(const UpstreamRecord &record, TimePoint now);
-    void applyEntry(TrackedUpstream &tracked, const UpstreamRecord &record, const UpstreamEntry &entry);
-    void removeUpstream(TrackedUpstream &tracked, const std::string &key, std::uint64_t offset, TimePoint now);
+    void beginEra(const StorePosition &end);
+    void applyRecord(const UpstreamRecord &record, std::uint64_t era, TimePoint now);
+    static bool isOutdated(const TrackedUpstream &tracked, const UpstreamEntry &entry);
+    void applyEntry(TrackedUpstream &tracked, const std::string &key, const UpstreamEntry &entry);
+    void removeUpstream(TrackedUpstream &tracked, const std::string &key, const StorePosition &position, TimePoint now);
     void addChange(DirectoryChange::Kind kind,
                    const std::string &subject,
                    std::uint64_t offset,
@@ -148,11 +179,11 @@
 
     RetryAllowance allowance;
     std::map<std::string, TrackedUpstream> upstreams;
-    std::optional<std::uint64_t> upstreamsEnd;
+    std::optional<StorePosition> upstreamsEnd;
     std::optional<OperatorConfiguration> operatorSettings;
-    /// Offset of the newest configuration record.
-    std::optional<std::uint64_t> configurationOffset;
-    std::uint64_t configurationEnd = 0;
+    /// Position of the newest configuration record.
+    std::optional<StorePosition> configurationPosition;
+    StorePosition configurationEnd;
     std::optional<TimePoint> storeLostAt;
     /// End of the last outage that was long enough for registrations to expire.
     std::optional<TimePoint> storeRecoveredAt;
--- a/include/verbenadock/discovery/records.h
+++ b/include/verbenadock/discovery/records.h
@@ -27,6 +27,8 @@
     Duration remainingWarmUp{0};
     /// Start of the process in milliseconds since 1970; distinguishes processes with the same instance name.
     std::int64_t startedAt = 0;
+    /// Counts the entries that the process wrote since its start.
+    std::uint64_t sequence = 0;
 
     auto operator<=>(const UpstreamEntry &) const = default;
 };
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -64,7 +64,7 @@
     void observe(const Core::ReportReserveUse &use);
 
     /// Serves a page of store records to another VM.
-    std::optional<std::string> page(std::string_view target) const;
+    std::optional<Net::AdminPage> page(std::string_view target) const;
 
     std::string dump() const;
 
@@ -72,8 +72,10 @@
     using Udp = boost::asio::ip::udp;
 
     StoreFollower::Handlers followerHandlers();
-    boost::asio::awaitable<void> joinWithRetries();
-    boost::asio::awaitable<bool> join(const Platform::StoreClient &store);
+    boost::asio::awaitable<void> joinWithRetries(bool onlyIfUnregistered);
+    boost::asio::awaitable<bool> join(const Platform::StoreClient &store, bool onlyIfUnregistered);
+    /// Registers this VM again if the store has lost its registration.
+    void beginEra(std::uint64_t era);
     std::vector<Endpoint> peerEndpoints() const;
     void membersChanged();
     void pushConfiguration();
@@ -134,6 +136,8 @@
     unsigned heartbeatCount = 0;
     /// Whether this VM read the store at the last heartbeat.
     bool wasReader = false;
+    /// Era of the store in which the registration of this VM was last checked.
+    std::uint64_t checkedEra = 0;
     bool stopped = false;
     Telemetry::Counter &sentMessages;
     Telemetry::Counter &receivedMessages;
--- a/include/verbenadock/fleet/recordcache.h
+++ b/include/verbenadock/fleet/recordcache.h
@@ -14,6 +14,7 @@
 class RecordCache
 {
 public:
+    /// Appends records of the current era.
     void append(const std::vector<Platform::KeyedRecord> &records, std::uint64_t endOffset);
 
     /// Replaces the content, unless `newest` is older.
@@ -28,6 +29,7 @@
     void extendTail(const std::vector<Platform::KeyedRecord> &records, std::uint64_t endOffset);
 
     std::map<std::string, Platform::KeyedRecord> byKey;
+    std::uint64_t era = 0;
     std::uint64_t end = 0;
     /// The last records up to `end`, without gaps.
     std::deque<Platform::StoredRecord> tail;
--- a/include/verbenadock/fleet/recordmessages.h
+++ b/include/verbenadock/fleet/recordmessages.h
@@ -21,7 +21,7 @@
 
 /// The records of the message from offset `next` on. Empty when the message has none, or when records between `next`
 /// and the message are missing.
-std::optional<Platform::StoredPage> followingRecords(const Mesh::StoreRecords &message, std::uint64_t next);
+std::optional<Platform::StoredPage> followingRecords(const Mesh::StoreRecords &message, StorePosition next);
 
 } // namespace Verbenadock::Fleet
 
--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -39,6 +39,8 @@
         std::function<void(std::string_view topic, std::uint64_t from, const Platform::StoredPage &)> recordsRead;
         /// The store failed to answer a call, or is late with an answer; isFresh() is false.
         std::function<void()> freshnessLost;
+        /// The store returned from an older copy and may have lost what this VM wrote there.
+        std::function<void(std::uint64_t era)> eraBegun;
     };
 
     StoreFollower(boost::asio::io_context &loop,
@@ -55,14 +57,14 @@
     /// newest records.
     bool isFresh(TimePoint now) const;
 
-    /// Notes the offsets up to which another VM has read, and fetches missing records from that VM.
-    void catchUpFrom(const Endpoint &peer, std::uint64_t configurationEnd, std::uint64_t upstreamsEnd);
+    /// Notes the positions up to which another VM has read, and fetches missing records from that VM.
+    void catchUpFrom(const Endpoint &peer, const StorePosition &configurationEnd, const StorePosition &upstreamsEnd);
 
     /// Applies records that another VM sent, if they continue the records of this VM without a gap.
     void applyRecords(const Mesh::StoreRecords &message);
 
     /// Serves a page of records to another VM. Empty when the target names no topic or this VM lacks the records.
-    std::optional<std::string> page(std::string_view target) const;
+    std::optional<Net::AdminPage> page(std::string_view target) const;
 
 private:
     enum class Topic {
@@ -70,15 +72,20 @@
         Upstreams,
     };
 
+    /// Time for a page from another VM.
+    static constexpr Duration PeerTimeout = std::chrono::milliseconds(300);
+
     /// State of reading one topic.
     struct Progress
     {
         /// The newest records of all keys were read at least once.
         bool complete = false;
+        /// The newest records have to be read from the store, since it no longer has the next ones.
+        bool restartsFromNewest = false;
         /// A page is being fetched from another VM.
         bool fetching = false;
         /// End of the last records that were fetched from another VM. If not all of them arrived, the store is read.
-        std::uint64_t missedEnd = 0;
+        StorePosition missedEnd;
         /// The store answered the last call that ended.
         bool answered = false;
         /// Time by which the store should have answered the running call; empty without one.
@@ -87,18 +94,24 @@
 
     boost::asio::awaitable<void> follow(Topic topic);
     boost::asio::awaitable<bool> readNext(Topic topic);
-    boost::asio::awaitable<void> fetchUntil(Topic topic, Endpoint peer, std::uint64_t end);
-    std::uint64_t nextOffset(Topic topic) const;
+    boost::asio::awaitable<void> fetchUntil(Topic topic, Endpoint peer, StorePosition end);
+    StorePosition nextPosition(Topic topic) const;
+    /// Whether this VM reads the topic from the store now, for itself or for others.
+    bool readsStore(Topic topic) const;
     Progress &progressOf(Topic topic);
-    void applyRecords(Topic topic, const std::vector<Platform::KeyedRecord> &records, std::uint64_t end, bool complete);
+    const Progress &progressOf(Topic topic) const;
+    void applyRecords(Topic topic,
+                      const std::vector<Platform::KeyedRecord> &records,
+                      const StorePosition &end,
+                      bool complete);
     boost::asio::awaitable<bool> readNewest(Topic topic, Endpoint source);
     /// Reads the missing records from another VM.
     boost::asio::awaitable<bool> readFromPeer(Topic topic, Endpoint peer);
     boost::asio::awaitable<void> readFromRandomPeer(Topic topic);
     boost::asio::awaitable<void> sleepFor(Duration duration);
 
-    void applyConfiguration(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end);
-    void applyUpstreams(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end, bool complete);
+    void applyConfiguration(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end);
+    void applyUpstreams(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end, bool complete);
     /// Applies a page that was read from an offset on; it may end before the end of the topic.
     void applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page);
     void apply(const Discovery::DirectoryEvent &event);
@@ -106,7 +119,7 @@
     const RecordCache &cacheOf(Topic topic) const;
     static std::string_view nameOf(Topic topic);
     /// Logs the offsets before and after reading from another VM.
-    void logRelayed(Topic topic, const Endpoint &peer, std::uint64_t before, bool success) const;
+    void logRelayed(Topic topic, const Endpoint &peer, const StorePosition &before, bool success) const;
     /// Starts the time of a call; the timer has to live until the call ends.
     void beginStoreCall(Topic topic, Duration wait, boost::asio::steady_timer &overdueTimer);
     /// Notes the result of a call; the failure is empty for an answer.
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_MESH_MESSAGE_H
 #define VERBENADOCK_MESH_MESSAGE_H
 
+#include "verbenadock/base/storeposition.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/health/sample.h"
 #include "verbenadock/mesh/upstreamnumber.h"
@@ -57,9 +58,9 @@
 struct StoreHeartbeat
 {
     std::string vm;
-    /// Offsets after the newest records that the sender has.
-    std::uint64_t configurationEnd = 0;
-    std::uint64_t upstreamsEnd = 0;
+    /// Positions after the newest records that the sender has.
+    StorePosition configurationEnd;
+    StorePosition upstreamsEnd;
     /// Whether the store answered the last calls of the sender. A sender without answers may still have records that
     /// other VMs lack.
     bool fresh = true;
@@ -141,6 +142,8 @@
 {
     std::string vm;
     std::string topic;
+    /// Era of the offsets (StorePosition).
+    std::uint64_t era = 0;
     std::uint64_t from = 0;
     std::uint64_t end = 0;
     std::vector<StoreRecord> records;
--- a/include/verbenadock/net/adminserver.h
+++ b/include/verbenadock/net/adminserver.h
@@ -5,7 +5,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <compare>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +15,16 @@
 
 namespace Verbenadock::Net {
 
+/// A page served beside those that all processes have.
+struct AdminPage
+{
+    std::string body;
+    /// Additional header fields, values by name.
+    std::map<std::string, std::string> headers = {};
+
+    auto operator<=>(const AdminPage &) const = default;
+};
+
 /// Serves /ready, /metrics and /dump of a process over HTTP/1.1.
 ///
 /// Usage: `AdminServer admin(context, endpoint, {.ready = ..., .metrics = ..., .dump = ...});` The constructor binds
@@ -26,8 +38,8 @@
         std::function<std::string()> metrics;
         /// The whole state of the process as JSON text.
         std::function<std::string()> dump;
-        /// Returns a further page by its request target, as JSON text; std::nullopt if the page does not exist.
-        std::function<std::optional<std::string>(std::string_view target)> page = {};
+        /// Returns a further page by its request target; std::nullopt if the page does not exist.
+        std::function<std::optional<AdminPage>(std::string_view target)> page = {};
     };
 
     AdminServer(boost::asio::io_context &context, const Endpoint &endpoint, Handlers handlers);
--- a/include/verbenadock/platform/storeclient.h
+++ b/include/verbenadock/platform/storeclient.h
@@ -3,7 +3,9 @@
 
 #include "verbenadock/base/endpoint.h"
 #include "verbenadock/base/error.h"
+#include "verbenadock/base/storeposition.h"
 #include "verbenadock/base/time.h"
+#include "verbenadock/net/adminserver.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -53,6 +55,8 @@
 
 struct StoredPage
 {
+    /// Era of the offsets (StorePosition).
+    std::uint64_t era = 0;
     /// Oldest retained offset.
     std::uint64_t first = 0;
     /// Offset of the next record.
@@ -76,7 +80,7 @@
 struct NewestRecords
 {
     std::vector<KeyedRecord> records;
-    std::uint64_t end = 0;
+    StorePosition end;
 
     bool operator==(const NewestRecords &) const = default;
 };
@@ -107,6 +111,7 @@
     /// Reads records from the offset on; waits up to `wait` for the first one. Throws HistoryGone.
     boost::asio::awaitable<StoredPage> read(std::string topic, std::uint64_t from, Duration wait) const;
 
+    /// Reads all keys. Throws PlatformError also if the store returns from an older copy in between.
     boost::asio::awaitable<NewestRecords> newest(std::string topic) const;
 
 private:
@@ -114,11 +119,11 @@
     Duration timeout;
 };
 
-/// Response body for newest(), for entries that forward records to each other.
-std::string newestPage(const NewestRecords &records);
+/// Response to newest(), for entries that forward records to each other.
+Net::AdminPage newestPage(const NewestRecords &records);
 
-/// Response body for read().
-std::string readPage(const StoredPage &page);
+/// Response to read().
+Net::AdminPage readPage(const StoredPage &page);
 
 /// Parameters of a request for a page.
 struct PageRequest
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -17,6 +17,10 @@
 /// Registrations expire after three missed heartbeats of 1.5 s. A VM that could not reach the store for less than this
 /// time saw no such expiry.
 constexpr Duration MinOutageDuration = std::chrono::seconds(2);
+/// Upstreams that a restored copy does not list yet write their entries again within about 2 s.
+constexpr Duration RegistrationTime = std::chrono::seconds(2);
+/// Entries of a restored copy whose upstreams are gone expire after three heartbeats of 1.5 s.
+constexpr Duration OutdatedEntryLifetime = std::chrono::seconds(6);
 
 using Kind = DirectoryChange::Kind;
 
@@ -43,6 +47,10 @@
         return "record-unreadable";
     case Kind::PageIgnored:
         return "page-ignored";
+    case Kind::EraBegun:
+        return "era-begun";
+    case Kind::OutdatedEntryKept:
+        return "outdated-entry";
     }
     return "unknown";
 }
@@ -73,17 +81,22 @@
 
 void Directory::handle(const UpstreamsRead &event)
 {
-    if (this->upstreamsEnd && event.end < *this->upstreamsEnd) {
-        // The source has older records than this directory.
+    const bool isNewEra = this->upstreamsEnd && event.end.era > this->upstreamsEnd->era;
+    if (this->upstreamsEnd && (event.end < *this->upstreamsEnd || (isNewEra && !event.complete))) {
+        // The source has older records than this directory, or the records before the page are unknown.
         if (!std::exchange(this->ignoresPages, true)) {
-            this->addChange(Kind::PageIgnored, {}, event.end, "ends-before-" + std::to_string(*this->upstreamsEnd));
+            this->addChange(
+                Kind::PageIgnored, {}, event.end.offset, "known-end=" + std::to_string(this->upstreamsEnd->offset));
         }
         return;
     }
     this->ignoresPages = false;
+    if (isNewEra) {
+        this->beginEra(event.end);
+    }
     this->isChanged = this->isChanged || !this->upstreamsEnd;
     for (const auto &record : event.records) {
-        this->applyRecord(record, event.at);
+        this->applyRecord(record, event.end.era, event.at);
     }
     if (event.complete) {
         std::set<std::string_view> present;
@@ -92,7 +105,7 @@
         }
         for (auto &[key, tracked] : this->upstreams) {
             // A record written after the pages were read is newer than the pages.
-            if (!present.contains(key) && tracked.offset < event.end) {
+            if (!present.contains(key) && tracked.position < event.end) {
                 this->removeUpstream(tracked, key, event.end, event.at);
             }
         }
@@ -100,56 +113,90 @@
     this->upstreamsEnd = event.end;
 }
 
-void Directory::applyRecord(const UpstreamRecord &record, TimePoint now)
+void Directory::beginEra(const StorePosition &end)
+{
+    this->addChange(Kind::EraBegun, {}, end.offset, "era=" + std::to_string(end.era));
+    for (auto &[key, tracked] : this->upstreams) {
+        tracked.isFromEarlierEra = true;
+        tracked.outdated.reset();
+    }
+}
+
+bool Directory::isOutdated(const TrackedUpstream &tracked, const UpstreamEntry &entry)
+{
+    if (!tracked.isFromEarlierEra || !tracked.lastStatement) {
+        return false;
+    }
+    const Statement statement{.startedAt = entry.startedAt, .sequence = entry.sequence};
+    // The known entry itself is outdated if its removal is known.
+    return statement < *tracked.lastStatement || (statement == *tracked.lastStatement && !tracked.entry);
+}
+
+void Directory::applyRecord(const UpstreamRecord &record, std::uint64_t era, TimePoint now)
 {
-    const auto [position, isNew] = this->upstreams.try_emplace(record.key);
-    auto &tracked = position->second;
-    if (!isNew && record.offset <= tracked.offset) {
+    const auto [found, isNew] = this->upstreams.try_emplace(record.key);
+    auto &tracked = found->second;
+    const StorePosition position{.era = era, .offset = record.offset};
+    if (!isNew && position <= tracked.position) {
         return;
     }
-    tracked.offset = record.offset;
+    tracked.position = position;
+    tracked.outdated.reset();
     if (const auto *entry = std::get_if<UpstreamEntry>(&record.content)) {
-        this->applyEntry(tracked, record, *entry);
+        if (isOutdated(tracked, *entry)) {
+            tracked.outdated = OutdatedEntry{.entry = *entry, .useAt = now + OutdatedEntryLifetime};
+            this->addChange(Kind::OutdatedEntryKept, record.key, record.offset);
+            return;
+        }
+        this->applyEntry(tracked, record.key, *entry);
     } else if (const auto *unreadable = std::get_if<Unreadable>(&record.content)) {
         this->addChange(Kind::RecordUnreadable, record.key, record.offset, unreadable->reason);
         this->isChanged = this->isChanged || tracked.entry;
         tracked.entry.reset();
         tracked.removeAt.reset();
     } else {
-        this->removeUpstream(tracked, record.key, record.offset, now);
+        this->removeUpstream(tracked, record.key, position, now);
     }
 }
 
-void Directory::applyEntry(TrackedUpstream &tracked, const UpstreamRecord &record, const UpstreamEntry &entry)
+void Directory::applyEntry(TrackedUpstream &tracked, const std::string &key, const UpstreamEntry &entry)
 {
     tracked.removeAt.reset();
+    tracked.isFromEarlierEra = false;
+    tracked.lastStatement = Statement{.startedAt = entry.startedAt, .sequence = entry.sequence};
+    tracked.wasDraining = entry.draining;
     auto comparable = entry;
     // The remaining warm-up decreases with each heartbeat, which is no change of configuration.
     comparable.remainingWarmUp = tracked.entry ? tracked.entry->remainingWarmUp : entry.remainingWarmUp;
+    comparable.sequence = tracked.entry ? tracked.entry->sequence : entry.sequence;
     if (tracked.entry == comparable) {
         return;
     }
     const bool isNewProcess = !tracked.entry || tracked.entry->startedAt != entry.startedAt;
     const auto kind
         = entry.draining ? Kind::UpstreamDraining : (!tracked.entry ? Kind::UpstreamAdded : Kind::UpstreamReplaced);
-    this->addChange(kind, record.key, record.offset, isNewProcess ? "new-process" : "changed-entry");
+    this->addChange(kind, key, tracked.position.offset, isNewProcess ? "new-process" : "changed-entry");
     tracked.entry = entry;
     this->isChanged = true;
 }
 
-void Directory::removeUpstream(TrackedUpstream &tracked, const std::string &key, std::uint64_t offset, TimePoint now)
+void Directory::removeUpstream(TrackedUpstream &tracked,
+                               const std::string &key,
+                               const StorePosition &position,
+                               TimePoint now)
 {
-    tracked.offset = std::max(tracked.offset, offset);
+    const bool isMissingInCopy = tracked.position.era < position.era;
+    tracked.position = std::max(tracked.position, position);
     if (!tracked.entry || tracked.removeAt) {
         return;
     }
     const bool afterOutage = this->storeRecoveredAt && now - *this->storeRecoveredAt < RemovalHoldWindow;
-    if (afterOutage && !tracked.entry->draining) {
-        tracked.removeAt = now + RemovalHoldTime;
-        this->addChange(Kind::RemovalHeld, key, offset, "store-outage");
+    if ((afterOutage || isMissingInCopy) && !tracked.entry->draining) {
+        tracked.removeAt = now + (isMissingInCopy ? RegistrationTime : RemovalHoldTime);
+        this->addChange(Kind::RemovalHeld, key, position.offset, isMissingInCopy ? "older-copy" : "store-outage");
         return;
     }
-    this->addChange(Kind::UpstreamRemoved, key, offset);
+    this->addChange(Kind::UpstreamRemoved, key, position.offset);
     tracked.entry.reset();
     this->isChanged = true;
 }
@@ -157,7 +204,9 @@
 void Directory::handle(const ConfigurationRead &event)
 {
     for (const auto &record : event.records) {
-        if (!this->configurationOffset || record.offset > *this->configurationOffset) {
+        const StorePosition position{.era = event.end.era, .offset = record.offset};
+        if (!this->configurationPosition || position > *this->configurationPosition) {
+            this->configurationPosition = position;
             this->applyConfiguration(record);
         }
     }
@@ -168,7 +217,6 @@
 
 void Directory::applyConfiguration(const ConfigurationRecord &record)
 {
-    this->configurationOffset = record.offset;
     const auto *decoded = std::get_if<OperatorConfiguration>(&record.content);
     if (decoded == nullptr) {
         const auto *unreadable = std::get_if<Unreadable>(&record.content);
@@ -204,11 +252,18 @@
 {
     for (auto &[key, tracked] : this->upstreams) {
         if (tracked.removeAt && *tracked.removeAt <= event.at) {
-            this->addChange(Kind::UpstreamRemoved, key, tracked.offset, "held-removal-due");
+            this->addChange(Kind::UpstreamRemoved, key, tracked.position.offset, "held-removal-due");
             tracked.entry.reset();
             tracked.removeAt.reset();
             this->isChanged = true;
         }
+        if (tracked.outdated && tracked.outdated->useAt <= event.at) {
+            const auto entry = std::exchange(tracked.outdated, std::nullopt)->entry;
+            // A process that leaves does not come back.
+            if (!tracked.wasDraining || entry.startedAt != tracked.lastStatement->startedAt) {
+                this->applyEntry(tracked, key, entry);
+            }
+        }
     }
 }
 
@@ -248,12 +303,12 @@
     return this->operatorSettings;
 }
 
-std::optional<std::uint64_t> Directory::nextUpstreamOffset() const
+std::optional<StorePosition> Directory::nextUpstreamPosition() const
 {
     return this->upstreamsEnd;
 }
 
-std::uint64_t Directory::nextConfigurationOffset() const
+StorePosition Directory::nextConfigurationPosition() const
 {
     return this->configurationEnd;
 }
@@ -265,6 +320,9 @@
         if (tracked.removeAt && (!earliest || *tracked.removeAt < *earliest)) {
             earliest = tracked.removeAt;
         }
+        if (tracked.outdated && (!earliest || tracked.outdated->useAt < *earliest)) {
+            earliest = tracked.outdated->useAt;
+        }
     }
     return earliest;
 }
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -31,6 +31,8 @@
 constexpr int LatencySmoothing = 8;
 /// Delay between two attempts to register in the store.
 constexpr Duration JoinRetryDelay = std::chrono::seconds(1);
+/// Time over which the calls of all VMs are spread after the store returned from an older copy.
+constexpr Duration RejoinSpread = std::chrono::seconds(1);
 
 std::string formatBeliefChange(const Health::PooledStateChange &change)
 {
@@ -116,6 +118,10 @@
             .freshnessLost =
                 [this] {
                     this->sendHeartbeat();
+                },
+            .eraBegun =
+                [this](std::uint64_t era) {
+                    this->beginEra(era);
                 }};
 }
 
@@ -128,16 +134,35 @@
     asio::co_spawn(
         this->context,
         [self = this->shared_from_this()]() -> asio::awaitable<void> {
-            co_await self->joinWithRetries();
+            co_await self->joinWithRetries(false);
+        },
+        asio::detached);
+}
+
+void FleetLink::beginEra(std::uint64_t era)
+{
+    if (era <= this->checkedEra) {
+        return;
+    }
+    this->checkedEra = era;
+    const auto delay = RejoinSpread * static_cast<double>(std::hash<std::string>()(this->members.self().vm))
+                       / static_cast<double>(SIZE_MAX);
+    asio::co_spawn(
+        this->context,
+        [self = this->shared_from_this(), delay]() -> asio::awaitable<void> {
+            asio::steady_timer timer(self->context, std::chrono::duration_cast<Duration>(delay));
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await self->joinWithRetries(true);
         },
         asio::detached);
 }
 
-asio::awaitable<void> FleetLink::joinWithRetries()
+asio::awaitable<void> FleetLink::joinWithRetries(bool onlyIfUnregistered)
 {
     const Platform::StoreClient store(this->settings.store->endpoint, StoreTimeout);
     while (!this->stopped) {
-        const bool joined = co_await this->join(store);
+        const bool joined = co_await this->join(store, onlyIfUnregistered);
         if (joined) {
             co_return;
         }
@@ -147,11 +172,19 @@
     }
 }
 
-asio::awaitable<bool> FleetLink::join(const Platform::StoreClient &store)
+asio::awaitable<bool> FleetLink::join(const Platform::StoreClient &store, bool onlyIfUnregistered)
 {
     const std::string topic(Platform::MembersTopic);
     try {
         const auto &self = this->members.self();
+        if (onlyIfUnregistered) {
+            const auto registered = co_await store.newest(topic);
+            if (std::ranges::any_of(registered.records, [&self](const auto &record) {
+                    return internal::decodeMember(record) == self;
+                })) {
+                co_return true;
+            }
+        }
         co_await store.append(topic, Platform::joinKeyed(self.vm, internal::encodeMember(self)));
         const auto newest = co_await store.newest(topic);
         for (const auto &record : newest.records) {
@@ -323,10 +356,11 @@
         return;
     }
     auto &directory = this->follower->directory();
-    this->sendToLocalVms(Mesh::StoreHeartbeat{.vm = this->members.self().vm,
-                                              .configurationEnd = directory.nextConfigurationOffset(),
-                                              .upstreamsEnd = directory.nextUpstreamOffset().value_or(0),
-                                              .fresh = this->follower->isFresh(now)});
+    this->sendToLocalVms(
+        Mesh::StoreHeartbeat{.vm = this->members.self().vm,
+                             .configurationEnd = directory.nextConfigurationPosition(),
+                             .upstreamsEnd = directory.nextUpstreamPosition().value_or(StorePosition{}),
+                             .fresh = this->follower->isFresh(now)});
 }
 
 void FleetLink::observe(const Core::ReportReserveUse &use)
@@ -454,7 +488,7 @@
     this->socket.close(ignored);
 }
 
-std::optional<std::string> FleetLink::page(std::string_view target) const
+std::optional<Net::AdminPage> FleetLink::page(std::string_view target) const
 {
     return this->follower->page(target);
 }
@@ -465,8 +499,9 @@
     return Json{{"vms", this->members.size()},
                 {"addresses", this->members.addresses()},
                 {"reads_store", this->election.isReader(monotonicNow())},
-                {"configuration_end", directory.nextConfigurationOffset()},
-                {"upstreams_end", directory.nextUpstreamOffset().value_or(0)}}
+                {"store_era", directory.nextConfigurationPosition().era},
+                {"configuration_end", directory.nextConfigurationPosition().offset},
+                {"upstreams_end", directory.nextUpstreamPosition().value_or(StorePosition{}).offset}}
         .dump();
 }
 
--- a/src/fleet/recordcache.cpp
+++ b/src/fleet/recordcache.cpp
@@ -66,7 +66,7 @@
     if (from < first) {
         return std::nullopt;
     }
-    Platform::StoredPage page{.first = first, .end = this->end, .records = {}};
+    Platform::StoredPage page{.era = this->era, .first = first, .end = this->end, .records = {}};
     for (const auto &record : this->tail) {
         if (record.offset >= from) {
             page.records.push_back(record);
@@ -77,22 +77,24 @@
 
 void RecordCache::reset(const Platform::NewestRecords &newest)
 {
-    if (newest.end >= this->end) {
+    const StorePosition known{.era = this->era, .offset = this->end};
+    if (newest.end >= known) {
         this->byKey.clear();
-        if (newest.end > this->end) {
+        if (newest.end > known) {
             // The records in between were not read, so that the tail would have a gap.
             this->tail.clear();
         }
         for (const auto &record : newest.records) {
             this->byKey.insert_or_assign(record.key, record);
         }
-        this->end = newest.end;
+        this->era = newest.end.era;
+        this->end = newest.end.offset;
     }
 }
 
 Platform::NewestRecords RecordCache::newest() const
 {
-    Platform::NewestRecords result{.records = {}, .end = this->end};
+    Platform::NewestRecords result{.records = {}, .end = {.era = this->era, .offset = this->end}};
     for (const auto &[key, record] : this->byKey) {
         result.records.push_back(record);
     }
--- a/src/fleet/recordmessages.cpp
+++ b/src/fleet/recordmessages.cpp
@@ -28,7 +28,8 @@
         }
         if (bytes + size > MaxMessageBytes) {
             const auto begin = messages.empty() ? from : messages.back().end;
-            messages.push_back({.vm = vm, .topic = std::string(topic), .from = begin, .end = begin, .records = {}});
+            messages.push_back(
+                {.vm = vm, .topic = std::string(topic), .era = page.era, .from = begin, .end = begin, .records = {}});
             bytes = 0;
         }
         messages.back().records.push_back({.offset = record.offset, .data = record.data});
@@ -41,14 +42,14 @@
     return messages;
 }
 
-std::optional<Platform::StoredPage> followingRecords(const Mesh::StoreRecords &message, std::uint64_t next)
+std::optional<Platform::StoredPage> followingRecords(const Mesh::StoreRecords &message, StorePosition next)
 {
-    if (next < message.from || next >= message.end) {
+    if (message.era != next.era || next.offset < message.from || next.offset >= message.end) {
         return std::nullopt;
     }
-    Platform::StoredPage page{.first = message.from, .end = message.end, .records = {}};
+    Platform::StoredPage page{.era = message.era, .first = message.from, .end = message.end, .records = {}};
     for (const auto &record : message.records) {
-        if (record.offset >= next) {
+        if (record.offset >= next.offset) {
             page.records.push_back({.offset = record.offset, .data = record.data});
         }
     }
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -23,7 +23,6 @@
 
 /// The store answers within 4 ms, under load within 250 ms. A removed upstream has to be known within 2 s.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(700);
-constexpr Duration PeerTimeout = std::chrono::milliseconds(300);
 /// Maximum time that a call waits for new records. With a longer wait, a dead connection would be detected too late.
 constexpr Duration LongPollTime = std::chrono::milliseconds(1000);
 /// Time that the store takes for an answer under load. After it the call counts as unanswered for the other VMs, which
@@ -39,10 +38,6 @@
 /// The store is reported as lost after failing for this long. A single lost answer is no outage.
 constexpr Duration LossThreshold = std::chrono::seconds(1);
 
-/// Maximum size of a page served to another VM. A VM with a slow link could not receive all of its missing records
-/// within the time-out, and would miss even more records at the next try.
-constexpr std::size_t MaxRelayedBytes = 16 * 1024;
-
 std::vector<Platform::KeyedRecord> decodeKeyed(const std::vector<Platform::StoredRecord> &records)
 {
     std::vector<Platform::KeyedRecord> result;
@@ -130,23 +125,33 @@
     return topic == Topic::Configuration ? this->configurationProgress : this->upstreamsProgress;
 }
 
-std::uint64_t StoreFollower::nextOffset(Topic topic) const
+const StoreFollower::Progress &StoreFollower::progressOf(Topic topic) const
+{
+    return topic == Topic::Configuration ? this->configurationProgress : this->upstreamsProgress;
+}
+
+bool StoreFollower::readsStore(Topic topic) const
+{
+    const auto &progress = this->progressOf(topic);
+    return !progress.complete || progress.restartsFromNewest || this->nextPosition(topic) < progress.missedEnd
+           || this->handlers.readsStore();
+}
+
+StorePosition StoreFollower::nextPosition(Topic topic) const
 {
-    return topic == Topic::Configuration ? this->currentDirectory.nextConfigurationOffset()
-                                         : this->currentDirectory.nextUpstreamOffset().value_or(0);
+    return topic == Topic::Configuration ? this->currentDirectory.nextConfigurationPosition()
+                                         : this->currentDirectory.nextUpstreamPosition().value_or(StorePosition{});
 }
 
 asio::awaitable<void> StoreFollower::follow(Topic topic)
 {
     auto retryDelay = InitialRetryDelay;
     while (!this->stopped) {
-        const auto &progress = this->progressOf(topic);
-        const bool lacksRecords = this->nextOffset(topic) < progress.missedEnd;
-        if (progress.complete && !lacksRecords && !this->handlers.readsStore()) {
+        if (!this->readsStore(topic)) {
             co_await this->sleepFor(this->settings.pollInterval);
             continue;
         }
-        const auto before = this->nextOffset(topic);
+        const auto before = this->nextPosition(topic);
         const bool success = co_await this->readNext(topic);
         if (!success) {
             co_await this->readFromRandomPeer(topic);
@@ -155,7 +160,7 @@
             continue;
         }
         retryDelay = InitialRetryDelay;
-        if (this->nextOffset(topic) != before) {
+        if (this->nextPosition(topic) != before) {
             co_await this->sleepFor(BatchDelay);
         }
     }
@@ -163,23 +168,30 @@
 
 asio::awaitable<bool> StoreFollower::readNext(Topic topic)
 {
-    if (!this->progressOf(topic).complete) {
+    if (!this->progressOf(topic).complete || this->progressOf(topic).restartsFromNewest) {
         co_return co_await this->readNewest(topic, this->settings.endpoint);
     }
     std::string failure;
     const std::string name(nameOf(topic));
-    const auto from = this->nextOffset(topic);
+    const auto from = this->nextPosition(topic);
     asio::steady_timer overdueTimer(this->context);
     try {
         this->beginStoreCall(topic, LongPollTime, overdueTimer);
-        const auto page = co_await this->store.read(name, from, LongPollTime);
-        this->applyPage(topic, from, page);
-        const auto newRecords = this->cacheOf(topic).recordsFrom(from);
-        if (!page.records.empty() && newRecords) {
-            this->handlers.recordsRead(name, from, *newRecords);
+        const auto page = co_await this->store.read(name, from.offset, LongPollTime);
+        if (page.era < from.era) {
+            throw Platform::PlatformError("the store answered from an earlier era");
+        }
+        if (page.era > from.era) {
+            this->progressOf(topic).restartsFromNewest = true;
+        } else {
+            this->applyPage(topic, from.offset, page);
+            const auto newRecords = this->cacheOf(topic).recordsFrom(from.offset);
+            if (!page.records.empty() && newRecords) {
+                this->handlers.recordsRead(name, from.offset, *newRecords);
+            }
         }
     } catch (const Platform::HistoryGone &) {
-        this->progressOf(topic).complete = false;
+        this->progressOf(topic).restartsFromNewest = true;
     } catch (const Platform::PlatformError &error) {
         failure = error.what();
     }
@@ -195,65 +207,6 @@
     return fresh(this->configurationProgress) && fresh(this->upstreamsProgress);
 }
 
-void StoreFollower::catchUpFrom(const Endpoint &peer, std::uint64_t configurationEnd, std::uint64_t upstreamsEnd)
-{
-    const auto fetchMissing = [this, &peer](Topic topic, std::uint64_t end) {
-        auto &progress = this->progressOf(topic);
-        if (end <= this->nextOffset(topic) || progress.fetching || this->stopped) {
-            return;
-        }
-        progress.fetching = true;
-        asio::co_spawn(
-            this->context,
-            [self = this->shared_from_this(), topic, peer, end]() -> asio::awaitable<void> {
-                co_await self->fetchUntil(topic, peer, end);
-            },
-            asio::detached);
-    };
-    fetchMissing(Topic::Configuration, configurationEnd);
-    fetchMissing(Topic::Upstreams, upstreamsEnd);
-}
-
-asio::awaitable<void> StoreFollower::fetchUntil(Topic topic, Endpoint peer, std::uint64_t end)
-{
-    const auto start = this->nextOffset(topic);
-    bool success = true;
-    auto before = start;
-    do {
-        before = this->nextOffset(topic);
-        success = co_await this->readFromPeer(topic, peer);
-    } while (success && !this->stopped && this->nextOffset(topic) > before && this->nextOffset(topic) < end);
-    if (success && !this->stopped && this->nextOffset(topic) < end) {
-        // The pages of that VM do not lead to what it has, for whatever reason; all of its records do.
-        success = co_await this->readNewest(topic, peer);
-    }
-    this->progressOf(topic).fetching = false;
-    // The other VMs may be too busy to serve pages to all VMs that lack them.
-    this->progressOf(topic).missedEnd = end;
-    this->logRelayed(topic, peer, start, success);
-}
-
-asio::awaitable<bool> StoreFollower::readFromPeer(Topic topic, Endpoint peer)
-{
-    // A full read is avoided where possible: the newest records of all upstreams take about 100 KB in a large
-    // deployment, and many VMs ask the same VM at once.
-    if (this->progressOf(topic).complete) {
-        try {
-            this->pagesFromPeers.add();
-            const Platform::StoreClient client(peer, PeerTimeout);
-            const auto from = this->nextOffset(topic);
-            const auto page = co_await client.read(std::string(nameOf(topic)), from, Duration(0));
-            this->applyPage(topic, from, page);
-            co_return true;
-        } catch (const Platform::PlatformError &error) {
-            logChange(LogLevel::Info,
-                      "store_relay_incomplete topic=" + std::string(nameOf(topic)) + " from=" + toString(peer)
-                          + " reason=\"" + error.what() + "\"");
-        }
-    }
-    co_return co_await this->readNewest(topic, peer);
-}
-
 asio::awaitable<bool> StoreFollower::readNewest(Topic topic, Endpoint source)
 {
     const bool fromStore = source == this->settings.endpoint;
@@ -267,9 +220,19 @@
             this->pagesFromPeers.add();
         }
         const Platform::StoreClient client(source, fromStore ? StoreTimeout : PeerTimeout);
+        const auto known = this->nextPosition(topic);
         const auto newest = co_await client.newest(name);
+        if (newest.end < known) {
+            throw Platform::PlatformError("the newest records end before the known ones");
+        }
         this->applyRecords(topic, newest.records, newest.end, true);
-        this->progressOf(topic).complete = true;
+        auto &progress = this->progressOf(topic);
+        const bool isNewEra = progress.complete && newest.end.era > known.era;
+        progress.complete = true;
+        progress.restartsFromNewest = false;
+        if (isNewEra) {
+            this->handlers.eraBegun(newest.end.era);
+        }
     } catch (const Platform::PlatformError &error) {
         failure = error.what();
     }
@@ -279,26 +242,6 @@
     co_return failure.empty();
 }
 
-asio::awaitable<void> StoreFollower::readFromRandomPeer(Topic topic)
-{
-    const auto peers = this->handlers.peerEndpoints();
-    if (peers.empty() || this->stopped) {
-        co_return;
-    }
-    const auto peer = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(this->random)];
-    const auto before = this->nextOffset(topic);
-    const bool success = co_await this->readFromPeer(topic, peer);
-    this->logRelayed(topic, peer, before, success);
-}
-
-void StoreFollower::logRelayed(Topic topic, const Endpoint &peer, std::uint64_t before, bool success) const
-{
-    logChange(LogLevel::Info,
-              "store_relayed topic=" + std::string(nameOf(topic)) + " from=" + toString(peer)
-                  + " success=" + (success ? "true" : "false") + " offset_before=" + std::to_string(before)
-                  + " offset_after=" + std::to_string(this->nextOffset(topic)));
-}
-
 std::string_view StoreFollower::nameOf(Topic topic)
 {
     return topic == Topic::Configuration ? Platform::ConfigurationTopic : Platform::UpstreamsTopic;
@@ -306,13 +249,13 @@
 
 void StoreFollower::applyRecords(Topic topic,
                                  const std::vector<Platform::KeyedRecord> &records,
-                                 std::uint64_t end,
+                                 const StorePosition &end,
                                  bool complete)
 {
     if (complete) {
         this->cacheOf(topic).reset({.records = records, .end = end});
     } else {
-        this->cacheOf(topic).append(records, end);
+        this->cacheOf(topic).append(records, end.offset);
     }
     if (topic == Topic::Configuration) {
         this->applyConfiguration(records, end);
@@ -325,10 +268,10 @@
 {
     // The store states the end of the topic also in a page that it ended before, because of the page's size.
     const auto readEnd = std::min(page.end, from + page.records.size());
-    this->applyRecords(topic, decodeKeyed(page.records), readEnd, false);
+    this->applyRecords(topic, decodeKeyed(page.records), {.era = page.era, .offset = readEnd}, false);
 }
 
-void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end)
+void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end)
 {
     Discovery::ConfigurationRead event{.at = monotonicNow(), .records = {}, .end = end};
     for (const auto &record : records) {
@@ -339,7 +282,9 @@
     this->apply(event);
 }
 
-void StoreFollower::applyUpstreams(const std::vector<Platform::KeyedRecord> &records, std::uint64_t end, bool complete)
+void StoreFollower::applyUpstreams(const std::vector<Platform::KeyedRecord> &records,
+                                   const StorePosition &end,
+                                   bool complete)
 {
     Discovery::UpstreamsRead event{.at = monotonicNow(), .records = {}, .complete = complete, .end = end};
     for (const auto &record : records) {
@@ -430,38 +375,4 @@
     return topic == Topic::Configuration ? this->configurationRecords : this->upstreamRecords;
 }
 
-void StoreFollower::applyRecords(const Mesh::StoreRecords &message)
-{
-    for (const auto topic : {Topic::Configuration, Topic::Upstreams}) {
-        if (message.topic != nameOf(topic) || !this->progressOf(topic).complete || this->stopped) {
-            continue;
-        }
-        if (const auto newRecords = followingRecords(message, this->nextOffset(topic))) {
-            this->pushedMessages.add();
-            this->applyRecords(topic, decodeKeyed(newRecords->records), newRecords->end, false);
-        }
-    }
-}
-
-std::optional<std::string> StoreFollower::page(std::string_view target) const
-{
-    const auto request = Platform::pageRequest(target);
-    const bool isConfiguration
-        = request && request->topic == Platform::ConfigurationTopic && this->configurationProgress.complete;
-    const bool isUpstreams = request && request->topic == Platform::UpstreamsTopic && this->upstreamsProgress.complete;
-    if (!isConfiguration && !isUpstreams) {
-        return std::nullopt;
-    }
-    const auto &records = this->cacheOf(isConfiguration ? Topic::Configuration : Topic::Upstreams);
-    if (!request->from) {
-        return Platform::newestPage(records.newest());
-    }
-    auto page = records.recordsFrom(*request->from);
-    if (!page) {
-        return std::nullopt;
-    }
-    truncatePage(*page, MaxRelayedBytes);
-    return Platform::readPage(*page);
-}
-
 } // namespace Verbenadock::Fleet
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 // Incremented with each change of the format, so that VMs of different releases ignore each other's messages.
-constexpr int FormatVersion = 8;
+constexpr int FormatVersion = 9;
 constexpr std::size_t MaxTextBytes = 128;
 constexpr std::uint64_t MaxInFlight = 1'000'000;
 constexpr auto MaxAge = std::chrono::minutes(1);
@@ -63,8 +63,10 @@
     return Json::array({FormatVersion,
                         static_cast<int>(Kind::StoreHeartbeat),
                         heartbeat.vm,
-                        heartbeat.configurationEnd,
-                        heartbeat.upstreamsEnd,
+                        heartbeat.configurationEnd.era,
+                        heartbeat.configurationEnd.offset,
+                        heartbeat.upstreamsEnd.era,
+                        heartbeat.upstreamsEnd.offset,
                         heartbeat.fresh ? 1 : 0});
 }
 
@@ -107,8 +109,13 @@
 
 Json fields(const StoreRecords &records)
 {
-    auto json = Json::array(
-        {FormatVersion, static_cast<int>(Kind::StoreRecords), records.vm, records.topic, records.from, records.end});
+    auto json = Json::array({FormatVersion,
+                             static_cast<int>(Kind::StoreRecords),
+                             records.vm,
+                             records.topic,
+                             records.era,
+                             records.from,
+                             records.end});
     for (const auto &record : records.records) {
         json.push_back(record.offset);
         json.push_back(Json::binary({record.data.begin(), record.data.end()}));
@@ -197,11 +204,17 @@
         reader.number(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(MaxAge).count()))));
 }
 
+StorePosition readPosition(FieldReader &reader)
+{
+    const auto era = reader.number(UINT64_MAX);
+    return {.era = era, .offset = reader.number(UINT64_MAX)};
+}
+
 void read(FieldReader &reader, StoreHeartbeat &heartbeat)
 {
     heartbeat.vm = reader.text();
-    heartbeat.configurationEnd = reader.number(UINT64_MAX);
-    heartbeat.upstreamsEnd = reader.number(UINT64_MAX);
+    heartbeat.configurationEnd = readPosition(reader);
+    heartbeat.upstreamsEnd = readPosition(reader);
     heartbeat.fresh = reader.number(1) == 1;
 }
 
@@ -248,6 +261,7 @@
 {
     records.vm = reader.text();
     records.topic = reader.text();
+    records.era = reader.number(UINT64_MAX);
     records.from = reader.number(UINT64_MAX);
     records.end = reader.number(UINT64_MAX);
     while (reader.hasMore()) {
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -39,7 +39,10 @@
     } else if (path == "/dump") {
         fillResponse(response, http::status::ok, "application/json", handlers.dump());
     } else if (auto page = handlers.page ? handlers.page(target) : std::nullopt) {
-        fillResponse(response, http::status::ok, "application/json", std::move(*page));
+        for (const auto &[name, value] : page->headers) {
+            response.set(name, value);
+        }
+        fillResponse(response, http::status::ok, "application/json", std::move(page->body));
     } else {
         fillResponse(response, http::status::not_found, "text/plain", "no such page\n");
     }
--- a/test/discovery/directorytest.cpp
+++ b/test/discovery/directorytest.cpp
@@ -28,7 +28,7 @@
                             Duration after = 0s,
                             bool complete = false)
 {
-    return {.at = Start + after, .records = std::move(records), .complete = complete, .end = end};
+    return {.at = Start + after, .records = std::move(records), .complete = complete, .end = {.offset = end}};
 }
 
 ConfigurationRead configurationRead(std::uint64_t version, std::uint64_t offset)
@@ -36,7 +36,7 @@
     OperatorConfiguration configuration{.version = version, .services = {{.name = "vydej"}, {.name = "katalog"}}};
     configuration.routes.push_back({.host = "h", .service = "vydej"});
     configuration.routes.push_back({.host = "k", .service = "katalog", .idempotent = true});
-    return {.at = Start, .records = {{.offset = offset, .content = configuration}}, .end = offset + 1};
+    return {.at = Start, .records = {{.offset = offset, .content = configuration}}, .end = {.offset = offset + 1}};
 }
 
 /// Ids of the upstreams in the current configuration.
@@ -89,11 +89,11 @@
 {
     Directory directory;
     directory.apply(configurationRead(1, 3));
-    CHECK(directory.nextConfigurationOffset() == 4);
-    CHECK(directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = 9}).empty());
-    CHECK(directory.nextConfigurationOffset() == 9);
-    directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = 7});
-    CHECK(directory.nextConfigurationOffset() == 9);
+    CHECK(directory.nextConfigurationPosition().offset == 4);
+    CHECK(directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = {.offset = 9}}).empty());
+    CHECK(directory.nextConfigurationPosition().offset == 9);
+    directory.apply(ConfigurationRead{.at = Start, .records = {}, .end = {.offset = 7}});
+    CHECK(directory.nextConfigurationPosition().offset == 9);
     CHECK(directory.apply(configurationRead(2, 9)).front().kind == Kind::ConfigurationApplied);
 }
 
@@ -194,3 +194,122 @@
         CHECK((service.detection.trialPatience == 0) == (service.name == "vydej"));
     }
 }
+
+namespace {
+
+UpstreamEntry statement(std::int64_t startedAt, std::uint64_t sequence, bool draining = false)
+{
+    auto result = entry("i-1", startedAt, draining);
+    result.sequence = sequence;
+    return result;
+}
+
+/// All records of a copy of the store, whose offsets begin anew.
+UpstreamsRead copyRead(std::vector<UpstreamRecord> records, std::uint64_t end, std::uint64_t era = 1)
+{
+    auto event = upstreamsRead(std::move(records), end, 1s, true);
+    event.end.era = era;
+    return event;
+}
+
+/// A directory that read statements of one upstream before the store returned from a copy.
+Directory directoryAfter(const std::vector<std::variant<UpstreamEntry, Removed, Unreadable>> &statements)
+{
+    auto directory = directoryWith({}, 0);
+    std::uint64_t offset = 100;
+    for (const auto &content : statements) {
+        directory.apply(upstreamsRead({{.key = "i-1", .offset = offset, .content = content}}, offset + 1));
+        ++offset;
+    }
+    return directory;
+}
+
+} // namespace
+
+// Guards against requests to upstreams whose leaving the restored copy does not know.
+TEST_CASE("an older entry in a restored copy does not replace what an upstream said later")
+{
+    for (const bool removed : {false, true}) {
+        INFO("removed " << removed);
+        auto directory = directoryAfter({statement(1, 5), statement(1, 6, true)});
+        if (removed) {
+            directory.apply(upstreamsRead({{.key = "i-1", .offset = 200, .content = Removed{}}}, 201));
+        }
+        const auto changes = directory.apply(copyRead({{.key = "i-1", .offset = 3, .content = statement(1, 5)}}, 4));
+        CHECK(changes.back().kind == Kind::OutdatedEntryKept);
+        CHECK(upstreamIds(directory).empty());
+        REQUIRE(directory.nextDeadline());
+        directory.apply(DeadlineReached{.at = *directory.nextDeadline()});
+        CHECK(upstreamIds(directory).empty());
+    }
+}
+
+// Guards against upstreams that stay out of use after their registration expired in an outage, because they write the
+// same entry as before.
+TEST_CASE("a removed upstream is used again if the restored store still lists it after entries have expired")
+{
+    auto directory = directoryAfter({statement(1, 5), Removed{}});
+    directory.apply(copyRead({{.key = "i-1", .offset = 3, .content = statement(1, 5)}}, 4));
+    CHECK(upstreamIds(directory).empty());
+    REQUIRE(directory.nextDeadline());
+    directory.apply(DeadlineReached{.at = *directory.nextDeadline()});
+    CHECK(upstreamIds(directory) == std::vector<std::string>{"i-1@1"});
+}
+
+TEST_CASE("a newer entry in a restored copy is used at once, also one of another process")
+{
+    for (const auto &newer : {statement(1, 7), statement(2, 1)}) {
+        auto directory = directoryAfter({statement(1, 5), Removed{}});
+        directory.apply(copyRead({{.key = "i-1", .offset = 3, .content = newer}}, 4));
+        CHECK(upstreamIds(directory).size() == 1);
+    }
+}
+
+TEST_CASE("records that are written after the store's return count by their offsets in the new era")
+{
+    auto directory = directoryAfter({statement(1, 5)});
+    directory.apply(copyRead({{.key = "i-1", .offset = 3, .content = statement(1, 5)}}, 4));
+    auto leaving = upstreamsRead({{.key = "i-1", .offset = 4, .content = statement(1, 6, true)}}, 5, 2s);
+    leaving.end.era = 1;
+    directory.apply(leaving);
+    CHECK(upstreamIds(directory).empty());
+    CHECK(directory.nextUpstreamPosition() == StorePosition{.era = 1, .offset = 5});
+    // A VM that has not heard of the return still has the offsets of before.
+    directory.apply(upstreamsRead({{.key = "i-1", .offset = 300, .content = statement(1, 5)}}, 301, 3s, true));
+    CHECK(upstreamIds(directory).empty());
+}
+
+TEST_CASE("an upstream that a restored copy does not list is used for the time in which it registers again")
+{
+    auto directory = directoryAfter({statement(1, 5)});
+    CHECK(directory.apply(copyRead({}, 4)).back().kind == Kind::RemovalHeld);
+    CHECK(upstreamIds(directory).size() == 1);
+    REQUIRE(directory.nextDeadline());
+    CHECK(*directory.nextDeadline() - (Start + 1s) <= 2s);
+    directory.apply(DeadlineReached{.at = *directory.nextDeadline()});
+    CHECK(upstreamIds(directory).empty());
+}
+
+// Guards against the loss of the records between the end of the copy and the page.
+TEST_CASE("a page of a new era is ignored until all newest records were read")
+{
+    auto directory = directoryAfter({statement(1, 5)});
+    auto event = copyRead({{.key = "i-1", .offset = 200, .content = statement(1, 6, true)}}, 201);
+    event.complete = false;
+    CHECK(directory.apply(event).front().kind == Kind::PageIgnored);
+    CHECK(directory.nextUpstreamPosition()->era == 0);
+}
+
+TEST_CASE("an older configuration of a restored copy is refused, and a newer one is taken at a lower offset")
+{
+    Directory directory;
+    directory.apply(configurationRead(7, 50));
+    auto copy = configurationRead(5, 2);
+    copy.end.era = 1;
+    CHECK(directory.apply(copy).front().kind == Kind::ConfigurationRefused);
+    CHECK(directory.operatorConfiguration()->version == 7);
+    auto newer = configurationRead(8, 3);
+    newer.end.era = 1;
+    CHECK(directory.apply(newer).front().kind == Kind::ConfigurationApplied);
+    CHECK(directory.nextConfigurationPosition() == StorePosition{.era = 1, .offset = 4});
+}
--- a/test/fleet/recordcachetest.cpp
+++ b/test/fleet/recordcachetest.cpp
@@ -11,8 +11,8 @@
 RecordCache cacheWithThreeOffsets()
 {
     RecordCache cache;
-    cache.reset(
-        {.records = {{.offset = 4, .key = "a", .value = "1"}, {.offset = 9, .key = "b", .value = "1"}}, .end = 10});
+    cache.reset({.records = {{.offset = 4, .key = "a", .value = "1"}, {.offset = 9, .key = "b", .value = "1"}},
+                 .end = {.offset = 10}});
     cache.append({{.offset = 10, .key = "a", .value = "2"}, {.offset = 12, .key = "b", .value = std::nullopt}}, 13);
     return cache;
 }
@@ -58,12 +58,12 @@
 TEST_CASE("a cache with the newest records only has no page for older offsets")
 {
     RecordCache cache;
-    cache.reset({.records = {{.offset = 600, .key = "a", .value = "1"}}, .end = 601});
+    cache.reset({.records = {{.offset = 600, .key = "a", .value = "1"}}, .end = {.offset = 601}});
     CHECK_FALSE(cache.recordsFrom(0));
     CHECK_FALSE(cache.recordsFrom(600));
     CHECK(cache.recordsFrom(601)->records.empty());
     cache.append({{.offset = 601, .key = "a", .value = "2"}}, 602);
-    cache.reset({.records = {{.offset = 601, .key = "a", .value = "2"}}, .end = 602});
+    cache.reset({.records = {{.offset = 601, .key = "a", .value = "2"}}, .end = {.offset = 602}});
     const auto kept = cache.recordsFrom(601);
     REQUIRE(kept);
     CHECK(kept->records.size() == 1);
@@ -86,7 +86,7 @@
 TEST_CASE("the newest records contain no removed keys")
 {
     const auto newest = cacheWithThreeOffsets().newest();
-    CHECK(newest.end == 13);
+    CHECK(newest.end.offset == 13);
     REQUIRE(newest.records.size() == 1);
     CHECK(newest.records.front() == KeyedRecord{.offset = 10, .key = "a", .value = "2"});
 }
@@ -132,5 +132,20 @@
     const auto newest = cache.newest();
     REQUIRE(newest.records.size() == 1);
     CHECK(newest.records.front() == KeyedRecord{.offset = 2, .key = "a", .value = "draining"});
-    CHECK(newest.end == 4);
+    CHECK(newest.end.offset == 4);
+}
+
+// Guards against VMs that get records of before the store's return under the offsets of after it.
+TEST_CASE("the records of a new era replace all others, with lower offsets")
+{
+    auto cache = cacheWithThreeOffsets();
+    cache.reset({.records = {{.offset = 2, .key = "c", .value = "1"}}, .end = {.era = 1, .offset = 3}});
+    cache.append({{.offset = 3, .key = "c", .value = "2"}}, 4);
+    const auto newest = cache.newest();
+    REQUIRE(newest.records.size() == 1);
+    CHECK(newest.records.front() == KeyedRecord{.offset = 3, .key = "c", .value = "2"});
+    CHECK(newest.end == StorePosition{.era = 1, .offset = 4});
+    CHECK_FALSE(cache.recordsFrom(2));
+    REQUIRE(cache.recordsFrom(3));
+    CHECK(cache.recordsFrom(3)->era == 1);
 }
--- a/test/fleet/recordmessagestest.cpp
+++ b/test/fleet/recordmessagestest.cpp
@@ -30,7 +30,7 @@
         CHECK(datagram.size() < 2000);
         const auto read = Mesh::decode(datagram);
         REQUIRE(read);
-        const auto following = followingRecords(std::get<Mesh::StoreRecords>(*read), next);
+        const auto following = followingRecords(std::get<Mesh::StoreRecords>(*read), {.offset = next});
         REQUIRE(following);
         next = following->end;
         received.insert(received.end(), following->records.begin(), following->records.end());
@@ -43,9 +43,9 @@
 {
     const auto messages = recordMessages("a-1", "keyed.servers", 100, pageOf(100, 4, 300));
     REQUIRE(messages.size() == 1);
-    CHECK_FALSE(followingRecords(messages.front(), 99));
-    CHECK_FALSE(followingRecords(messages.front(), 104));
-    const auto rest = followingRecords(messages.front(), 102);
+    CHECK_FALSE(followingRecords(messages.front(), {.offset = 99}));
+    CHECK_FALSE(followingRecords(messages.front(), {.offset = 104}));
+    const auto rest = followingRecords(messages.front(), {.offset = 102});
     REQUIRE(rest);
     REQUIRE(rest->records.size() == 2);
     CHECK(rest->records.front().offset == 102);
@@ -57,7 +57,7 @@
 {
     const auto messages = recordMessages("a-1", "keyed.servers", 0, pageOf(0, 12, 300));
     REQUIRE(messages.size() > 1);
-    CHECK_FALSE(followingRecords(messages[1], messages[0].from));
+    CHECK_FALSE(followingRecords(messages[1], {.offset = messages[0].from}));
 }
 
 // A configuration with hundreds of routes takes about 100 KB.
@@ -79,3 +79,15 @@
     REQUIRE(messages.size() == 1);
     CHECK(messages.front().end == 12);
 }
+
+// Guards against records of before the store's return under offsets that were given out again.
+TEST_CASE("messages of another era are ignored")
+{
+    auto page = pageOf(100, 4, 300);
+    page.era = 2;
+    const auto messages = recordMessages("a-1", "keyed.servers", 100, page);
+    REQUIRE(messages.size() == 1);
+    CHECK_FALSE(followingRecords(messages.front(), {.era = 1, .offset = 102}));
+    CHECK_FALSE(followingRecords(messages.front(), {.era = 3, .offset = 102}));
+    CHECK(followingRecords(messages.front(), {.era = 2, .offset = 102}));
+}
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -27,7 +27,7 @@
 class PageServer
 {
 public:
-    PageServer(boost::asio::io_context &loop, std::function<std::optional<std::string>(std::string_view)> page)
+    PageServer(boost::asio::io_context &loop, std::function<std::optional<Net::AdminPage>(std::string_view)> page)
         : server(loop,
                  {.address = "127.0.6.1", .port = 0},
                  {.ready =
@@ -82,7 +82,7 @@
     }
 
 private:
-    std::optional<std::string> page(std::string_view target) const
+    std::optional<Net::AdminPage> page(std::string_view target) const
     {
         const auto request = Platform::pageRequest(target);
         const RecordCache empty;
@@ -118,7 +118,8 @@
                                                                                     return false;
                                                                                 },
                                                                             .recordsRead = [](auto...) {},
-                                                                            .freshnessLost = [] {}});
+                                                                            .freshnessLost = [] {},
+                                                                            .eraBegun = [](auto) {}});
     follower->start();
     return follower;
 }
@@ -170,7 +171,7 @@
     REQUIRE(runUntil(loop, [&restarted] {
         return versionOf(*restarted) == 3;
     }));
-    behind->catchUpFrom(peer.endpoint(), restarted->directory().nextConfigurationOffset(), 0);
+    behind->catchUpFrom(peer.endpoint(), restarted->directory().nextConfigurationPosition(), {});
     CHECK(runUntil(loop, [&behind] {
         return versionOf(*behind) == 3;
     }));
@@ -189,7 +190,7 @@
         store.write({.offset = offset, .key = "other", .value = std::string(LongConfigurationBytes, 'x')});
     }
     store.write(configurationRecord(4, 2, LongConfigurationBytes));
-    const PageServer peer(loop, [&store](std::string_view target) -> std::optional<std::string> {
+    const PageServer peer(loop, [&store](std::string_view target) -> std::optional<Net::AdminPage> {
         const auto request = Platform::pageRequest(target);
         if (!request || !request->from) {
             return std::nullopt;
@@ -198,7 +199,7 @@
         truncatePage(*page, LongConfigurationBytes);
         return Platform::readPage(*page);
     });
-    behind->catchUpFrom(peer.endpoint(), 5, 0);
+    behind->catchUpFrom(peer.endpoint(), {.offset = 5}, {});
     CHECK(runUntil(loop, [&behind] {
         return versionOf(*behind) == 2;
     }));
@@ -214,11 +215,11 @@
     FakeStore store(loop);
     const auto behind = makeFollower(loop, store.endpoint(), registry);
     REQUIRE(runUntil(loop, [&behind] {
-        return behind->directory().nextUpstreamOffset().has_value();
+        return behind->directory().nextUpstreamPosition().has_value();
     }));
     RecordCache upstreams;
     upstreams.append({{.offset = 0, .key = "first", .value = "{}"}, {.offset = 1, .key = "second", .value = "{}"}}, 2);
-    const PageServer peer(loop, [&upstreams](std::string_view target) -> std::optional<std::string> {
+    const PageServer peer(loop, [&upstreams](std::string_view target) -> std::optional<Net::AdminPage> {
         const auto request = Platform::pageRequest(target);
         if (!request || !request->from) {
             return std::nullopt;
@@ -228,9 +229,9 @@
         page->records.resize(std::min<std::size_t>(page->records.size(), 1));
         return Platform::readPage(*page);
     });
-    behind->catchUpFrom(peer.endpoint(), 0, 2);
+    behind->catchUpFrom(peer.endpoint(), {}, {.offset = 2});
     CHECK(runUntil(loop, [&behind] {
-        const auto known = behind->page("/v1/log-newest?topic=keyed.servers&part=0").value_or("");
+        const auto known = behind->page("/v1/log-newest?topic=keyed.servers&part=0").value_or(Net::AdminPage{}).body;
         return known.find("first") != std::string::npos && known.find("second") != std::string::npos;
     }));
     behind->stop();
@@ -245,10 +246,10 @@
     FakeStore store(loop);
     const auto behind = followerOfFirstVersion(loop, store, registry);
     store.write(configurationRecord(1, 2, 0));
-    const PageServer busy(loop, [](std::string_view) -> std::optional<std::string> {
+    const PageServer busy(loop, [](std::string_view) -> std::optional<Net::AdminPage> {
         return std::nullopt;
     });
-    behind->catchUpFrom(busy.endpoint(), 2, 0);
+    behind->catchUpFrom(busy.endpoint(), {.offset = 2}, {});
     CHECK(runUntil(loop, [&behind] {
         return versionOf(*behind) == 2;
     }));
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -33,7 +33,9 @@
                       .cause = Health::Cause::Reset,
                       .early = true,
                       .age = std::chrono::milliseconds(4)},
-        StoreHeartbeat{.vm = "7", .configurationEnd = 12, .upstreamsEnd = UINT64_MAX},
+        StoreHeartbeat{.vm = "7",
+                       .configurationEnd = {.era = 3, .offset = 12},
+                       .upstreamsEnd = {.era = UINT64_MAX, .offset = UINT64_MAX}},
         VmLoads{.vm = "7", .loads = {{.upstream = UINT64_MAX, .inFlight = 3}}},
         ReserveUse{.vm = "7", .service = "vydej"},
         DataCentreLoads{.vm = "7",
@@ -44,6 +46,7 @@
                       .loads = {{.upstream = 1, .inFlight = 3}, {.upstream = UINT64_MAX, .inFlight = 0}}},
         StoreRecords{.vm = "7",
                      .topic = "keyed.servers",
+                     .era = 2,
                      .from = 3,
                      .end = 5,
                      .records = {{.offset = 3, .data = std::string("\0a", 2)}, {.offset = 4, .data = ""}}}};
@@ -128,7 +131,8 @@
         election.noteHeartbeat(reader, false, Start + 100ms);
     }
     CHECK(election.isReader(Start + 100ms));
-    const StoreHeartbeat heartbeat{.vm = "7", .configurationEnd = 2, .upstreamsEnd = 30, .fresh = false};
+    const StoreHeartbeat heartbeat{
+        .vm = "7", .configurationEnd = {.offset = 2}, .upstreamsEnd = {.offset = 30}, .fresh = false};
     CHECK(decode(encode(heartbeat)) == Message(heartbeat));
 }
 
--- a/test/platform/decodingtest.cpp
+++ b/test/platform/decodingtest.cpp
@@ -47,7 +47,8 @@
                                             .slots = 4,
                                             .draining = false,
                                             .remainingWarmUp = 500ms,
-                                            .startedAt = 1784693996039};
+                                            .startedAt = 1784693996039,
+                                            .sequence = 4};
     REQUIRE(std::holds_alternative<Discovery::UpstreamEntry>(decoded.content));
     CHECK(std::get<Discovery::UpstreamEntry>(decoded.content) == expected);
     CHECK(std::holds_alternative<Discovery::Removed>(
@@ -160,6 +161,7 @@
     CHECK_FALSE(pageRequest("/metrics?topic=keyed.servers"));
     const NewestRecords records{
         .records = {{.offset = 1, .key = "a", .value = "x"}, {.offset = 2, .key = "b", .value = std::nullopt}},
-        .end = 3};
-    CHECK(newestPage(records) == R"({"end":3,"hasMore":false,"items":[{"key":"a","offset":1,"value":"eA=="}]})");
+        .end = {.era = 2, .offset = 3}};
+    CHECK(newestPage(records).headers.at("store-era") == "2");
+    CHECK(newestPage(records).body == R"({"end":3,"hasMore":false,"items":[{"key":"a","offset":1,"value":"eA=="}]})");
 }
