Let the metrics of an entry outlive its event loop

Callers: none at that moment; a process that had answered all of them aborted instead of ending, which the platform counts as one that ends by itself. Cause: the metrics were destroyed before the event loop, whose destruction closes the callers' connections, each of which sets a gauge. Change: the registry is declared before the context.

--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -64,8 +64,9 @@
     void finish(int status);
 
     Settings::EntrySettings settings;
-    boost::asio::io_context context;
+    /// Outlives the context, which destroys coroutines that still count.
     Telemetry::MetricsRegistry registry;
+    boost::asio::io_context context;
     Telemetry::Counter &refusedBundles;
     Telemetry::Counter &unexpectedMessages;
     Telemetry::Gauge &droppedLines;
