Satisfy the linter in two process tests

Callers: nothing. Cause: two findings of clang-tidy. Change: a reserved vector, a string built by append. Measured: both tests pass, the linter finds nothing in them.

--- a/test/integration/cutreaderstest.cpp
+++ b/test/integration/cutreaderstest.cpp
@@ -78,6 +78,7 @@
     for (std::uint64_t round = 0; round < 3; ++round) {
         const auto cut = readers(fleet);
         std::vector<std::string> routes;
+        routes.reserve(cut.size());
         for (const auto vm : cut) {
             routes.push_back("store-" + fleet.vms[vm].id);
         }
--- a/test/integration/endlessbytestest.cpp
+++ b/test/integration/endlessbytestest.cpp
@@ -77,8 +77,11 @@
         ++open;
         threads.emplace_back([&fleet, &open, service, number] {
             Testing::TestSocket caller(fleet.vms[0].entryListen());
-            caller.send("GET /" + service + "/x HTTP/1.1\r\nHost: fleet.example\r\nVerbenadock-Request-Id: " + service
-                        + std::to_string(number) + "\r\nVerbenadock-Deadline-Ms: 4000\r\nConnection: close\r\n\r\n");
+            std::string request = "GET /";
+            request.append(service).append("/x HTTP/1.1\r\nHost: fleet.example\r\nVerbenadock-Request-Id: ");
+            request.append(service).append(std::to_string(number));
+            request.append("\r\nVerbenadock-Deadline-Ms: 4000\r\nConnection: close\r\n\r\n");
+            caller.send(request);
             if (number % 2 == 0) {
                 caller.waitForEnd();
             } else {
