Let the store of the soak return from older copies

Callers: nothing. Change: now and then the store is away for up to 1.5 s, comes back from a copy that is 1 to 4 s old, and the operators and upstreams write again within 1.5 s. At the end each entry has to know all upstreams.

--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -197,6 +197,7 @@
 
 void StoreFleet::configure(std::uint64_t version)
 {
+    this->newestVersion = version;
     auto resources = Json::array();
     for (const auto &service : this->spec.services) {
         resources.push_back({{"entryKind", "services"},
@@ -218,6 +219,10 @@
 
 void StoreFleet::registerUpstream(const FleetUpstream &upstream, bool draining, unsigned lifetime)
 {
+    {
+        const std::lock_guard lock(this->registrationsMutex);
+        this->registrations[upstream.id] = {.draining = draining, .lifetime = lifetime};
+    }
     const auto service = std::ranges::find(this->spec.services, upstream.service, &ServiceSpec::name);
     const Json entry = {
         {"address", toString({upstream.address, Ports::Upstream})},
@@ -231,6 +236,10 @@
 
 void StoreFleet::removeUpstream(const FleetUpstream &upstream)
 {
+    {
+        const std::lock_guard lock(this->registrationsMutex);
+        this->registrations[upstream.id].removed = true;
+    }
     this->append("keyed.servers", upstream.id, "");
 }
 
@@ -290,6 +299,23 @@
     postJson(this->control(Ports::LogControl), "/restore", Json::object());
 }
 
+void StoreFleet::writeAgain()
+{
+    this->configure(this->newestVersion);
+    for (const auto &upstream : this->upstreams) {
+        Registration last;
+        {
+            const std::lock_guard lock(this->registrationsMutex);
+            last = this->registrations[upstream.id];
+        }
+        if (last.removed) {
+            this->removeUpstream(upstream);
+        } else {
+            this->registerUpstream(upstream, last.draining, last.lifetime);
+        }
+    }
+}
+
 Json StoreFleet::storeState() const
 {
     return getJson(this->control(Ports::LogControl), "/state");
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <set>
 
 namespace Verbenadock::Test {
@@ -65,6 +66,8 @@
     /// Keeps a copy of the store's records, and brings back the last copy; what was written in between is gone.
     void copyStore() const;
     void restoreStore() const;
+    /// Writes the configuration and the last entry or removal of each upstream again.
+    void writeAgain();
     Json storeState() const;
     /// Removes the registrations of VMs from the store.
     void forgetMembers(const std::vector<std::string> &ids) const;
@@ -89,8 +92,19 @@
     AddressBlock addresses;
     std::string platformAddress;
     std::vector<std::unique_ptr<Process>> platform;
+    /// What was written last of an upstream.
+    struct Registration
+    {
+        bool removed = false;
+        bool draining = false;
+        unsigned lifetime = 1;
+    };
+
     /// Counts what the upstreams write of themselves.
     std::atomic<std::uint64_t> statements = 0;
+    std::mutex registrationsMutex;
+    std::map<std::string, Registration> registrations;
+    std::atomic<std::uint64_t> newestVersion = 0;
 };
 
 } // namespace Verbenadock::Test
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -27,6 +27,14 @@
 /// Seed of the announcements, added to that of the faults, so that the faults of a seed stay what they were.
 constexpr std::uint64_t AnnouncementSeed = 0x5eed;
 
+constexpr auto ShortestDrillGapMs = 1000;
+constexpr auto LongestDrillGapMs = 4000;
+/// Time that the store is away before it returns from a copy.
+constexpr auto LongestDrillMs = 1500;
+/// Time in which the operators and the upstreams write again.
+constexpr auto LongestRewriteMs = 1500;
+constexpr std::uint64_t DrillSeed = 0xd1;
+
 } // namespace
 
 Faults::Faults(Test::StoreFleet &served, std::uint64_t seed, std::atomic<std::uint64_t> &newest, RunRecord &record)
@@ -35,6 +43,7 @@
     , run(record)
     , random(seed)
     , announcementRandom(seed + AnnouncementSeed)
+    , drillRandom(seed + DrillSeed)
 {
     for (const auto &upstream : this->fleet.upstreams) {
         this->lifetimes[upstream.id] = 1;
@@ -75,6 +84,12 @@
                                      ShortestAnnouncementGapMs, LongestAnnouncementGapMs)(this->announcementRandom));
         this->announce();
     }
+    if (now >= this->nextDrillStep) {
+        this->nextDrillStep = now
+                              + std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                                  ShortestDrillGapMs, LongestDrillGapMs)(this->drillRandom));
+        this->drillStore();
+    }
 }
 
 void Faults::announce()
@@ -345,6 +360,33 @@
     });
 }
 
+void Faults::drillStore()
+{
+    const auto draw = [this](int longestMs) {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(0, longestMs)(this->drillRandom));
+    };
+    const auto away = draw(LongestDrillMs);
+    const auto rewriteDelay = draw(LongestRewriteMs);
+    if (!this->hasCopy) {
+        this->fleet.copyStore();
+        this->hasCopy = true;
+    } else if (this->busy["store"] == 0) {
+        this->hasCopy = false;
+        const auto act = [this] {
+            this->fleet.setStore({{"outage", "error"}});
+            this->fleet.restoreStore();
+        };
+        this->disturb("store", "drill", away, act, [this, rewriteDelay] {
+            this->fleet.setStore({{"outage", "none"}});
+            // What is written in the meantime is newer than the copy.
+            this->pending.push_back({.at = monotonicNow() + rewriteDelay, .undo = [this] {
+                                         this->fleet.setStore({{"outage", "none"}, {"delayMs", 0}});
+                                         this->fleet.writeAgain();
+                                     }});
+        });
+    }
+}
+
 void Faults::configure()
 {
     this->fleet.configure(this->newestVersion + 1);
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -55,6 +55,8 @@
     void sickenUpstream(const Test::FleetUpstream &upstream);
     void leave(const Test::FleetUpstream &upstream);
     void breakStore();
+    /// Has the store return from a copy that is some seconds old, or takes the copy for it.
+    void drillStore();
     void configure();
 
     std::size_t pick(std::size_t count);
@@ -65,8 +67,11 @@
     RunRecord &run;
     std::mt19937_64 random;
     std::mt19937_64 announcementRandom;
+    std::mt19937_64 drillRandom;
     TimePoint nextStart{};
     TimePoint nextAnnouncement{};
+    TimePoint nextDrillStep{};
+    bool hasCopy = false;
     std::vector<Pending> pending;
     /// Subjects with a fault under way.
     std::map<std::string, int> busy;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -36,7 +36,18 @@
 /// After the last fault, callers have to be served again within this time.
 constexpr auto RecoveryLimit = std::chrono::seconds(15);
 
-/// Waits until every entry answers a claim on the newest version.
+/// Whether an entry has all upstreams in use, each once.
+bool knowsAllUpstreams(const Test::StoreFleet &fleet, std::size_t vm)
+{
+    const auto dump = fleet.entryDump(vm);
+    std::size_t known = 0;
+    for (const auto &service : dump.at("services")) {
+        known += service.at("upstreams").size();
+    }
+    return known == fleet.upstreams.size();
+}
+
+/// Waits until every entry answers a claim on the newest version and knows that all upstreams are back.
 std::vector<std::string> judgeRecovery(const Test::StoreFleet &fleet, std::uint64_t version, RunRecord &run)
 {
     std::vector<std::string> broken;
@@ -63,6 +74,12 @@
         if (status != 200) {
             broken.push_back("recovery: " + fleet.vms[vm].id + " does not serve version " + std::to_string(version));
         }
+        while (!knowsAllUpstreams(fleet, vm) && monotonicNow() < until) {
+            std::this_thread::sleep_for(Step);
+        }
+        if (!knowsAllUpstreams(fleet, vm)) {
+            broken.push_back("recovery: " + fleet.vms[vm].id + " does not know all upstreams");
+        }
     }
     return broken;
 }
