Apply the record that follows a read in which its key was missing

Callers: a registered upstream without requests from some VMs, capacity that was lost. Cause: a key that is missing in a read of all newest records got the end of the read as its last offset, so that a registration with exactly that offset was dropped as known. Change: the directory keeps the position after the newest record of a key. An entry of a restored copy that waits for its use is dropped when its key is missing or removed.

--- a/include/verbenadock/discovery/directory.h
+++ b/include/verbenadock/discovery/directory.h
@@ -142,13 +142,15 @@
     struct OutdatedEntry
     {
         UpstreamEntry entry;
+        std::uint64_t offset = 0;
         /// Time at which it is used if the store still lists it.
         TimePoint useAt;
     };
 
     struct TrackedUpstream
     {
-        StorePosition position;
+        /// Position after the newest known record, or after the pages in which the key was missing.
+        StorePosition next;
         std::optional<UpstreamEntry> entry;
         /// Time at which a held removal takes effect.
         std::optional<TimePoint> removeAt;
@@ -170,8 +172,8 @@
     void beginEra(const StorePosition &end);
     void applyRecord(const UpstreamRecord &record, std::uint64_t era, TimePoint now);
     static bool isOutdated(const TrackedUpstream &tracked, const UpstreamEntry &entry);
-    void applyEntry(TrackedUpstream &tracked, const std::string &key, const UpstreamEntry &entry);
-    void removeUpstream(TrackedUpstream &tracked, const std::string &key, const StorePosition &position, TimePoint now);
+    void applyEntry(TrackedUpstream &tracked, const std::string &key, std::uint64_t offset, const UpstreamEntry &entry);
+    void removeUpstream(TrackedUpstream &tracked, const std::string &key, const StorePosition &next, TimePoint now);
     void addChange(DirectoryChange::Kind kind,
                    const std::string &subject,
                    std::uint64_t offset,
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -105,7 +105,7 @@
         }
         for (auto &[key, tracked] : this->upstreams) {
             // A record written after the pages were read is newer than the pages.
-            if (!present.contains(key) && tracked.position < event.end) {
+            if (!present.contains(key) && tracked.next <= event.end) {
                 this->removeUpstream(tracked, key, event.end, event.at);
             }
         }
@@ -137,29 +137,33 @@
     const auto [found, isNew] = this->upstreams.try_emplace(record.key);
     auto &tracked = found->second;
     const StorePosition position{.era = era, .offset = record.offset};
-    if (!isNew && position <= tracked.position) {
+    if (!isNew && position < tracked.next) {
         return;
     }
-    tracked.position = position;
+    tracked.next = {.era = era, .offset = record.offset + 1};
     tracked.outdated.reset();
     if (const auto *entry = std::get_if<UpstreamEntry>(&record.content)) {
         if (isOutdated(tracked, *entry)) {
-            tracked.outdated = OutdatedEntry{.entry = *entry, .useAt = now + OutdatedEntryLifetime};
+            tracked.outdated
+                = OutdatedEntry{.entry = *entry, .offset = record.offset, .useAt = now + OutdatedEntryLifetime};
             this->addChange(Kind::OutdatedEntryKept, record.key, record.offset);
             return;
         }
-        this->applyEntry(tracked, record.key, *entry);
+        this->applyEntry(tracked, record.key, record.offset, *entry);
     } else if (const auto *unreadable = std::get_if<Unreadable>(&record.content)) {
         this->addChange(Kind::RecordUnreadable, record.key, record.offset, unreadable->reason);
         this->isChanged = this->isChanged || tracked.entry;
         tracked.entry.reset();
         tracked.removeAt.reset();
     } else {
-        this->removeUpstream(tracked, record.key, position, now);
+        this->removeUpstream(tracked, record.key, tracked.next, now);
     }
 }
 
-void Directory::applyEntry(TrackedUpstream &tracked, const std::string &key, const UpstreamEntry &entry)
+void Directory::applyEntry(TrackedUpstream &tracked,
+                           const std::string &key,
+                           std::uint64_t offset,
+                           const UpstreamEntry &entry)
 {
     tracked.removeAt.reset();
     tracked.isFromEarlierEra = false;
@@ -175,28 +179,29 @@
     const bool isNewProcess = !tracked.entry || tracked.entry->startedAt != entry.startedAt;
     const auto kind
         = entry.draining ? Kind::UpstreamDraining : (!tracked.entry ? Kind::UpstreamAdded : Kind::UpstreamReplaced);
-    this->addChange(kind, key, tracked.position.offset, isNewProcess ? "new-process" : "changed-entry");
+    this->addChange(kind, key, offset, isNewProcess ? "new-process" : "changed-entry");
     tracked.entry = entry;
     this->isChanged = true;
 }
 
 void Directory::removeUpstream(TrackedUpstream &tracked,
                                const std::string &key,
-                               const StorePosition &position,
+                               const StorePosition &next,
                                TimePoint now)
 {
-    const bool isMissingInCopy = tracked.position.era < position.era;
-    tracked.position = std::max(tracked.position, position);
+    const bool isMissingInCopy = tracked.next.era < next.era;
+    tracked.next = std::max(tracked.next, next);
+    tracked.outdated.reset();
     if (!tracked.entry || tracked.removeAt) {
         return;
     }
     const bool afterOutage = this->storeRecoveredAt && now - *this->storeRecoveredAt < RemovalHoldWindow;
     if ((afterOutage || isMissingInCopy) && !tracked.entry->draining) {
         tracked.removeAt = now + (isMissingInCopy ? RegistrationTime : RemovalHoldTime);
-        this->addChange(Kind::RemovalHeld, key, position.offset, isMissingInCopy ? "older-copy" : "store-outage");
+        this->addChange(Kind::RemovalHeld, key, next.offset, isMissingInCopy ? "older-copy" : "store-outage");
         return;
     }
-    this->addChange(Kind::UpstreamRemoved, key, position.offset);
+    this->addChange(Kind::UpstreamRemoved, key, next.offset);
     tracked.entry.reset();
     this->isChanged = true;
 }
@@ -252,16 +257,16 @@
 {
     for (auto &[key, tracked] : this->upstreams) {
         if (tracked.removeAt && *tracked.removeAt <= event.at) {
-            this->addChange(Kind::UpstreamRemoved, key, tracked.position.offset, "held-removal-due");
+            this->addChange(Kind::UpstreamRemoved, key, tracked.next.offset, "held-removal-due");
             tracked.entry.reset();
             tracked.removeAt.reset();
             this->isChanged = true;
         }
         if (tracked.outdated && tracked.outdated->useAt <= event.at) {
-            const auto entry = std::exchange(tracked.outdated, std::nullopt)->entry;
+            const auto outdated = *std::exchange(tracked.outdated, std::nullopt);
             // A process that leaves does not come back.
-            if (!tracked.wasDraining || entry.startedAt != tracked.lastStatement->startedAt) {
-                this->applyEntry(tracked, key, entry);
+            if (!tracked.wasDraining || outdated.entry.startedAt != tracked.lastStatement->startedAt) {
+                this->applyEntry(tracked, key, outdated.offset, outdated.entry);
             }
         }
     }
--- a/test/discovery/directorytest.cpp
+++ b/test/discovery/directorytest.cpp
@@ -195,6 +195,16 @@
     }
 }
 
+// Seen in the soak: an upstream that registered again as the first record after all newest ones were read was not used.
+TEST_CASE("the record that follows the pages in which its key was missing is applied")
+{
+    auto directory = directoryWith({{.key = "i-1", .offset = 0, .content = entry("i-1")}}, 1);
+    directory.apply(upstreamsRead({}, 5, 1s, true));
+    CHECK(upstreamIds(directory).empty());
+    directory.apply(upstreamsRead({{.key = "i-1", .offset = 5, .content = entry("i-1")}}, 6, 2s));
+    CHECK(upstreamIds(directory) == std::vector<std::string>{"i-1@1"});
+}
+
 namespace {
 
 UpstreamEntry statement(std::int64_t startedAt, std::uint64_t sequence, bool draining = false)
