Let VMs take over from unanswered readers one after the other

Callers: nothing. A single lost answer to one of two readers made all other VMs of the data centre call the store, since freshness ends sooner than before. Cause: the delay by rank held for silent readers only. Change: the delay of 40 ms for each preceding VM, 480 ms at most, holds for unanswered readers too. A VM that reads a new era tells the others at once.

--- a/include/verbenadock/mesh/readerelection.h
+++ b/include/verbenadock/mesh/readerelection.h
@@ -27,7 +27,7 @@
     void setPeers(std::map<std::string, std::uint64_t> vms);
 
     /// Records a heartbeat of a reader in the own data centre. `fresh` is false when the store does not answer that
-    /// reader; further VMs then read as well.
+    /// reader; further VMs then read as well, one after the other.
     void noteHeartbeat(const std::string &vm, bool fresh, TimePoint now);
 
     bool isReader(TimePoint now) const;
@@ -43,7 +43,8 @@
     struct Heartbeat
     {
         TimePoint at;
-        bool fresh = false;
+        /// Until then the store counts as answering this reader.
+        TimePoint answeredUntil = TimePoint::min();
     };
 
     /// Orders VMs with the same processor share. A hash instead of the name avoids that all readers are in the same
@@ -57,6 +58,8 @@
     std::uint64_t ownRank;
     std::uint64_t ownProcessor;
     std::map<std::string, std::uint64_t> peerProcessors;
+    /// Time that this VM waits longer than the first one before it takes over.
+    Duration takeoverDelay{0};
     Duration silenceLimit;
     std::map<std::string, Heartbeat> lastHeartbeats;
 };
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -145,6 +145,7 @@
         return;
     }
     this->checkedEra = era;
+    this->sendHeartbeat();
     const auto delay = RejoinSpread * static_cast<double>(std::hash<std::string>()(this->members.self().vm))
                        / static_cast<double>(SIZE_MAX);
     asio::co_spawn(
--- a/src/mesh/readerelection.cpp
+++ b/src/mesh/readerelection.cpp
@@ -87,12 +87,19 @@
     const auto preceding = std::ranges::count_if(this->peerProcessors, [this](const auto &other) {
         return this->precedes(other.first);
     });
-    this->silenceLimit = SilenceLimit + std::min(MaxTakeoverDelay, TakeoverStep * preceding);
+    this->takeoverDelay = std::min<Duration>(MaxTakeoverDelay, TakeoverStep * preceding);
+    this->silenceLimit = SilenceLimit + this->takeoverDelay;
 }
 
 void ReaderElection::noteHeartbeat(const std::string &vm, bool fresh, TimePoint now)
 {
-    this->lastHeartbeats[vm] = {.at = now, .fresh = fresh};
+    auto &last = this->lastHeartbeats[vm];
+    last.at = now;
+    if (fresh) {
+        last.answeredUntil = TimePoint::max();
+    } else if (last.answeredUntil == TimePoint::max()) {
+        last.answeredUntil = now + this->takeoverDelay;
+    }
     std::erase_if(this->lastHeartbeats, [this, now](const auto &entry) {
         return now - entry.second.at > this->silenceLimit;
     });
@@ -111,7 +118,7 @@
     std::ptrdiff_t unanswered = 0;
     for (const auto &[vm, last] : this->lastHeartbeats) {
         if (now - last.at <= this->silenceLimit && this->precedes(vm)) {
-            ++(last.fresh ? answered : unanswered);
+            ++(now < last.answeredUntil ? answered : unanswered);
         }
     }
     return answered < ReaderCount && unanswered < MaxUnansweredReaders;
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -192,6 +192,45 @@
     CHECK(lateReaders == Vms);
 }
 
+// Guards against a burst of calls after a single answer of the store was lost: all other VMs would call the store until
+// the reader is answered again.
+TEST_CASE("the VMs of a data centre take over from unanswered readers one after the other")
+{
+    constexpr int Vms = 44;
+    std::map<std::string, std::uint64_t> processors;
+    for (int number = 1; number <= Vms; ++number) {
+        processors.emplace("front-a-" + std::to_string(number), 0);
+    }
+    std::vector<std::string> readers;
+    for (const auto &[name, processor] : processors) {
+        ReaderElection election(name);
+        for (const auto &[other, otherProcessor] : processors) {
+            election.noteHeartbeat(other, true, Start);
+        }
+        if (election.isReader(Start)) {
+            readers.push_back(name);
+        }
+    }
+    REQUIRE(readers.size() == 2);
+    int earlyReaders = 0;
+    int lateReaders = 0;
+    for (const auto &[name, processor] : processors) {
+        ReaderElection election(name);
+        auto others = processors;
+        others.erase(name);
+        election.setPeers(others);
+        for (const auto &reader : readers) {
+            election.noteHeartbeat(reader, true, Start);
+            election.noteHeartbeat(reader, false, Start + 100ms);
+        }
+        earlyReaders += election.isReader(Start + 230ms) ? 1 : 0;
+        lateReaders += election.isReader(Start + 600ms) ? 1 : 0;
+    }
+    CHECK(earlyReaders >= 3);
+    CHECK(earlyReaders <= 6);
+    CHECK(lateReaders == Vms);
+}
+
 // Guards against weak readers. With VMs of 0.1 to 0.5 cores, 41 VMs fetched a new configuration at once from a reader
 // with a tenth of a core, which answered none of them in time: they had it 3 s after the store.
 TEST_CASE("the VMs with the largest processor share read the store")
