--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -138,6 +138,8 @@
     bool wasReader = false;
     /// Era of the store in which the registration of this VM was last checked.
     std::uint64_t checkedEra = 0;
+    /// This VM has told the others that it stops.
+    bool leaving = false;
     bool stopped = false;
     Telemetry::Counter &sentMessages;
     Telemetry::Counter &receivedMessages;
