Call a VM fresh only once the store has answered it since it began to read

Callers: requests on old routes and at upstreams that had left, where VMs that took over from cut readers were cut off as well. Cause: a VM that began to read again counted the answer of its last stint, seconds before, and kept the next VMs from reading until its first call was overdue. Change: the state ends with the reading; the first call returns at once, and a change is told at once.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -37,8 +37,8 @@
         std::function<bool()> readsStore;
         /// The store returned new records of a topic, starting at offset `from`.
         std::function<void(std::string_view topic, std::uint64_t from, const Platform::StoredPage &)> recordsRead;
-        /// The store failed to answer a call, or is late with an answer; isFresh() is false.
-        std::function<void()> freshnessLost;
+        /// The result of isFresh() may have changed.
+        std::function<void()> freshnessChanged;
         /// The store returned from an older copy and may have lost what this VM wrote there.
         std::function<void(std::uint64_t era)> eraBegun;
     };
@@ -86,7 +86,7 @@
         bool fetching = false;
         /// End of the last records that were fetched from another VM. If not all of them arrived, the store is read.
         StorePosition missedEnd;
-        /// The store answered the last call that ended.
+        /// The store answered the last call that ended, and this VM has read on since.
         bool answered = false;
         /// Time by which the store should have answered the running call; empty without one.
         std::optional<TimePoint> overdueAt;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -108,7 +108,7 @@
                     }
                     this->sendHeartbeat();
                 },
-            .freshnessLost =
+            .freshnessChanged =
                 [this] {
                     this->sendHeartbeat();
                 },
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -148,6 +148,8 @@
     auto retryDelay = InitialRetryDelay;
     while (!this->stopped) {
         if (!this->readsStore(topic)) {
+            // What the store answered before says nothing about whether it answers this VM when it reads again.
+            this->progressOf(topic).answered = false;
             co_await this->sleepFor(this->settings.pollInterval);
             continue;
         }
@@ -176,8 +178,10 @@
     const auto from = this->nextPosition(topic);
     asio::steady_timer overdueTimer(this->context);
     try {
-        this->beginStoreCall(topic, LongPollTime, overdueTimer);
-        const auto page = co_await this->store.read(name, from.offset, LongPollTime);
+        // The first call is answered at once, so that the other VMs soon know whether they can rely on this one.
+        const auto wait = this->progressOf(topic).answered ? LongPollTime : Duration(0);
+        this->beginStoreCall(topic, wait, overdueTimer);
+        const auto page = co_await this->store.read(name, from.offset, wait);
         if (page.era < from.era) {
             throw Platform::PlatformError("the store answered from an earlier era");
         }
@@ -315,7 +319,7 @@
     overdueTimer.expires_after(limit);
     overdueTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
         if (!error && !self->stopped) {
-            self->handlers.freshnessLost();
+            self->handlers.freshnessChanged();
         }
     });
 }
@@ -326,6 +330,9 @@
     auto &progress = this->progressOf(topic);
     progress.overdueAt.reset();
     const bool wasAnswered = std::exchange(progress.answered, failure.empty());
+    if (progress.answered != wasAnswered && !this->stopped) {
+        this->handlers.freshnessChanged();
+    }
     if (failure.empty()) {
         this->failingSince.reset();
         if (this->storeLost) {
@@ -335,9 +342,6 @@
         }
         return;
     }
-    if (wasAnswered && !this->stopped) {
-        this->handlers.freshnessLost();
-    }
     this->storeFailures.add();
     logChange(LogLevel::Warning,
               "store_call_failed topic=" + std::string(nameOf(topic)) + " reason=\"" + failure + "\"");
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -118,7 +118,7 @@
                                                                                     return false;
                                                                                 },
                                                                             .recordsRead = [](auto...) {},
-                                                                            .freshnessLost = [] {},
+                                                                            .freshnessChanged = [] {},
                                                                             .eraBegun = [](auto) {}});
     follower->start();
     return follower;
@@ -255,3 +255,17 @@
     }));
     behind->stop();
 }
+
+// Guards against a VM that takes over from cut readers, is cut off itself, and keeps the others from reading because
+// the store answered it long ago.
+TEST_CASE("a VM that has not read the store since it was a reader does not count as answered by it")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    const auto follower = followerOfFirstVersion(loop, store, registry);
+    CHECK(runUntil(loop, [&follower] {
+        return !follower->isFresh(monotonicNow());
+    }));
+    follower->stop();
+}
--- a/test/integration/cutreaderstest.cpp
+++ b/test/integration/cutreaderstest.cpp
@@ -70,13 +70,20 @@
 // Guards against VMs that trust the heartbeats of readers which no longer hear from the store.
 TEST_CASE("VMs whose readers are cut off from the store learn of a leaving and of a version within 2 s")
 {
+    // With four of six, VMs that take over are cut off as well.
+    const std::size_t cutVms = GENERATE(2, 4);
     StoreFleet fleet(PROGRAM_DIR, {.services = {{.name = "vydej", .upstreams = 3}}, .dataCentres = {"a"}, .vms = Vms});
     fleet.start();
     waitFor("two readers", std::chrono::seconds(5), [&fleet] {
         return readers(fleet).size() == 2;
     });
     for (std::uint64_t round = 0; round < 3; ++round) {
-        const auto cut = readers(fleet);
+        auto cut = readers(fleet);
+        for (std::size_t vm = 0; vm < fleet.vms.size() && cut.size() < cutVms; ++vm) {
+            if (std::ranges::find(cut, vm) == cut.end()) {
+                cut.push_back(vm);
+            }
+        }
         std::vector<std::string> routes;
         routes.reserve(cut.size());
         for (const auto vm : cut) {
@@ -93,7 +100,7 @@
         const auto prefix = "/v" + std::to_string(version) + "/";
         for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
             if (std::ranges::find(cut, vm) == cut.end()) {
-                INFO(fleet.vms[vm].id << " in round " << round);
+                INFO(fleet.vms[vm].id << " in round " << round << " with " << cutVms << " cut VMs");
                 CHECK(fleet.call(vm, StoreFleet::claim("cut-" + std::to_string(vm), prefix)).status == 200);
                 CHECK(fleet.entryDump(vm).at("services").at(0).at("upstreams").size() == 2);
             }
