--- a/include/verbenadock/bundle/bundle.h
+++ b/include/verbenadock/bundle/bundle.h
@@ -3,6 +3,7 @@
 
 #include "verbenadock/base/endpoint.h"
 #include "verbenadock/base/time.h"
+#include "verbenadock/bundle/customer.h"
 
 #include <compare>
 #include <cstddef>
@@ -85,6 +86,21 @@
     auto operator<=>(const Budgets &) const = default;
 };
 
+/// How an upstream is chosen among those that may take a request.
+enum class Balancing {
+    /// The one with the lowest known load.
+    LeastLoaded,
+    /// At random, so that the load is even once the requests of all entries since the last reports have arrived.
+    Even,
+};
+
+/// Who is served first within a priority while a service is short of capacity.
+enum class Sharing {
+    ByArrival,
+    /// Equal shares for customers, or for routes where there are no customers.
+    Fair,
+};
+
 /// Group of interchangeable upstreams that answer the same requests.
 struct Service
 {
@@ -108,6 +124,8 @@
     /// Whether the id of an upstream names a single process, so that its announcement to leave holds for good.
     /// Otherwise the announcement expires, in case the upstream stays after all.
     bool idsNameProcesses = false;
+    Balancing balancing = Balancing::LeastLoaded;
+    Sharing sharing = Sharing::ByArrival;
 
     auto operator<=>(const Service &) const = default;
 };
@@ -123,7 +141,7 @@
 };
 
 /// Order in which requests are served when capacity is short.
-enum class Priority {
+enum class Priority : int {
     High,
     Normal,
     Low,
@@ -147,6 +165,10 @@
     Duration targetLatency{0};
     /// Distributes the requests over several services by weight; `service` is empty in this case.
     std::vector<WeightedService> split = {};
+    /// Whether requests need no key of a customer.
+    bool isPublic = false;
+    /// Whether answers are large, so that the transfer of an answer may take longer than the work.
+    bool hasLargeAnswers = false;
 
     auto operator<=>(const Route &) const = default;
 };
@@ -169,6 +191,8 @@
     std::vector<Service> services;
     std::vector<Route> routes;
     std::vector<CallerLimit> callerLimits;
+    /// Requests on routes that are not public need a key of one of them, if there are any.
+    std::vector<Customer> customers = {};
 
     auto operator<=>(const Bundle &) const = default;
 };
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -71,6 +71,10 @@
     bool echoesAttemptId = true;
     /// Instance name that the server must have to run the request; empty for no check.
     std::string instance = {};
+    /// Name of the customer that the upstream is told; empty for none.
+    std::string customer = {};
+    /// Whether the caller's credentials and its own statement of a customer are removed from the request.
+    bool hidesCredentials = false;
     /// For the log only.
     UpstreamView seen = {};
 
@@ -118,6 +122,16 @@
     ShuttingDown,
     BodyTooLarge,
     OutcomeUnknown,
+    /// The request has no key, or one that no customer holds.
+    UnknownKey,
+    /// The configuration of this entry may be older than the newest one, so that it cannot judge a key.
+    ConfigurationOutdated,
+    /// The customer is over the cap of its requests.
+    CustomerOverCap,
+    /// No hub told whether the customer is over its cap.
+    AllowanceUnknown,
+    /// The service is short of capacity, and the customer or route has more than its share.
+    OverFairShare,
 };
 
 std::string_view toString(RejectionReason refusal);
@@ -174,6 +188,26 @@
     auto operator<=>(const ReportReserveUse &) const = default;
 };
 
+/// Asks for one request of a customer with a cap; answered by the event AllowanceDecided.
+struct ReserveAllowance
+{
+    RequestId request = 0;
+    std::string bundle;
+    std::string customer;
+
+    auto operator<=>(const ReserveAllowance &) const = default;
+};
+
+/// A request for which an allowance was granted, or is still being asked for, ended without being sent to an upstream.
+struct ReturnAllowance
+{
+    RequestId request = 0;
+    std::string bundle;
+    std::string customer;
+
+    auto operator<=>(const ReturnAllowance &) const = default;
+};
+
 /// The health state of an upstream changed; the host writes a log line.
 struct HealthStateChanged
 {
@@ -251,6 +285,8 @@
                             ReportEvidence,
                             ReportLoad,
                             ReportReserveUse,
+                            ReserveAllowance,
+                            ReturnAllowance,
                             ReportStateChange,
                             WithdrawUnsentAttempts,
                             StopAccepting,
--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -40,6 +40,8 @@
     std::optional<std::uint64_t> bodyBytes;
     /// Remaining time of the caller; absent when the request states none, so that only the configured timeout applies.
     std::optional<Duration> timeLeft;
+    /// Digest of the caller's key; absent without a well-formed key.
+    std::optional<Bundles::KeyDigest> key = {};
 
     auto operator<=>(const RequestArrived &) const = default;
 };
@@ -188,6 +190,34 @@
     auto operator<=>(const LeavingChanged &) const = default;
 };
 
+/// The configuration in force was the newest one of the store at this time.
+struct ConfigurationConfirmed
+{
+    TimePoint at;
+
+    auto operator<=>(const ConfigurationConfirmed &) const = default;
+};
+
+/// Answer to the effect ReserveAllowance.
+struct AllowanceDecided
+{
+    enum class Decision {
+        Granted,
+        /// The customer is over its cap.
+        OverCap,
+        /// Nobody could tell whether the customer is over its cap.
+        Unknown,
+    };
+
+    TimePoint at;
+    RequestId request = 0;
+    Decision decision = Decision::Unknown;
+    /// Time after which a request of the customer can be admitted; zero when unknown.
+    Duration retryAfter{0};
+
+    auto operator<=>(const AllowanceDecided &) const = default;
+};
+
 /// The time returned by Reducer::nextDeadline() was reached.
 struct TimerExpired
 {
@@ -220,6 +250,8 @@
                            LoadChanged,
                            DataCentreLoadChanged,
                            ReserveUsed,
+                           ConfigurationConfirmed,
+                           AllowanceDecided,
                            TimerExpired,
                            ShutdownRequested>;
 
--- a/include/verbenadock/discovery/records.h
+++ b/include/verbenadock/discovery/records.h
@@ -72,6 +72,7 @@
     std::vector<Bundles::Route> routes;
     std::vector<ConfiguredService> services;
     RequestLimits limits;
+    std::vector<Bundles::Customer> customers = {};
 
     auto operator<=>(const OperatorConfiguration &) const = default;
 };
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -66,6 +66,9 @@
     /// The load of this entry at an upstream changed.
     std::function<void(const Core::ReportLoad &)> load = {};
     std::function<void(const Core::ReportReserveUse &)> reserveUsed = {};
+    /// Answered by applying Core::AllowanceDecided, also within the call. Without it every request is granted.
+    std::function<void(const Core::ReserveAllowance &)> reserveAllowance = {};
+    std::function<void(const Core::ReturnAllowance &)> returnAllowance = {};
     /// Called at the end of each request.
     std::function<void(const RequestReport &)> requestEnded = {};
 };
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -85,6 +85,8 @@
     void on(const LoadChanged &event);
     void on(const DataCentreLoadChanged &event);
     void on(const ReserveUsed &event);
+    void on(const ConfigurationConfirmed &event);
+    void on(const AllowanceDecided &event);
     void on(const TimerExpired &event);
     void on(const ShutdownRequested &event);
 
--- a/src/core/names.cpp
+++ b/src/core/names.cpp
@@ -40,6 +40,16 @@
         return "body-too-large";
     case RejectionReason::OutcomeUnknown:
         return "outcome-unknown";
+    case RejectionReason::UnknownKey:
+        return "unknown-key";
+    case RejectionReason::ConfigurationOutdated:
+        return "configuration-outdated";
+    case RejectionReason::CustomerOverCap:
+        return "customer-over-cap";
+    case RejectionReason::AllowanceUnknown:
+        return "allowance-unknown";
+    case RejectionReason::OverFairShare:
+        return "over-fair-share";
     }
     return "outcome-unknown";
 }
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -47,6 +48,10 @@
     bool idempotent = false;
     /// Upstreams to which the request may be sent; zero if the route sets no limit.
     unsigned maxAttempts = 0;
+    /// The customer whose key the request bears; null for none.
+    std::shared_ptr<const Bundles::Customer> customer;
+    /// Digest of the key with which the request was admitted.
+    std::optional<Bundles::KeyDigest> key;
     /// Time within which the answer should arrive; zero if the route sets none.
     Duration targetLatency{0};
     /// The body is expensive to send to another data centre.
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -22,6 +22,24 @@
     return Names.at(static_cast<std::size_t>(priority));
 }
 
+std::string_view nameOf(Bundles::Balancing balancing)
+{
+    constexpr std::array<std::string_view, 2> Names{"least-loaded", "even"};
+    return Names.at(static_cast<std::size_t>(balancing));
+}
+
+std::string_view nameOf(Bundles::Sharing sharing)
+{
+    constexpr std::array<std::string_view, 2> Names{"by-arrival", "fair"};
+    return Names.at(static_cast<std::size_t>(sharing));
+}
+
+std::string_view nameOf(AllowanceDecided::Decision decision)
+{
+    constexpr std::array<std::string_view, 3> Names{"granted", "over-cap", "unknown"};
+    return Names.at(static_cast<std::size_t>(decision));
+}
+
 std::string_view nameOf(ConnectionPolicy policy)
 {
     constexpr std::array<std::string_view, 3> Names{"reuse", "proven-alive", "fresh"};
@@ -54,6 +72,21 @@
     return Bundles::Priority::Low;
 }
 
+constexpr Bundles::Balancing lastOf(Bundles::Balancing /*type*/)
+{
+    return Bundles::Balancing::Even;
+}
+
+constexpr Bundles::Sharing lastOf(Bundles::Sharing /*type*/)
+{
+    return Bundles::Sharing::Fair;
+}
+
+constexpr AllowanceDecided::Decision lastOf(AllowanceDecided::Decision /*type*/)
+{
+    return AllowanceDecided::Decision::Unknown;
+}
+
 constexpr Health::Cause lastOf(Health::Cause /*type*/)
 {
     return Health::Cause::Cancelled;
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -89,7 +89,18 @@
     Field{"replay_bytes", &Bundles::Service::replayBytes},
     Field{"echoes_attempt_id", &Bundles::Service::echoesAttemptId},
     Field{"prefers_own_data_centre", &Bundles::Service::prefersOwnDataCentre},
-    Field{"ids_name_processes", &Bundles::Service::idsNameProcesses}};
+    Field{"ids_name_processes", &Bundles::Service::idsNameProcesses},
+    Field{"balancing", &Bundles::Service::balancing},
+    Field{"sharing", &Bundles::Service::sharing}};
+template<>
+inline constexpr std::tuple FieldsOf<Bundles::KeyDigest>{Field{"sha256", &Bundles::KeyDigest::bytes}};
+template<>
+inline constexpr std::tuple FieldsOf<Bundles::Customer>{
+    Field{"name", &Bundles::Customer::name},
+    Field{"keys", &Bundles::Customer::keys},
+    Field{"priority", &Bundles::Customer::priority},
+    Field{"requests_per_second", &Bundles::Customer::requestsPerSecond},
+    Field{"burst", &Bundles::Customer::burst}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::WeightedService>{Field{"service", &Bundles::WeightedService::service},
                                                                Field{"weight", &Bundles::WeightedService::weight}};
@@ -102,7 +113,9 @@
                                                      Field{"priority", &Bundles::Route::priority},
                                                      Field{"split", &Bundles::Route::split},
                                                      Field{"timeout", &Bundles::Route::timeout},
-                                                     Field{"max_attempts", &Bundles::Route::maxAttempts}};
+                                                     Field{"max_attempts", &Bundles::Route::maxAttempts},
+                                                     Field{"public", &Bundles::Route::isPublic},
+                                                     Field{"large_answers", &Bundles::Route::hasLargeAnswers}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::CallerLimit>{
     Field{"caller", &Bundles::CallerLimit::caller},
@@ -113,7 +126,8 @@
                                                       Field{"version", &Bundles::Bundle::version},
                                                       Field{"services", &Bundles::Bundle::services},
                                                       Field{"routes", &Bundles::Bundle::routes},
-                                                      Field{"caller_limits", &Bundles::Bundle::callerLimits}};
+                                                      Field{"caller_limits", &Bundles::Bundle::callerLimits},
+                                                      Field{"customers", &Bundles::Bundle::customers}};
 template<>
 inline constexpr std::tuple FieldsOf<Configuration>{Field{"revision", &Configuration::revision},
                                                     Field{"bundles", &Configuration::bundles}};
@@ -145,7 +159,8 @@
                                                      Field{"caller", &RequestArrived::caller},
                                                      Field{"idempotency_key", &RequestArrived::idempotencyKey},
                                                      Field{"body_bytes", &RequestArrived::bodyBytes},
-                                                     Field{"time_left", &RequestArrived::timeLeft}};
+                                                     Field{"time_left", &RequestArrived::timeLeft},
+                                                     Field{"key", &RequestArrived::key}};
 template<>
 inline constexpr std::string_view NameOf<ResponseHeadReceived> = "ResponseHeadReceived";
 template<>
@@ -220,6 +235,17 @@
                                                   Field{"bundle", &ReserveUsed::bundle},
                                                   Field{"service", &ReserveUsed::service}};
 template<>
+inline constexpr std::string_view NameOf<ConfigurationConfirmed> = "ConfigurationConfirmed";
+template<>
+inline constexpr std::tuple FieldsOf<ConfigurationConfirmed>{Field{"at", &ConfigurationConfirmed::at}};
+template<>
+inline constexpr std::string_view NameOf<AllowanceDecided> = "AllowanceDecided";
+template<>
+inline constexpr std::tuple FieldsOf<AllowanceDecided>{Field{"at", &AllowanceDecided::at},
+                                                       Field{"request", &AllowanceDecided::request},
+                                                       Field{"decision", &AllowanceDecided::decision},
+                                                       Field{"retry_after", &AllowanceDecided::retryAfter}};
+template<>
 inline constexpr std::string_view NameOf<TimerExpired> = "TimerExpired";
 template<>
 inline constexpr std::tuple FieldsOf<TimerExpired>{Field{"at", &TimerExpired::at}};
@@ -246,7 +272,9 @@
                                                    Field{"hold_back_bytes", &StartAttempt::holdBackBytes},
                                                    Field{"replay_bytes", &StartAttempt::replayBytes},
                                                    Field{"echoes_attempt_id", &StartAttempt::echoesAttemptId},
-                                                   Field{"instance", &StartAttempt::instance}};
+                                                   Field{"instance", &StartAttempt::instance},
+                                                   Field{"customer", &StartAttempt::customer},
+                                                   Field{"hides_credentials", &StartAttempt::hidesCredentials}};
 template<>
 inline constexpr std::string_view NameOf<CancelAttempt> = "CancelAttempt";
 template<>
@@ -286,6 +314,18 @@
 inline constexpr std::tuple FieldsOf<ReportReserveUse>{Field{"bundle", &ReportReserveUse::bundle},
                                                        Field{"service", &ReportReserveUse::service}};
 template<>
+inline constexpr std::string_view NameOf<ReserveAllowance> = "ReserveAllowance";
+template<>
+inline constexpr std::tuple FieldsOf<ReserveAllowance>{Field{"request", &ReserveAllowance::request},
+                                                       Field{"bundle", &ReserveAllowance::bundle},
+                                                       Field{"customer", &ReserveAllowance::customer}};
+template<>
+inline constexpr std::string_view NameOf<ReturnAllowance> = "ReturnAllowance";
+template<>
+inline constexpr std::tuple FieldsOf<ReturnAllowance>{Field{"request", &ReturnAllowance::request},
+                                                      Field{"bundle", &ReturnAllowance::bundle},
+                                                      Field{"customer", &ReturnAllowance::customer}};
+template<>
 inline constexpr std::string_view NameOf<ReportStateChange> = "ReportStateChange";
 template<>
 inline constexpr std::tuple FieldsOf<ReportStateChange>{Field{"change", &ReportStateChange::change}};
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -287,6 +287,7 @@
     bundle.name = PlatformBundle;
     bundle.version = this->operatorSettings->version;
     bundle.routes = this->operatorSettings->routes;
+    bundle.customers = this->operatorSettings->customers;
     std::map<std::string, std::vector<Bundles::Upstream>> byService;
     for (const auto &[key, tracked] : this->upstreams) {
         if (tracked.entry && !tracked.entry->draining) {
@@ -295,7 +296,7 @@
     }
     for (const auto &service : this->operatorSettings->services) {
         bundle.services.push_back(
-            internal::makeService(service, this->allowance, bundle.routes, std::move(byService[service.name])));
+            internal::makeService(service, this->allowance, bundle, std::move(byService[service.name])));
     }
     auto result = std::make_shared<Core::Configuration>();
     result->revision = ++this->revision;
--- a/src/discovery/servicepolicy.cpp
+++ b/src/discovery/servicepolicy.cpp
@@ -45,6 +45,16 @@
               });
 }
 
+/// Whether customers compete for capacity or requests differ much in their work, so that counts of requests are a poor
+/// measure of load.
+bool hasUnevenRequests(const Bundles::Bundle &bundle)
+{
+    return !bundle.customers.empty()
+           || std::any_of(bundle.routes.begin(), bundle.routes.end(), [](const Bundles::Route &route) {
+                  return route.hasLargeAnswers;
+              });
+}
+
 } // namespace
 
 Bundles::Upstream makeUpstream(const UpstreamEntry &entry)
@@ -62,7 +72,7 @@
 
 Bundles::Service makeService(const ConfiguredService &configured,
                              const RetryAllowance &allowance,
-                             const std::vector<Bundles::Route> &routes,
+                             const Bundles::Bundle &bundle,
                              std::vector<Bundles::Upstream> upstreams)
 {
     Bundles::Service service;
@@ -74,9 +84,10 @@
     service.timeouts = {.connect = ConnectTimeout, .firstByte = RequestTimeout, .total = RequestTimeout};
     service.detection = PooledDetection;
     service.floorPercent = FloorPercent;
-    const bool hasTrials = std::any_of(routes.begin(), routes.end(), [&service](const Bundles::Route &route) {
-        return route.idempotent && routesTo(route, service.name);
-    });
+    const bool hasTrials
+        = std::any_of(bundle.routes.begin(), bundle.routes.end(), [&service](const Bundles::Route &route) {
+              return route.idempotent && routesTo(route, service.name);
+          });
     service.detection.trialPatience = hasTrials ? service.detection.trialPatience : 0;
     service.budgets = {.retryPercent = RetryPercent,
                        .hedgePercent = HedgePercent,
@@ -90,6 +101,10 @@
     service.replayBytes = ReplayBytes;
     service.prefersOwnDataCentre = true;
     service.idsNameProcesses = true;
+    if (hasUnevenRequests(bundle)) {
+        service.balancing = Bundles::Balancing::Even;
+        service.sharing = Bundles::Sharing::Fair;
+    }
     return service;
 }
 
--- a/src/discovery/servicepolicy.h
+++ b/src/discovery/servicepolicy.h
@@ -12,7 +12,7 @@
 /// Builds a service with the parameters for upstreams that register themselves.
 Bundles::Service makeService(const ConfiguredService &service,
                              const RetryAllowance &allowance,
-                             const std::vector<Bundles::Route> &routes,
+                             const Bundles::Bundle &bundle,
                              std::vector<Bundles::Upstream> upstreams);
 
 } // namespace Verbenadock::Discovery::internal
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -106,6 +106,8 @@
     void carryOut(const Core::ReportEvidence &effect);
     void carryOut(const Core::ReportLoad &effect);
     void carryOut(const Core::ReportReserveUse &effect);
+    void carryOut(const Core::ReserveAllowance &effect);
+    void carryOut(const Core::ReturnAllowance &effect);
     void carryOut(const Core::ReportStateChange &effect);
     void carryOut(const Core::WithdrawUnsentAttempts &effect);
     void carryOut(const Core::StopAccepting &effect);
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -132,6 +132,25 @@
     }
 }
 
+void Host::carryOut(const Core::ReserveAllowance &effect)
+{
+    if (this->handlers.reserveAllowance) {
+        this->handlers.reserveAllowance(effect);
+        return;
+    }
+    this->apply(Core::AllowanceDecided{.at = monotonicNow(),
+                                       .request = effect.request,
+                                       .decision = Core::AllowanceDecided::Decision::Granted,
+                                       .retryAfter = Duration(0)});
+}
+
+void Host::carryOut(const Core::ReturnAllowance &effect)
+{
+    if (this->handlers.returnAllowance) {
+        this->handlers.returnAllowance(effect);
+    }
+}
+
 void Host::carryOut(const Core::ReportStateChange &effect)
 {
     if (this->handlers.stateChanged) {
