Take no part of an early answer for a whole one, and no status outside 100 to 599 for a status

Callers got a part of an answer as a whole one when an upstream answered a long upload at once with a 200 without a length and then reset the connection, and got statuses such as 000, 099 and 600. Cause: a write of the upload that was pending took the error of the reset, so that the next read reported an orderly end, which completes an answer without a length. The parser accepts any three digits as a status. Change: an answer without a length is whole only if the whole request was written before; a status outside 100 to 599 is malformed.

--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr unsigned FirstErrorStatus = 400;
+constexpr unsigned FirstStatus = 100;
+constexpr unsigned LastStatus = 599;
+constexpr unsigned SwitchingProtocols = 101;
 
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
 // Limits the 1xx answers, which are dropped. An upstream sends at most a 100 and some 103 (early hints).
@@ -50,7 +53,7 @@
         }
         // Interim answers precede the final one. 101 is no interim answer, and no protocol upgrade was requested.
         const auto status = this->response->parser.statusCode;
-        interim = status / 100 == 1 && status != 101;
+        interim = status / 100 == 1 && status != SwitchingProtocols;
         if (interim && this->answerIdMatches()) {
             this->reportAnnouncement();
         }
@@ -101,8 +104,9 @@
         co_return false;
     }
     // An answer without a length ends with an orderly close of the connection; after a reset the answer is truncated.
-    const bool endsAnswer = error == asio::error::eof && !this->timedOut && this->response->parser.is_header_done()
-                            && this->response->parser.need_eof();
+    // A failed write of the request takes the error of the reset, so that the read reports an orderly close.
+    const bool endsAnswer = error == asio::error::eof && !this->timedOut && this->requestWritten
+                            && this->response->parser.is_header_done() && this->response->parser.need_eof();
     if (endsAnswer) {
         ErrorCode eofError;
         this->response->parser.put_eof(eofError);
@@ -160,7 +164,9 @@
             onlyChunked = onlyChunked && equalsIgnoringCase(field.value, "chunked");
         }
     }
-    if (lengthFields + codingFields > 1 || !onlyChunked || parser.statusCode == 101) {
+    const bool hasValidStatus = parser.statusCode >= FirstStatus && parser.statusCode <= LastStatus
+                                && parser.statusCode != SwitchingProtocols;
+    if (lengthFields + codingFields > 1 || !onlyChunked || !hasValidStatus) {
         this->fail(Health::Cause::Malformed);
         return false;
     }
--- a/test/proxy/platformanswertest.cpp
+++ b/test/proxy/platformanswertest.cpp
@@ -88,6 +88,17 @@
     CHECK(answerFor(Post, "garbage\r\n\r\n").status() == 504);
 }
 
+// Guards against forwarding an answer whose status is none, as servers in trouble send.
+TEST_CASE("an answer whose status is not between 100 and 599 is malformed")
+{
+    for (const std::string status : {"000", "099", "600", "999", "00", "1000", "2x0", "-20", " 200", ""}) {
+        INFO("status '" << status << "'");
+        std::string bytes = "HTTP/1.1 ";
+        bytes.append(status).append(" OK\r\nVerbenadock-Request-Id: 9c41\r\nContent-Length: 2\r\n\r\nok");
+        CHECK(answerFor(Post, bytes).status() == 504);
+    }
+}
+
 TEST_CASE("an answer without a length is complete after an orderly close and truncated after a reset")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nVerbenadock-Request-Id: 9c41\r\nVerbenadock-Server-Seal: s\r\n\r\n";
