Let connections wait for the first configuration after a start

Callers that came within 0.1 s of a start were rejected with 503 not-configured, and not all of them ask again.

--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -56,6 +56,8 @@
     Duration headerTimeout = std::chrono::seconds(10);
     /// Longest time without progress in which the caller neither sends nor receives any bytes.
     Duration callerStallTimeout = std::chrono::seconds(30);
+    /// Connections that arrive before the first configuration wait for it at most this long after the start.
+    Duration configurationWait{0};
 
     auto operator<=>(const EntryLimits &) const = default;
 };
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -148,6 +148,11 @@
                        [this] {
                            this->acceptRetrySignal.notify();
                        })
+    , configurationTimer(this->timerWheel,
+                         [this] {
+                             this->configurationOverdue = true;
+                             this->configurationSignal.notify();
+                         })
     , finalAnswersTimer(this->timerWheel,
                         [this] {
                             this->finalAnswersOverdue = true;
@@ -176,6 +181,9 @@
         }
     }
     this->applying = false;
+    if (this->reducer.ready()) {
+        this->configurationSignal.notify();
+    }
     this->scheduleDeadline();
     this->terminateWhenDone();
 }
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -92,6 +92,8 @@
 
 private:
     Task<void> acceptConnections();
+    /// Waits until the first configuration is in force, or until the configured time after the start has passed.
+    Task<void> waitForConfiguration();
     void startConnection(Socket socket);
     void acceptBacklog();
     void closeIdleCallers();
@@ -143,8 +145,11 @@
     Acceptor acceptor;
     Timer sweepTimer;
     Timer acceptRetryTimer;
+    Timer configurationTimer;
     Timer finalAnswersTimer;
     Signal acceptRetrySignal;
+    Signal configurationSignal;
+    bool configurationOverdue = false;
     asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>
         deadlineTimer;
     std::optional<TimePoint> armedDeadline;
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -54,6 +54,7 @@
     ErrorCode ignored;
     this->acceptor.close(ignored);
     this->acceptRetrySignal.notify();
+    this->configurationSignal.notify();
     if (this->keyHost) {
         this->keyHost->close();
     }
@@ -69,9 +70,24 @@
     this->upstreamPool.closeAll();
 }
 
+Task<void> Host::waitForConfiguration()
+{
+    // Until then connections wait in the kernel's backlog. Their requests would be rejected, and not every caller tries
+    // again.
+    if (this->options.limits.configurationWait <= Duration(0)) {
+        co_return;
+    }
+    this->configurationTimer.setAfter(this->options.limits.configurationWait);
+    while (!this->reducer.ready() && !this->configurationOverdue && this->acceptor.is_open()) {
+        co_await this->configurationSignal.wait();
+    }
+    this->configurationTimer.clear();
+}
+
 Task<void> Host::acceptConnections()
 {
     const auto self = this->shared_from_this();
+    co_await this->waitForConfiguration();
     while (this->acceptor.is_open()) {
         ErrorCode error;
         Socket socket(this->executor());
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -52,6 +52,8 @@
     reader.readDuration("caller_idle_timeout", limits.callerIdleTimeout, range);
     reader.readDuration("header_timeout", limits.headerTimeout, range);
     reader.readDuration("caller_stall_timeout", limits.callerStallTimeout, range);
+    reader.readDuration(
+        "configuration_wait", limits.configurationWait, {.least = Duration(0), .most = internal::MaxDuration});
     reader.finish();
 }
 
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -39,6 +39,7 @@
 
 EntryFixture::EntryFixture(const FixtureOptions &options)
     : work(this->context.get_executor())
+    , service(options.service)
 {
     Proxy::EntryOptions entry;
     entry.listen = {.address = "127.0.5.1", .port = 0};
@@ -52,8 +53,10 @@
         this->ended = true;
     };
     this->server = std::make_unique<Proxy::EntryServer>(this->context, entry, this->registry, handlers);
-    this->server->apply(
-        Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(options.service)});
+    if (options.startsConfigured) {
+        this->server->apply(
+            Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(options.service)});
+    }
     this->thread = std::thread([this] {
         this->context.run();
     });
@@ -68,6 +71,14 @@
     this->thread.join();
 }
 
+void EntryFixture::configure() const
+{
+    this->runOnLoop([this] {
+        this->server->apply(
+            Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(this->service)});
+    });
+}
+
 Endpoint EntryFixture::endpoint() const
 {
     return this->server->endpoint();
--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -20,6 +20,8 @@
     Settings::EntryLimits limits;
     Bundles::Service service;
     Proxy::Dialect dialect = {};
+    /// Whether the entry has its configuration from the start on.
+    bool startsConfigured = true;
 };
 
 /// Options with one upstream per endpoint and short timeouts.
@@ -39,6 +41,9 @@
     /// Sends one request on a new connection and reads the answer.
     ReceivedMessage exchange(const std::string &request) const;
 
+    /// Puts the configuration in force on an entry that started without one.
+    void configure() const;
+
     void shutDown(Duration drainDelay, Duration limit = std::chrono::seconds(20));
 
     /// Whether the shutdown ended.
@@ -55,6 +60,7 @@
     mutable boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     Telemetry::MetricsRegistry registry;
+    Bundles::Service service;
     std::unique_ptr<Proxy::EntryServer> server;
     std::atomic<bool> terminated = false;
     std::atomic<bool> ended = false;
