Check the keys of customers, tell upstreams the customer and hide the keys

Callers: any request was served, whatever its key, and upstreams got the caller's Authorization and whatever customer the caller claimed to be. Cause: no module read the customers of the operators' configuration. Change: the platform's decoder reads `tenants` and `public` and refuses a version with an invalid customer; the core checks the key on arrival, before each attempt starts and before it is written, and rejects with 401, or 503 while the configuration may be outdated; the proxy digests the key, removes Authorization and the customer's field, and writes the name; the fleet reports when the configuration is confirmed; settings strict_revocation and revocation_s. The array of refusal counters covered no refusal after outcome-unknown and was written past its end by the new ones; it now covers all. Not yet run: integration, soak.

--- a/include/verbenadock/bundle/customer.h
+++ b/include/verbenadock/bundle/customer.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +14,9 @@
 
 enum class Priority : int;
 
+/// A longer key is never accepted.
+inline constexpr std::size_t MaxKeyBytes = 512;
+
 /// SHA-256 digest of a customer's key. Keys themselves are never kept.
 struct KeyDigest
 {
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -42,6 +42,8 @@
 struct RejectionView
 {
     std::string service;
+    /// Name of the customer whose request it is; empty for none.
+    std::string customer = {};
     /// Load in percent of the slots of the best upstream; zero without one.
     unsigned loadPercent = 0;
     std::size_t queued = 0;
--- a/include/verbenadock/core/reducer.h
+++ b/include/verbenadock/core/reducer.h
@@ -21,6 +21,9 @@
     std::uint64_t seed = 1;
     /// Limit of open requests, queued ones included.
     std::size_t requestLimit = 10000;
+    /// Time since the last confirmation of the configuration after which requests that need a key are rejected. When
+    /// empty, the configuration in force is used whatever its age.
+    std::optional<Duration> revocation = std::nullopt;
 
     auto operator<=>(const ReducerSettings &) const = default;
 };
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -39,6 +39,7 @@
         std::function<void(const Core::LoadChanged &)> loadChanged;
         std::function<void(const Core::ReserveUsed &)> reserveUsed;
         std::function<void(const Core::DataCentreLoadChanged &)> dataCentreLoadChanged;
+        std::function<void(const Core::ConfigurationConfirmed &)> configurationConfirmed = {};
     };
 
     /// Binds the datagram port. Throws Net::NetError on failure.
@@ -79,6 +80,7 @@
     std::vector<Endpoint> peerEndpoints() const;
     void membersChanged();
     void pushConfiguration();
+    void confirmConfiguration();
     void receive();
     void handle(const Mesh::Message &message);
     void handle(const Mesh::Hello &hello);
--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -41,6 +41,8 @@
         std::function<void()> freshnessChanged;
         /// The store returned from an older copy and may have lost what this VM wrote there.
         std::function<void(std::uint64_t era)> eraBegun;
+        /// The store answered that this VM has the newest configuration.
+        std::function<void()> configurationConfirmed = {};
     };
 
     StoreFollower(boost::asio::io_context &loop,
@@ -120,6 +122,8 @@
     static std::string_view nameOf(Topic topic);
     /// Logs the offsets before and after reading from another VM.
     void logRelayed(Topic topic, const Endpoint &peer, const StorePosition &before, bool success) const;
+    /// Reports that the configuration is the newest one, if the store answered with this end of its topic.
+    void confirmConfiguration(Topic topic, const StorePosition &storeEnd) const;
     /// Starts the time of a call; the timer has to live until the call ends.
     void beginStoreCall(Topic topic, Duration wait, boost::asio::steady_timer &overdueTimer);
     /// Notes the result of a call; the failure is empty for an answer.
--- a/include/verbenadock/proxy/dialect.h
+++ b/include/verbenadock/proxy/dialect.h
@@ -20,6 +20,10 @@
     std::string callerDeadline = {};
     /// Name of the upstream instance that the request is addressed to.
     std::string expectedInstance = {};
+    /// Name of the customer whose key the request bears, sent to upstreams.
+    std::string customer = {};
+    /// Scheme of the Authorization field in which callers send the key of a customer; no keys are read if empty.
+    std::string credentialScheme = {};
     /// Present on an answer, with a value other than "false", if the request was not run.
     std::string notRun = "X-Not-Run";
     /// Present on the answers of an upstream that is leaving.
--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -44,6 +44,8 @@
     unsigned status = 0;
     /// Empty if the request reached no service.
     std::string service;
+    /// Name of the customer. Empty if the request has none, or was rejected before it was assigned to a service.
+    std::string customer;
     /// State of the service when the request ended without an answer of an upstream.
     std::optional<Core::RejectionView> refusal;
     std::vector<AttemptReport> attempts;
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -75,6 +75,10 @@
     /// others of their data centre.
     double processorShare = 1;
     Duration retryWindow = std::chrono::seconds(10);
+    /// Whether requests that need a customer's key are rejected once the configuration has not been confirmed for
+    /// `revocation`.
+    bool strictRevocation = false;
+    Duration revocation = std::chrono::seconds(5);
 
     auto operator<=>(const StoreSettings &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -9,7 +9,6 @@
 
 constexpr unsigned NotFound = 404;
 constexpr unsigned TooManyRequests = 429;
-constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 
 /// Size in bytes from which a body is expensive to send to another data centre: far above a claim and far below an
@@ -79,6 +78,9 @@
         this->reject(event.request, NotFound, RejectionReason::NoRoute);
         return std::nullopt;
     }
+    if (!this->admitCustomer(event, *target)) {
+        return std::nullopt;
+    }
     if (this->requests.size() >= this->settings.requestLimit) {
         this->reject(event.request, ServiceUnavailable, RejectionReason::NoCapacity, this->retryAfter(event.timeLeft));
         return std::nullopt;
@@ -137,6 +139,7 @@
     service.hedges.deposit();
     request.idempotent = target->idempotent;
     request.priority = target->priority;
+    this->setCustomer(request, event, *target);
     request.hasLargeBody = !event.bodyBytes || *event.bodyBytes >= LargeBodyBytes;
     request.replayable = event.bodyBytes && *event.bodyBytes <= service.service.replayBytes;
     request.maxAttempts = target->maxAttempts;
@@ -157,6 +160,7 @@
 {
     const auto &service = *this->services[request.service];
     return {.service = service.service.name,
+            .customer = request.customer ? request.customer->name : std::string(),
             .loadPercent = request.bestLoadPercent,
             .queued = service.queue.size(),
             .inService = service.pool.countInService(this->now),
@@ -180,6 +184,8 @@
                            .refusal = request.idempotent ? refusal : RejectionReason::OutcomeUnknown,
                            .retryAfter = Duration(0),
                            .seen = this->rejectionView(request)});
+    } else if (refusal == RejectionReason::UnknownKey) {
+        this->reject(request.id, Unauthorized, refusal, Duration(0), this->rejectionView(request));
     } else {
         this->reject(request.id, ServiceUnavailable, refusal, this->retryAfter(request), this->rejectionView(request));
     }
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -41,7 +41,8 @@
 {
     const auto slot = this->requests.find(request);
     const auto *running = slot ? this->requests.at(*slot).find(attempt) : nullptr;
-    return running != nullptr && running->active && this->endsBeforeShutdown(this->requests.at(*slot), at)
+    return running != nullptr && running->active && this->hasCurrentCredentials(this->requests.at(*slot), *running, at)
+           && this->endsBeforeShutdown(this->requests.at(*slot), at)
            && this->serviceOf(this->requests.at(*slot)).pool.maySend(this->requests.at(*slot), running->upstream, at);
 }
 
@@ -212,6 +213,8 @@
     attempt.provenNotRun = provenNotRun;
     attempt.unsent = provenNotRun;
     attempt.staleConnection = event.cause == Cause::StaleConnection;
+    // The attempt was withdrawn because of the customer's key; the upstream may get the request under another name.
+    attempt.excludesUpstream = !attempt.unsent || this->hasCurrentCredentials(request, attempt, this->now);
     request.bodyConsumed = request.bodyConsumed || (!request.replayable && !provenNotRun);
     if (event.cause == Cause::Refused || event.cause == Cause::ConnectTimeout) {
         this->serviceOf(request).pool.noteUnreachable(attempt.upstream, this->now, this->random);
@@ -246,12 +249,12 @@
 
 bool Engine::retryInsteadOfForwarding(std::uint32_t slot)
 {
-    const auto &request = this->requests.at(slot);
+    auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     if (request.activeAttempts() > 0) {
         return true;
     }
-    if (!this->mayRetry(request, false) || !service.queue.empty()) {
+    if (!this->mayRetry(request, false) || !service.queue.empty() || this->renewCustomer(request)) {
         return false;
     }
     // The answer of the upstream is discarded only when the next attempt can start immediately.
@@ -266,7 +269,7 @@
 void Engine::retryOrFail(std::uint32_t slot, bool provenNotRun)
 {
     const auto &request = this->requests.at(slot);
-    if (request.activeAttempts() > 0) {
+    if (request.activeAttempts() > 0 || !this->recheckCustomer(slot)) {
         return;
     }
     // A retry of a request that provably did not run adds no work to the service and needs no token. Otherwise the
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -137,7 +137,8 @@
                                .priority = route.priority,
                                .timeout = route.timeout,
                                .maxAttempts = route.maxAttempts,
-                               .targetLatency = route.targetLatency};
+                               .targetLatency = route.targetLatency,
+                               .isPublic = route.isPublic};
             if (this->resolveServices(bundle.name, route, target)) {
                 resolved.push_back(ResolvedRoute{.route = route, .target = target});
             }
@@ -192,6 +193,7 @@
     this->updateBundleTimes(*event.configuration);
     this->configuration = event.configuration;
     this->configuredAt = this->now;
+    this->configureCustomers(*this->configuration);
     const ConfigurationInForce change{.revision = this->configuration->revision,
                                       .services = configuredIndices.size(),
                                       .routes = this->routes->size()};
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -3,6 +3,7 @@
 
 #include "budgets.h"
 #include "callerlimits.h"
+#include "customertable.h"
 #include "fleetreserve.h"
 #include "random.h"
 #include "requestqueue.h"
@@ -50,6 +51,17 @@
     std::size_t openRequests = 0;
 };
 
+/// What the configuration says about a request and its key.
+struct CustomerAccess
+{
+    /// Nothing if the request may be sent.
+    std::optional<RejectionReason> refusal = std::nullopt;
+    /// Null for a request without a known key.
+    std::shared_ptr<const Bundles::Customer> customer = nullptr;
+    /// See StartAttempt::hidesCredentials.
+    bool hidesCredentials = false;
+};
+
 /// Progress of a shutdown.
 struct ShutdownState
 {
@@ -58,8 +70,8 @@
     bool stoppedAccepting = false;
 };
 
-/// Implementation of the reducer, in arrivals.cpp, attempts.cpp, configuration.cpp, dump.cpp, engine.cpp and
-/// scheduling.cpp.
+/// Implementation of the reducer, in arrivals.cpp, attempts.cpp, configuration.cpp, customeraccess.cpp, dump.cpp,
+/// engine.cpp and scheduling.cpp.
 class Engine
 {
 public:
@@ -90,6 +102,28 @@
     void on(const TimerExpired &event);
     void on(const ShutdownRequested &event);
 
+    // customeraccess.cpp
+    static constexpr unsigned Unauthorized = 401;
+    static constexpr unsigned ServiceUnavailable = 503;
+    /// Whether the configuration was the newest one of the store at most this long ago.
+    bool confirmedWithin(Duration limit, TimePoint at) const;
+    CustomerAccess accessOf(const std::string &bundle,
+                            const std::optional<Bundles::KeyDigest> &key,
+                            bool isPublic,
+                            TimePoint at) const;
+    CustomerAccess accessOf(const Request &request, TimePoint at) const;
+    /// Whether the configuration still gives the credentials with which the attempt was started.
+    bool hasCurrentCredentials(const Request &request, const Attempt &attempt, TimePoint at) const;
+    /// Checks the key of an arriving request and rejects the request if the key does not admit it.
+    bool admitCustomer(const RequestArrived &event, const RouteTarget &target);
+    void setCustomer(Request &request, const RequestArrived &event, const RouteTarget &target);
+    /// Sets the customer of the request by the current configuration. Returns the reason if no further attempt may
+    /// start. The request must have no active attempt.
+    std::optional<RejectionReason> renewCustomer(Request &request);
+    /// Fails the request if its key admits no further attempt; otherwise returns true.
+    bool recheckCustomer(std::uint32_t slot);
+    void configureCustomers(const Configuration &configured);
+
     // arrivals.cpp
     std::optional<RouteTarget> admit(const RequestArrived &event);
     /// Weighted random choice; returns the index of the service.
@@ -187,6 +221,10 @@
     TimePoint configuredAt{};
     /// Times at which this entry began to use the current version of each bundle.
     std::map<std::string, TimePoint> bundlesInForceSince;
+    /// Last time at which the configuration in force was known to be the newest one.
+    std::optional<TimePoint> confirmedAt;
+    /// By name of the bundle; only bundles with customers.
+    std::map<std::string, CustomerTable> customers;
     std::optional<TimePoint> leavingAt;
     std::optional<TimePoint> verdictsAt;
     std::unordered_set<std::string> leaving;
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -38,6 +38,9 @@
     bool staleConnection = false;
     /// Further attempts must use another upstream.
     bool excludesUpstream = true;
+    /// The customer that the upstream is told; null for none.
+    std::shared_ptr<const Bundles::Customer> customer = nullptr;
+    bool hidesCredentials = false;
 };
 
 /// State of one caller's request.
@@ -52,6 +55,8 @@
     std::shared_ptr<const Bundles::Customer> customer;
     /// Digest of the key with which the request was admitted.
     std::optional<Bundles::KeyDigest> key;
+    /// The route requires no key.
+    bool isPublic = false;
     /// Time within which the answer should arrive; zero if the route sets none.
     Duration targetLatency{0};
     /// The body is expensive to send to another data centre.
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -39,6 +39,8 @@
     unsigned maxAttempts = 0;
     /// Zero if the route sets none.
     Duration targetLatency{0};
+    /// No key of a customer is required.
+    bool isPublic = false;
 
     auto operator<=>(const RouteTarget &) const = default;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -18,6 +18,9 @@
 
 void Engine::schedule(std::uint32_t slot)
 {
+    if (!this->recheckCustomer(slot)) {
+        return;
+    }
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     this->readmitUpstreams(request);
@@ -146,6 +149,9 @@
             this->failRequest(slot, RejectionReason::ShuttingDown);
             continue;
         }
+        if (!this->recheckCustomer(slot)) {
+            continue;
+        }
         const auto upstream = service.pool.pick(request, this->now, this->random);
         if (upstream) {
             this->dequeue(slot);
@@ -176,8 +182,13 @@
     service.pool.start(upstream);
     this->reportLoad(service, upstream);
     const auto &target = service.pool.at(upstream);
-    request.attempts.push_back(
-        Attempt{.id = ++this->lastAttempt, .upstream = upstream, .startedAt = this->now, .hedge = hedge});
+    const bool hidesCredentials = this->customers.contains(service.bundle);
+    request.attempts.push_back(Attempt{.id = ++this->lastAttempt,
+                                       .upstream = upstream,
+                                       .startedAt = this->now,
+                                       .hedge = hedge,
+                                       .customer = request.customer,
+                                       .hidesCredentials = hidesCredentials});
     const auto &timeouts = service.service.timeouts;
     this->effects.emplace_back(StartAttempt{
         .request = request.id,
@@ -192,6 +203,8 @@
         .replayBytes = service.service.replayBytes,
         .echoesAttemptId = service.service.echoesAttemptId,
         .instance = target.instance,
+        .customer = request.customer ? request.customer->name : std::string(),
+        .hidesCredentials = hidesCredentials,
         .seen = seen,
     });
     // The duration of a long upload depends on the caller, so attempts with such bodies are never overdue.
@@ -244,7 +257,8 @@
     // Under load a hedge would only take the slot of a queued request.
     const bool hedged = request.activeAttempts() > 1;
     if (!request.idempotent || hedged || !service.queue.empty() || !request.allowsAnotherAttempt()
-        || !this->endsBeforeShutdown(request, this->now)) {
+        || !this->endsBeforeShutdown(request, this->now)
+        || !this->hasCurrentCredentials(request, *running, this->now)) {
         return;
     }
     const auto hedgeUpstream = service.pool.pick(request, this->now, this->random);
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -43,7 +43,8 @@
 template<>
 inline constexpr std::tuple FieldsOf<ReducerSettings>{Field{"data_centre", &ReducerSettings::dataCentre},
                                                       Field{"seed", &ReducerSettings::seed},
-                                                      Field{"request_limit", &ReducerSettings::requestLimit}};
+                                                      Field{"request_limit", &ReducerSettings::requestLimit},
+                                                      Field{"revocation", &ReducerSettings::revocation}};
 template<>
 inline constexpr std::tuple FieldsOf<UpstreamKey>{Field{"bundle", &UpstreamKey::bundle},
                                                   Field{"service", &UpstreamKey::service},
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -45,6 +45,9 @@
     options.limits = settings.limits;
     options.reducer = {
         .dataCentre = settings.process.dataCentre, .seed = randomSeed(), .requestLimit = settings.limits.maxRequests};
+    if (settings.store && settings.store->strictRevocation) {
+        options.reducer.revocation = settings.store->revocation;
+    }
     options.instance = settings.process.vmId + "-" + std::to_string(incarnation);
     if (settings.store) {
         options.dialect = Platform::platformDialect();
@@ -195,6 +198,9 @@
     handlers.healthChanged = [this](const Core::HealthChanged &event) {
         this->server->apply(event);
     };
+    handlers.configurationConfirmed = [this](const Core::ConfigurationConfirmed &event) {
+        this->server->apply(event);
+    };
     this->fleet = std::make_shared<Fleet::FleetLink>(
         this->context, this->settings, incarnation, this->registry, std::move(handlers));
     this->fleet->start();
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -70,6 +70,7 @@
     line.append(" outcome=").append(report.outcome).append(" reason=").append(orDash(report.reason));
     line.append(" status=").append(std::to_string(report.status));
     line.append(" service=").append(orDash(report.service));
+    line.append(report.customer.empty() ? "" : " customer=").append(report.customer);
     line.append(" attempts=").append(std::to_string(report.attempts.size()));
     line.append(" tries=").append(report.attempts.empty() ? "-" : "");
     for (const auto &attempt : report.attempts) {
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -115,6 +115,10 @@
             .eraBegun =
                 [this](std::uint64_t era) {
                     this->beginEra(era);
+                },
+            .configurationConfirmed =
+                [this] {
+                    this->confirmConfiguration();
                 }};
 }
 
@@ -159,6 +163,13 @@
     }
 }
 
+void FleetLink::confirmConfiguration()
+{
+    if (this->handlers.configurationConfirmed) {
+        this->handlers.configurationConfirmed({.at = monotonicNow()});
+    }
+}
+
 void FleetLink::receive()
 {
     this->socket.async_receive_from(
@@ -247,6 +258,10 @@
     this->follower->catchUpFrom({.address = *address, .port = this->settings.process.admin.port},
                                 heartbeat.configurationEnd,
                                 heartbeat.upstreamsEnd);
+    if (heartbeat.fresh && !this->members.isRemote(heartbeat.vm)
+        && heartbeat.configurationEnd == this->follower->directory().nextConfigurationPosition()) {
+        this->confirmConfiguration();
+    }
 }
 
 void FleetLink::handle(const Mesh::StoreRecords &records)
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -193,6 +193,7 @@
             if (!page.records.empty() && newRecords) {
                 this->handlers.recordsRead(name, from.offset, *newRecords);
             }
+            this->confirmConfiguration(topic, {.era = page.era, .offset = page.end});
         }
     } catch (const Platform::HistoryGone &) {
         this->progressOf(topic).restartsFromNewest = true;
@@ -234,6 +235,9 @@
         const bool isNewEra = progress.complete && newest.end.era > known.era;
         progress.complete = true;
         progress.restartsFromNewest = false;
+        if (fromStore) {
+            this->confirmConfiguration(topic, newest.end);
+        }
         if (isNewEra) {
             this->handlers.eraBegun(newest.end.era);
         }
@@ -246,6 +250,15 @@
     co_return failure.empty();
 }
 
+void StoreFollower::confirmConfiguration(Topic topic, const StorePosition &storeEnd) const
+{
+    // A page may end before the topic does.
+    if (topic == Topic::Configuration && this->handlers.configurationConfirmed
+        && this->nextPosition(topic) == storeEnd) {
+        this->handlers.configurationConfirmed();
+    }
+}
+
 std::string_view StoreFollower::nameOf(Topic topic)
 {
     return topic == Topic::Configuration ? Platform::ConfigurationTopic : Platform::UpstreamsTopic;
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -182,7 +182,9 @@
                                .attemptId = this->idText,
                                .deadlineMilliseconds
                                = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count(),
-                               .instance = this->parameters.instance};
+                               .instance = this->parameters.instance,
+                               .customer = this->parameters.customer,
+                               .hidesCredentials = this->parameters.hidesCredentials};
     const auto &request = this->exchange->request;
     BodyFraming framing;
     if (this->exchange->bodyStreams && !request.bodyBytes) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -105,6 +105,10 @@
     /// Numbers of the upstream connections on which the request was sent.
     std::vector<std::uint64_t> usedConnections;
     std::string service;
+    /// Name of the customer in the last attempt.
+    std::string customer;
+    /// The caller sent a well-formed key.
+    bool hasKey = false;
     /// Reports of all attempts, in the order of their starts.
     std::vector<AttemptReport> attemptReports;
     /// The head of a streaming answer was forwarded.
--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view LineEnd = "\r\n";
+constexpr unsigned UnauthorizedStatus = 401;
 
 void appendField(std::string &out, std::string_view name, std::string_view value)
 {
@@ -110,13 +111,20 @@
     }
 }
 
-void appendEndToEnd(std::string &out, const std::vector<Field> &fields, const Dialect &dialect, bool request)
+void appendEndToEnd(std::string &out, const std::vector<Field> &fields, const Dialect &dialect)
 {
-    forEachEndToEnd(fields, dialect, request, [&out](const Field &field) {
+    forEachEndToEnd(fields, dialect, false, [&out](const Field &field) {
         appendField(out, field.nameText, field.value);
     });
 }
 
+/// Whether the field holds the caller's credentials, or states a customer, which only the entry may do.
+bool isCredential(const Field &field, const Dialect &dialect)
+{
+    return equalsIgnoringCase(field.nameText, "Authorization")
+           || (!dialect.customer.empty() && equalsIgnoringCase(field.nameText, dialect.customer));
+}
+
 std::string retryAfterText(const LocalAnswer &answer)
 {
     if (!answer.fractionalRetryAfter) {
@@ -144,7 +152,12 @@
                        BodyFraming framing)
 {
     out.append(parser.methodText).append(" ").append(target).append(" HTTP/1.1\r\n");
-    appendEndToEnd(out, parser.fields, dialect, true);
+    forEachEndToEnd(parser.fields, dialect, true, [&out, &fields, &dialect](const Field &field) {
+        if (!fields.hidesCredentials || !isCredential(field, dialect)) {
+            appendField(out, field.nameText, field.value);
+        }
+    });
+    appendOptionalField(out, dialect.customer, fields.customer);
     appendOptionalField(out, dialect.requestId, fields.requestId);
     appendOptionalField(out, dialect.attemptId, fields.attemptId);
     appendOptionalField(out, dialect.expectedInstance, fields.instance);
@@ -164,7 +177,7 @@
     out.append("HTTP/1.1 ");
     appendNumber(out, parser.statusCode);
     out.append(" ").append(parser.reason).append(LineEnd);
-    appendEndToEnd(out, parser.fields, dialect, false);
+    appendEndToEnd(out, parser.fields, dialect);
     out.append("Verbenadock-Outcome: answered\r\n");
     appendFraming(out, framing);
     if (close) {
@@ -230,6 +243,9 @@
     out.append(" ").append(reasonPhrase(answer.status)).append(LineEnd);
     appendField(out, "Content-Type", "application/json");
     appendField(out, "Verbenadock-Outcome", outcome);
+    if (answer.status == UnauthorizedStatus) {
+        appendField(out, "WWW-Authenticate", "Bearer");
+    }
     if (answer.retryAfter > Duration(0)) {
         appendField(out, "Retry-After", retryAfterText(answer));
     }
--- a/src/proxy/headwriter.h
+++ b/src/proxy/headwriter.h
@@ -36,6 +36,10 @@
     std::int64_t deadlineMilliseconds = 0;
     /// Expected upstream instance. Empty if the instance is not checked.
     std::string_view instance;
+    /// Name of the customer. Empty for none.
+    std::string_view customer = {};
+    /// Whether the caller's credentials and customer field are omitted.
+    bool hidesCredentials = false;
 };
 
 /// Appends the request head for an upstream: the end-to-end fields of the caller's head and the fields of the attempt.
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -2,6 +2,7 @@
 #include "host.h"
 
 #include "attempt.h"
+#include "credentials.h"
 
 #include <algorithm>
 #include <charconv>
@@ -69,6 +70,9 @@
         if (this->report.service.empty()) {
             this->report.service = local.seen.service;
         }
+        if (this->report.customer.empty()) {
+            this->report.customer = local.seen.customer;
+        }
     }
 
     void operator()(const ResetCaller & /*abort*/) const
@@ -123,7 +127,8 @@
                                .caller = request.caller.empty() ? peerAddress : std::string(request.caller),
                                .idempotencyKey = std::nullopt,
                                .bodyBytes = request.bodyBytes,
-                               .timeLeft = parseCallerDeadline(exchange, dialect)};
+                               .timeLeft = parseCallerDeadline(exchange, dialect),
+                               .key = keyDigest(exchange.parser->fields, dialect)};
     if (request.idempotencyKey) {
         event.idempotencyKey = std::string(*request.idempotencyKey);
     }
@@ -220,7 +225,9 @@
     exchange->requestIdText = requestIdText(*exchange, this->options);
     this->exchanges.emplace(exchange->id, exchange);
     if (!this->beginKeyedRequest(*exchange)) {
-        this->apply(makeArrivalEvent(*exchange, exchange->caller->peerAddress(), this->options.dialect));
+        auto event = makeArrivalEvent(*exchange, exchange->caller->peerAddress(), this->options.dialect);
+        exchange->hasKey = event.key.has_value();
+        this->apply(std::move(event));
     }
 }
 
@@ -243,6 +250,7 @@
                          .host = exchange.request.host,
                          .target = std::string(exchange.request.target),
                          .service = exchange.service,
+                         .customer = exchange.customer,
                          .attempts = exchange.attemptReports,
                          .duration = monotonicNow() - exchange.arrivedAt,
                          .callerDeadline = parseCallerDeadline(exchange, this->options.dialect)};
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -31,7 +31,11 @@
     if (found == this->exchanges.end() || found->second->decision) {
         return;
     }
+    if (found->second->attemptReports.empty() && !effect.customer.empty()) {
+        this->proxyMetrics.countKey(KeyResult::Accepted);
+    }
     found->second->service = effect.upstream.service;
+    found->second->customer = effect.customer;
     found->second->attemptReports.push_back({.id = effect.attempt,
                                              .upstream = effect.upstream.upstream,
                                              .seen = effect.seen,
@@ -97,6 +101,11 @@
 void Host::carryOut(const Core::RespondLocally &effect)
 {
     if (auto *exchange = this->findExchange(effect.request)) {
+        if (effect.refusal == Core::RejectionReason::UnknownKey) {
+            this->proxyMetrics.countKey(exchange->hasKey ? KeyResult::Unknown : KeyResult::Missing);
+        } else if (effect.refusal == Core::RejectionReason::ConfigurationOutdated) {
+            this->proxyMetrics.countKey(KeyResult::ConfigurationOutdated);
+        }
         // Once the head of an answer was forwarded, the failure can be signalled only by a reset.
         this->decide(*exchange, exchange->headForwarded ? Decision(ResetCaller{}) : Decision(effect));
     }
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -30,6 +30,21 @@
     return "unknown";
 }
 
+std::string_view toString(KeyResult result)
+{
+    switch (result) {
+    case KeyResult::Accepted:
+        return "accepted";
+    case KeyResult::Unknown:
+        return "unknown";
+    case KeyResult::Missing:
+        return "missing";
+    case KeyResult::ConfigurationOutdated:
+        return "configuration-outdated";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 ProxyMetrics::ProxyMetrics(Telemetry::MetricsRegistry &metrics)
@@ -67,6 +82,11 @@
         this->attempts[index]
             = &metrics.counter("verbenadock_attempts_total", "Attempts by how they ended.", {{"cause", cause}});
     }
+    for (std::size_t index = 0; index < KeyResultCount; ++index) {
+        this->keyResults[index] = &metrics.counter("verbenadock_customer_keys_total",
+                                                   "Requests by the result of the check of their customer's key.",
+                                                   {{"result", std::string(toString(static_cast<KeyResult>(index)))}});
+    }
     for (std::size_t index = 0; index < CloseReasonCount; ++index) {
         const std::string reason(toString(static_cast<CloseReason>(index)));
         this->closedConnections[index] = &metrics.counter(
@@ -131,4 +151,9 @@
     this->closedConnections[static_cast<std::size_t>(reason)]->add();
 }
 
+void ProxyMetrics::countKey(KeyResult result)
+{
+    this->keyResults[static_cast<std::size_t>(result)]->add();
+}
+
 } // namespace Verbenadock::Proxy::internal
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -26,6 +26,17 @@
     NotReusable,
 };
 
+/// What became of a request by its customer's key.
+enum class KeyResult {
+    Accepted,
+    /// No customer holds the key, or holds it any more.
+    Unknown,
+    /// The request has no well-formed key.
+    Missing,
+    /// The configuration may be older than the newest one.
+    ConfigurationOutdated,
+};
+
 /// The metrics of the proxy. Most series are looked up once, so that counting is a plain addition.
 class ProxyMetrics
 {
@@ -38,6 +49,7 @@
     void countBadRequest(BadRequest reason);
     void countAttempt(Health::Cause cause);
     void countClosed(CloseReason reason);
+    void countKey(KeyResult result);
     void countAnnouncement(const AnnouncementReading &reading);
 
     Telemetry::Counter &aborted;
@@ -51,9 +63,10 @@
     Telemetry::Histogram &addedLatency;
 
 private:
-    static constexpr std::size_t RefusalCount = static_cast<std::size_t>(Core::RejectionReason::OutcomeUnknown) + 1;
+    static constexpr std::size_t RefusalCount = static_cast<std::size_t>(Core::RejectionReason::OverFairShare) + 1;
     static constexpr std::size_t OutcomeCount = static_cast<std::size_t>(Core::Outcome::Unknown) + 1;
     static constexpr std::size_t CauseCount = static_cast<std::size_t>(Health::Cause::Cancelled) + 1;
+    static constexpr std::size_t KeyResultCount = static_cast<std::size_t>(KeyResult::ConfigurationOutdated) + 1;
     static constexpr std::size_t CloseReasonCount = static_cast<std::size_t>(CloseReason::NotReusable) + 1;
 
     Telemetry::MetricsRegistry &registry;
@@ -66,6 +79,7 @@
     std::array<Telemetry::Counter *, BadRequestCount> badRequests{};
     std::array<Telemetry::Counter *, CauseCount> attempts{};
     std::array<Telemetry::Counter *, CloseReasonCount> closedConnections{};
+    std::array<Telemetry::Counter *, KeyResultCount> keyResults{};
 };
 
 } // namespace Verbenadock::Proxy::internal
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,8 @@
 constexpr double MaxProcessorShareCores = 1024;
 constexpr double MinRetryWindowSeconds = 0.1;
 constexpr double MaxRetryWindowSeconds = 3600;
+constexpr double MinRevocationSeconds = 0.1;
+constexpr double MaxRevocationSeconds = 3600;
 /// The last answers are written between the end of a shutdown and SIGKILL.
 constexpr Duration KillMargin = std::chrono::milliseconds(300);
 constexpr double MinKillDelaySeconds = 1;
@@ -102,6 +104,9 @@
         "processor_share", store.processorShare, {.least = MinProcessorShareCores, .most = MaxProcessorShareCores});
     readSeconds(
         reader, "retry_window_s", store.retryWindow, {.least = MinRetryWindowSeconds, .most = MaxRetryWindowSeconds});
+    reader.readFlag("strict_revocation", store.strictRevocation);
+    readSeconds(
+        reader, "revocation_s", store.revocation, {.least = MinRevocationSeconds, .most = MaxRevocationSeconds});
     reader.finish();
     settings.store = store;
 }
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -98,28 +98,32 @@
     PageServer server;
 };
 
-/// A follower that reads the store once and then only other VMs.
+/// A follower that reads the store once and then only other VMs, or all the time as a reader.
 std::shared_ptr<StoreFollower> makeFollower(boost::asio::io_context &loop,
                                             const Endpoint &store,
-                                            Telemetry::MetricsRegistry &registry)
+                                            Telemetry::MetricsRegistry &registry,
+                                            bool isReader = false,
+                                            std::function<void()> configurationConfirmed = {})
 {
     Settings::StoreSettings settings;
     settings.endpoint = store;
-    auto follower = std::make_shared<StoreFollower>(loop,
-                                                    settings,
-                                                    registry,
-                                                    StoreFollower::Handlers{.directoryChanged = [] {},
-                                                                            .peerEndpoints =
-                                                                                [] {
-                                                                                    return std::vector<Endpoint>();
-                                                                                },
-                                                                            .readsStore =
-                                                                                [] {
-                                                                                    return false;
-                                                                                },
-                                                                            .recordsRead = [](auto...) {},
-                                                                            .freshnessChanged = [] {},
-                                                                            .eraBegun = [](auto) {}});
+    auto follower = std::make_shared<StoreFollower>(
+        loop,
+        settings,
+        registry,
+        StoreFollower::Handlers{.directoryChanged = [] {},
+                                .peerEndpoints =
+                                    [] {
+                                        return std::vector<Endpoint>();
+                                    },
+                                .readsStore =
+                                    [isReader] {
+                                        return isReader;
+                                    },
+                                .recordsRead = [](auto...) {},
+                                .freshnessChanged = [] {},
+                                .eraBegun = [](auto) {},
+                                .configurationConfirmed = std::move(configurationConfirmed)});
     follower->start();
     return follower;
 }
@@ -269,3 +273,56 @@
     }));
     follower->stop();
 }
+
+// Guards against a 401 for a new key from a VM that believes an old configuration to be the newest one, and against a
+// VM that never gives a 401 although the store answers it.
+TEST_CASE("the configuration is confirmed by the answers of the store and not by those of other VMs")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    store.write(configurationRecord(0, 1, 0));
+    int confirmations = 0;
+    std::uint64_t confirmedVersion = 0;
+    std::shared_ptr<StoreFollower> reader;
+    reader = makeFollower(loop, store.endpoint(), registry, true, [&] {
+        ++confirmations;
+        confirmedVersion = reader ? versionOf(*reader) : 0;
+    });
+    CHECK(runUntil(loop, [&] {
+        return confirmations >= 3 && confirmedVersion == 1;
+    }));
+    store.write(configurationRecord(1, 2, 0));
+    CHECK(runUntil(loop, [&] {
+        return confirmedVersion == 2;
+    }));
+    reader->stop();
+}
+
+TEST_CASE("a VM that reads only other VMs does not confirm the configuration itself")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    store.write(configurationRecord(0, 1, 0));
+    int confirmations = 0;
+    const auto follower = makeFollower(loop, store.endpoint(), registry, false, [&confirmations] {
+        ++confirmations;
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return versionOf(*follower) == 1 && confirmations == 1;
+    }));
+    RecordCache newer;
+    newer.append({configurationRecord(0, 1, 0), configurationRecord(1, 2, 0)}, 2);
+    const PageServer peer(loop, [&newer](std::string_view target) -> std::optional<Net::AdminPage> {
+        const auto request = Platform::pageRequest(target);
+        return request && request->from ? std::optional(Platform::readPage(*newer.recordsFrom(*request->from)))
+                                        : std::nullopt;
+    });
+    follower->catchUpFrom(peer.endpoint(), {.offset = 2}, {});
+    CHECK(runUntil(loop, [&] {
+        return versionOf(*follower) == 2;
+    }));
+    CHECK(confirmations == 1);
+    follower->stop();
+}
--- a/test/platform/decodingtest.cpp
+++ b/test/platform/decodingtest.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <set>
+
 using namespace Verbenadock;
 using namespace Verbenadock::Platform;
 using namespace std::chrono_literals;
@@ -25,6 +27,12 @@
       R"({"entryKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
       R"("headerTimeoutS":3,"idleTimeoutS":15}}]})";
 
+/// The valid configuration with further resources.
+std::string withCustomers(const std::string &resources)
+{
+    return ValidConfiguration.substr(0, ValidConfiguration.size() - 2) + "," + resources + "]}";
+}
+
 KeyedRecord record(const std::string &value)
 {
     return {.offset = 3, .key = "i-7", .value = value};
@@ -123,6 +131,75 @@
     }
 }
 
+// Guards against limits and priorities of customers that are not those of the operators.
+TEST_CASE("customers are decoded with their keys as digests, and routes as public or not")
+{
+    const auto configuration = withCustomers(
+        R"({"entryKind":"tenants","metadata":{"name":"sese880"},"spec":)"
+        R"({"apiKeys":["k1","k2","k1"],"priority":0,"ratePerS":260,"burst":2.5}},)"
+        R"({"entryKind":"tenants","metadata":{"name":"none"},"spec":{"apiKeys":[],"priority":3.0,"ratePerS":0}},)"
+        R"({"entryKind":"routes","metadata":{"name":"r"},"spec":{"host":"h","pathPrefix":"/","kind":"safe",)"
+        R"("service":"huvo","public":true}},)"
+        R"({"entryKind":"routes","metadata":{"name":"r"},"spec":{"host":"h","pathPrefix":"/b","kind":"safe",)"
+        R"("service":"huvo","public":false}})");
+    const auto decoded = decodeConfiguration(record(configuration));
+    REQUIRE(std::holds_alternative<Discovery::OperatorConfiguration>(decoded.content));
+    const auto &content = std::get<Discovery::OperatorConfiguration>(decoded.content);
+    REQUIRE(content.customers.size() == 2);
+    const auto &first = content.customers.front();
+    CHECK(first.name == "sese880");
+    CHECK(std::set(first.keys.begin(), first.keys.end()) == std::set{Bundles::digestOf("k1"), Bundles::digestOf("k2")});
+    CHECK(first.keys.size() == 2);
+    CHECK(first.priority == Bundles::Priority::High);
+    CHECK(first.requestsPerSecond == 260);
+    CHECK(first.burst == 2.5);
+    CHECK(content.customers.back()
+          == Bundles::Customer{.name = "none", .keys = {}, .priority = Bundles::Priority::Low});
+    CHECK_FALSE(content.routes.front().isPublic);
+    CHECK(content.routes[2].isPublic);
+    CHECK_FALSE(content.routes[3].isPublic);
+}
+
+// Guards against a version that gives a key to the wrong customer, and against keys in the log.
+TEST_CASE("a configuration with an invalid customer is unreadable as a whole, and the error contains no key")
+{
+    const auto tenant = [](const std::string &name, const std::string &spec) {
+        return R"({"entryKind":"tenants","metadata":{"name":)" + name + R"(},"spec":{)" + spec + "}}";
+    };
+    const std::string valid = R"("apiKeys":["secret-1"],"priority":1)";
+    const std::string longKey = "secret-" + std::string(506, 'x');
+    for (const auto &resources :
+         {tenant("\"a\"", valid) + "," + tenant("\"b\"", R"("apiKeys":["secret-2","secret-1"])"),
+          tenant("\"a\"", valid) + "," + tenant("\"a\"", R"("apiKeys":["secret-2"])"),
+          tenant("\"\"", valid),
+          tenant("7", valid),
+          tenant("\"a\\r\\nX-Forged: 1\"", valid),
+          std::string(R"({"entryKind":"tenants","spec":{"apiKeys":["secret-1"]}})"),
+          tenant("\"a\"", R"("priority":1)"),
+          tenant("\"a\"", R"("apiKeys":"secret-1")"),
+          tenant("\"a\"", R"("apiKeys":null)"),
+          tenant("\"a\"", R"("apiKeys":["secret-1",7])"),
+          tenant("\"a\"", R"("apiKeys":["secret-1",""])"),
+          tenant("\"a\"", R"("apiKeys":[")" + longKey + "\"]"),
+          tenant("\"a\"", valid + R"(,"ratePerS":-1)"),
+          tenant("\"a\"", valid + R"(,"ratePerS":"secret-1")"),
+          tenant("\"a\"", valid + R"(,"burst":null)"),
+          tenant("\"a\"", R"("apiKeys":["secret-1"],"priority":-1)"),
+          tenant("\"a\"", R"("apiKeys":["secret-1"],"priority":0.5)"),
+          tenant("\"a\"", R"("apiKeys":["secret-1"],"priority":"high")"),
+          std::string(R"({"entryKind":"routes","spec":{"host":"h","pathPrefix":"/","kind":"safe","service":"huvo",)")
+              + R"("public":"true"}})"}) {
+        INFO(resources);
+        const auto content = decodeConfiguration(record(withCustomers(resources))).content;
+        REQUIRE(std::holds_alternative<Discovery::Unreadable>(content));
+        const auto reason = std::get<Discovery::Unreadable>(content).reason;
+        INFO(reason);
+        CHECK(reason.find("secret") == std::string::npos);
+    }
+    const auto longest = withCustomers(tenant("\"a\"", R"("apiKeys":[")" + longKey.substr(1) + "\"]"));
+    CHECK(std::holds_alternative<Discovery::OperatorConfiguration>(decodeConfiguration(record(longest)).content));
+}
+
 TEST_CASE("records of arbitrary bytes are decoded or unreadable")
 {
     rc::check("upstreams", [](const std::string &bytes) {
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -7,15 +7,18 @@
 
 namespace {
 
-std::shared_ptr<const Core::Configuration> configurationOf(const Bundles::Service &service)
+std::shared_ptr<const Core::Configuration> configurationOf(const Bundles::Service &service,
+                                                           const std::vector<Bundles::Customer> &customers,
+                                                           std::uint64_t revision)
 {
     auto configuration = std::make_shared<Core::Configuration>();
-    configuration->revision = 1;
+    configuration->revision = revision;
     Bundles::Bundle bundle{.name = "test", .version = 1, .services = {service}, .routes = {}, .callerLimits = {}};
     for (const std::string method : {"GET", "HEAD", "PUT", "POST"}) {
-        bundle.routes.push_back(
-            Bundles::Route{.method = method, .service = service.name, .idempotent = method != "POST"});
+        bundle.routes.push_back(Bundles::Route{
+            .method = method, .service = service.name, .idempotent = method != "POST", .isPublic = method != "POST"});
     }
+    bundle.customers = customers;
     configuration->bundles.push_back(std::move(bundle));
     return configuration;
 }
@@ -37,23 +40,25 @@
     return options;
 }
 
-EntryFixture::EntryFixture(const FixtureOptions &options)
-    : work(this->context.get_executor())
+EntryFixture::EntryFixture(const FixtureOptions &given)
+    : options(given)
+    , work(this->context.get_executor())
 {
     Proxy::EntryOptions entry;
     entry.listen = {.address = "127.0.5.1", .port = 0};
-    entry.limits = options.limits;
+    entry.limits = given.limits;
     entry.reducer.dataCentre = "test";
     entry.instance = "test-1";
-    entry.dialect = options.dialect;
+    entry.dialect = given.dialect;
     Proxy::EntryHandlers handlers;
     handlers.terminated = [this](bool clean) {
         this->terminated = clean;
         this->ended = true;
     };
     this->server = std::make_unique<Proxy::EntryServer>(this->context, entry, this->registry, handlers);
-    this->server->apply(
-        Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configurationOf(options.service)});
+    this->server->apply(Core::ConfigurationChanged{
+        .at = monotonicNow(), .configuration = configurationOf(given.service, given.customers, this->revision)});
+    this->server->apply(Core::ConfigurationConfirmed{.at = monotonicNow()});
     this->thread = std::thread([this] {
         this->context.run();
     });
@@ -80,6 +85,15 @@
     return caller.readMessage(request.starts_with("HEAD"));
 }
 
+void EntryFixture::setCustomers(const std::vector<Bundles::Customer> &customers)
+{
+    const auto configuration = configurationOf(this->options.service, customers, ++this->revision);
+    this->runOnLoop([this, &configuration] {
+        this->server->apply(Core::ConfigurationChanged{.at = monotonicNow(), .configuration = configuration});
+        this->server->apply(Core::ConfigurationConfirmed{.at = monotonicNow()});
+    });
+}
+
 void EntryFixture::shutDown(Duration drainDelay, Duration limit)
 {
     this->runOnLoop([this, drainDelay, limit] {
--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -20,6 +20,8 @@
     Settings::EntryLimits limits;
     Bundles::Service service;
     Proxy::Dialect dialect = {};
+    /// POST requests need a key of one of them, if there are any; the other routes are public.
+    std::vector<Bundles::Customer> customers = {};
 };
 
 /// Options with one upstream per endpoint and short timeouts.
@@ -29,7 +31,7 @@
 class EntryFixture
 {
 public:
-    explicit EntryFixture(const FixtureOptions &options);
+    explicit EntryFixture(const FixtureOptions &given);
     ~EntryFixture();
     EntryFixture(const EntryFixture &) = delete;
     EntryFixture &operator=(const EntryFixture &) = delete;
@@ -39,6 +41,9 @@
     /// Sends one request on a new connection and reads the answer.
     ReceivedMessage exchange(const std::string &request) const;
 
+    /// Replaces the customers by a new, confirmed version.
+    void setCustomers(const std::vector<Bundles::Customer> &customers);
+
     void shutDown(Duration drainDelay, Duration limit = std::chrono::seconds(20));
 
     /// Whether the shutdown ended.
@@ -52,6 +57,8 @@
 private:
     void runOnLoop(const std::function<void()> &task) const;
 
+    FixtureOptions options;
+    std::uint64_t revision = 1;
     mutable boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     Telemetry::MetricsRegistry registry;
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -147,6 +147,22 @@
     CHECK(deployed("10").drainDelay == 2200ms);
 }
 
+// Guards against revoked keys that an entry serves for as long as it is cut off, where the platform forbids it.
+TEST_CASE("strict revocation and its time are read from the store's settings")
+{
+    const auto storeSettings = [](const std::string &lines) {
+        auto text = ValidEntry.substr(0, ValidEntry.find("[agent]")) + "[store]\nendpoint = \"127.0.0.1:9\"\n" + lines;
+        return parseEntrySettings(text).store.value();
+    };
+    CHECK_FALSE(storeSettings("").strictRevocation);
+    CHECK(storeSettings("").revocation == 5s);
+    CHECK(storeSettings("strict_revocation = true\nrevocation_s = 3.5\n").strictRevocation);
+    CHECK(storeSettings("revocation_s = 3.5\n").revocation == 3500ms);
+    CHECK(storeSettings("revocation_s = 8\n").revocation == 8s);
+    CHECK_THROWS_WITH(storeSettings("revocation_s = 0\n"), Catch::Contains("revocation_s: "));
+    CHECK_THROWS_WITH(storeSettings("strict_revocation = \"yes\"\n"), Catch::Contains("strict_revocation: "));
+}
+
 // Guards against a limit of which nobody can tell where it comes from.
 TEST_CASE("a shutdown limit beside the time of SIGKILL is reported")
 {
