Test the keys of customers with real processes and in the soak

Callers: nothing changes. Cause: the keys were tested only inside single libraries. A 401 now also promises that nothing ran. The numbers of earlier random draws are unchanged, since the keys have their own generator.

--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -213,10 +213,18 @@
          {"metadata", Json::object()},
          {"spec",
           {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}}}});
+    for (const auto &[name, keys] : this->spec.customers) {
+        resources.push_back({{"entryKind", "tenants"}, {"metadata", {{"name", name}}}, {"spec", {{"apiKeys", keys}}}});
+    }
     this->append(
         "keyed.op", "config", Json{{"version", "r" + std::to_string(version)}, {"resources", resources}}.dump());
 }
 
+void StoreFleet::setCustomers(std::map<std::string, std::vector<std::string>> customers)
+{
+    this->spec.customers = std::move(customers);
+}
+
 void StoreFleet::registerUpstream(const FleetUpstream &upstream, bool draining, unsigned lifetime)
 {
     {
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -20,6 +20,8 @@
     Json behaviour = Json::object();
     /// Longest time of a request in seconds, by its route.
     double timeoutS = 2;
+    /// Keys of the first configuration's customers, by name; without customers no request needs a key.
+    std::map<std::string, std::vector<std::string>> customers = {};
     /// The [shutdown] table of the entries' settings.
     std::string shutdown = "drain_delay = \"500 ms\"\nlimit = \"5700 ms\"\n";
 };
@@ -46,6 +48,8 @@
 
     /// Publishes a version with the path prefix /vN/ for vydej beside the services' own prefixes.
     void configure(std::uint64_t version);
+    /// Sets the customers of the versions that are published from now on.
+    void setCustomers(std::map<std::string, std::vector<std::string>> customers);
     /// Writes an upstream's entry as ready or draining; `lifetime` counts its starts.
     void registerUpstream(const FleetUpstream &upstream, bool draining = false, unsigned lifetime = 1);
     void removeUpstream(const FleetUpstream &upstream);
--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "soak/callers.h"
 
+#include "soak/customers.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -28,6 +30,17 @@
 constexpr int PieceChance = 25;
 constexpr auto LongestPieceGap = std::chrono::seconds(2);
 constexpr std::uint64_t PieceSeed = 0x9;
+constexpr std::uint64_t KeySeed = 0x2b;
+
+std::string chooseKey(std::mt19937_64 &random, std::uint64_t newestVersion)
+{
+    const auto draw = std::uniform_int_distribution<int>(0, 9)(random);
+    if (draw < 8) {
+        return draw < 6 ? SteadyKey : MovingKey;
+    }
+    // The key of the version before was removed; at the first version it never existed.
+    return keyOfVersion(draw == 8 ? newestVersion : newestVersion - 1);
+}
 
 /// One open connection of a caller.
 class Connection
@@ -163,10 +176,14 @@
     std::mt19937_64 random(seed * 1000 + number);
     std::map<std::size_t, std::unique_ptr<Connection>> open;
     std::mt19937_64 pieces(seed * 1000 + number + PieceSeed);
+    std::mt19937_64 keys(seed * 1000 + number + KeySeed);
     for (int count = 0; !this->stopping; ++count) {
         CallRecord record{.id = "c" + std::to_string(number) + "-" + std::to_string(count)};
         record.vm = std::uniform_int_distribution<std::size_t>(0, this->fleet.vms.size() - 1)(random);
-        const auto request = this->nextRequest(random, record);
+        auto request = this->nextRequest(random, record);
+        record.key = chooseKey(keys, this->newestVersion);
+        request.headers["Authorization"] = "Bearer " + record.key;
+        request.headers["Verbenadock-Tenant"] = "forged";
         record.sentAt = monotonicNow();
         record.sentUnixUs = unixMicroseconds();
         const bool inPieces = std::uniform_int_distribution<int>(0, PieceChance - 1)(pieces) == 0;
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -1,5 +1,7 @@
 #include "soak/faults.h"
 
+#include "soak/customers.h"
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -389,7 +391,13 @@
 
 void Faults::configure()
 {
-    this->fleet.configure(this->newestVersion + 1);
+    const auto version = this->newestVersion + 1;
+    this->fleet.setCustomers(customersOf(version));
+    PublishedVersion published{.version = version, .begunUnixUs = unixMicroseconds()};
+    this->fleet.configure(version);
+    published.storedAt = monotonicNow();
+    published.storedUnixUs = unixMicroseconds();
+    this->run.versions.push_back(published);
     ++this->newestVersion;
 }
 
--- a/test/soak/judge.cpp
+++ b/test/soak/judge.cpp
@@ -1,6 +1,7 @@
 #include "soak/judge.h"
 
 #include "soak/announcementjudge.h"
+#include "soak/keyjudge.h"
 
 #include <algorithm>
 #include <map>
@@ -17,8 +18,6 @@
 constexpr std::int64_t LeaveSlackUs = 500'000;
 /// The platform counts a request that was read and got no answer for longer than this as lost.
 constexpr Duration CrossingLimit = std::chrono::milliseconds(200);
-/// A disturbance that ended this long ago no longer excuses anything.
-constexpr Duration CalmAfter = std::chrono::seconds(3);
 
 std::map<std::string, int> runsById(const Json &executions)
 {
@@ -31,15 +30,7 @@
 
 bool promisesNotRun(unsigned status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-bool isCalm(const RunRecord &run, TimePoint from, TimePoint until, const std::string &except = {})
-{
-    return std::ranges::none_of(run.disturbances, [&](const Disturbance &disturbance) {
-        const bool over = disturbance.until != TimePoint::max() && disturbance.until + CalmAfter < from;
-        return disturbance.kind != except && !over && disturbance.from <= until;
-    });
+    return status == 401 || status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 void judgeCall(const CallRecord &call, int runs, std::vector<std::string> &broken)
@@ -126,6 +117,7 @@
     judgeLeavings(run, executions, broken);
     judgeVersions(run, broken);
     judgeAnnouncements(run, arrivals, broken);
+    judgeKeys(run, executions, broken);
     return broken;
 }
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "soak/callers.h"
+#include "soak/customers.h"
 #include "soak/faults.h"
 #include "soak/judge.h"
 #include "verbenadock/base/error.h"
@@ -59,9 +60,11 @@
                 .id = "recovery-" + std::to_string(vm) + "-" + std::to_string(number), .vm = vm, .claim = true};
             record.sentAt = monotonicNow();
             record.sentUnixUs = unixMicroseconds();
+            record.key = SteadyKey;
+            auto request = Test::StoreFleet::claim(record.id, "/v" + std::to_string(version) + "/");
+            request.headers["Authorization"] = "Bearer " + record.key;
             try {
-                status
-                    = fleet.call(vm, Test::StoreFleet::claim(record.id, "/v" + std::to_string(version) + "/")).status;
+                status = fleet.call(vm, request).status;
             } catch (const Error &) {
                 // No answer counts as not served yet.
                 status = 0;
@@ -92,13 +95,16 @@
     }
     Test::StoreFleet fleet(std::filesystem::canonical("/proc/self/exe").parent_path(),
                            {.services = {{.name = "katalog", .upstreams = 6}, {.name = "vydej", .upstreams = 8}},
-                            .vms = static_cast<unsigned>(arguments["--vms"].asLong())});
+                            .vms = static_cast<unsigned>(arguments["--vms"].asLong()),
+                            .customers = customersOf(1)});
     fleet.start();
     std::atomic<std::uint64_t> newest = 1;
     RunRecord run;
     for (const auto &vm : fleet.vms) {
         run.vms.push_back(vm.id);
     }
+    run.versions.push_back(
+        {.version = 1, .storedAt = monotonicNow(), .begunUnixUs = 0, .storedUnixUs = unixMicroseconds()});
     Faults faults(fleet, seed, newest, run);
     Callers callers(fleet, static_cast<std::size_t>(arguments["--callers"].asLong()), seed, newest);
     const auto until = monotonicNow() + std::chrono::seconds(arguments["--seconds"].asLong());
@@ -117,11 +123,13 @@
     const auto promises = brokenPromises(run, fleet.executions(), arrivals);
     broken.insert(broken.end(), promises.begin(), promises.end());
 
+    const auto unknownKeys = std::ranges::count(run.calls, 401U, &CallRecord::status);
     const auto served = std::ranges::count(run.calls, 200U, &CallRecord::status);
     std::cout << "seed=" << seed << "\ncalls=" << run.calls.size() << "\nserved=" << served
-              << "\nannounced_leavings=" << run.announcedLeavings.size() << "\npauses=" << pauses
-              << "\ndisturbances=" << run.disturbances.size() << "\nleavings=" << run.leavings.size()
-              << "\nversions=" << newest << "\nbroken=" << broken.size() << '\n';
+              << "\nunknown_keys=" << unknownKeys << "\nannounced_leavings=" << run.announcedLeavings.size()
+              << "\npauses=" << pauses << "\ndisturbances=" << run.disturbances.size()
+              << "\nleavings=" << run.leavings.size() << "\nversions=" << newest << "\nbroken=" << broken.size()
+              << '\n';
     for (const auto &line : broken) {
         std::cout << "BROKEN " << line << '\n';
     }
--- a/test/soak/record.h
+++ b/test/soak/record.h
@@ -18,6 +18,8 @@
     bool claim = false;
     /// Version of the configuration whose own prefix the request used; zero for a prefix of all versions.
     std::uint64_t version = 0;
+    /// Key of the customer; empty for none.
+    std::string key = {};
     /// Time of the last byte.
     TimePoint sentAt;
     TimePoint endedAt;
@@ -70,6 +72,18 @@
     auto operator<=>(const AnnouncedLeaving &) const = default;
 };
 
+/// A version of the configuration, with the times before and after it was written to the store.
+struct PublishedVersion
+{
+    std::uint64_t version = 0;
+    TimePoint storedAt;
+    /// Microseconds since 1970.
+    std::int64_t begunUnixUs = 0;
+    std::int64_t storedUnixUs = 0;
+
+    auto operator<=>(const PublishedVersion &) const = default;
+};
+
 /// Microseconds since 1970.
 std::int64_t unixMicroseconds();
 
@@ -82,10 +96,15 @@
     std::vector<Disturbance> disturbances;
     std::vector<Leaving> leavings;
     std::vector<AnnouncedLeaving> announcedLeavings;
+    /// In the order of their versions.
+    std::vector<PublishedVersion> versions;
     /// Entries that were told to stop and did not end with status 0 in time, without another cause.
     std::vector<std::string> badStops;
 };
 
+/// Whether nothing was disturbed in this time, or shortly before, other than by the given kind of disturbance.
+bool isCalm(const RunRecord &run, TimePoint from, TimePoint until, const std::string &except = {});
+
 } // namespace Verbenadock::Soak
 
 #endif
--- a/test/standins/common/behaviour.h
+++ b/test/standins/common/behaviour.h
@@ -102,6 +102,9 @@
     std::string attemptId;
     /// The caller's own key, from X-Work-Id.
     std::string workId;
+    /// Name of the customer, and the credentials that the upstream must not get.
+    std::string customer;
+    std::string authorization;
     std::string method;
     std::string target;
     /// "running", "completed", "failed", "hung" or "cancelled".
@@ -118,6 +121,8 @@
                                    requestId,
                                    attemptId,
                                    workId,
+                                   customer,
+                                   authorization,
                                    method,
                                    target,
                                    outcome,
--- a/test/standins/common/upstreamserver.cpp
+++ b/test/standins/common/upstreamserver.cpp
@@ -371,6 +371,8 @@
                                             .requestId = header(request, headersOf(this->behaviour).requestId),
                                             .attemptId = header(request, "X-Attempt-Id"),
                                             .workId = header(request, "X-Work-Id"),
+                                            .customer = header(request, "Verbenadock-Tenant"),
+                                            .authorization = header(request, "Authorization"),
                                             .method = request.method_string(),
                                             .target = request.target(),
                                             .startedUs = unixMicroseconds(),
