Search the table of customers with lower_bound; test followers of readers

Callers: nothing changes. Change: a loop from lower_bound; an integration test with five VMs in one data centre.

--- a/src/core/customertable.cpp
+++ b/src/core/customertable.cpp
@@ -33,11 +33,12 @@
 {
     // The search by the first bytes reveals at most these bytes of a known digest. To use them, a caller would have to
     // find keys whose digests begin with chosen bytes, and the remaining 24 bytes are compared in constant time.
-    const auto candidates = std::ranges::equal_range(this->entries, prefixOf(key), {}, &Entry::prefix);
+    const auto prefix = prefixOf(key);
     std::shared_ptr<const Bundles::Customer> found;
-    for (const auto &candidate : candidates) {
-        if (CRYPTO_memcmp(candidate.key.bytes.data(), key.bytes.data(), key.bytes.size()) == 0) {
-            found = candidate.customer;
+    auto candidate = std::ranges::lower_bound(this->entries, prefix, {}, &Entry::prefix);
+    for (; candidate != this->entries.end() && candidate->prefix == prefix; ++candidate) {
+        if (CRYPTO_memcmp(candidate->key.bytes.data(), key.bytes.data(), key.bytes.size()) == 0) {
+            found = candidate->customer;
         }
     }
     return found;
--- a/test/integration/customerkeystest.cpp
+++ b/test/integration/customerkeystest.cpp
@@ -67,7 +67,7 @@
         const auto id = execution.at("requestId").get<std::string>();
         INFO(id);
         CHECK(execution.at("customer") == (id.starts_with("moved") ? "huvo" : "sese"));
-        CHECK(execution.at("authorization") == "");
+        CHECK(execution.at("authorization").get<std::string>().empty());
     }
 }
 
@@ -93,3 +93,32 @@
         });
     }
 }
+
+// Guards against VMs that never give a 401 because they do not read the store themselves, and against ones that give it
+// although the reader that they follow gets no answers.
+TEST_CASE("a VM that follows a reader knows from its heartbeats whether the configuration is the newest one")
+{
+    StoreFleet fleet(PROGRAM_DIR, {.dataCentres = {"a"}, .vms = 5, .customers = {{"sese", {"secret-s"}}}});
+    fleet.start();
+    std::vector<std::size_t> followers;
+    waitFor("VMs that do not read the store", DoubtLimit, [&fleet, &followers] {
+        followers.clear();
+        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+            if (!fleet.entryDump(vm).at("fleet").at("reads_store").get<bool>()) {
+                followers.push_back(vm);
+            }
+        }
+        return followers.size() >= 2;
+    });
+    // Longer than a confirmation by an own read from the start lasts.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    for (const auto vm : followers) {
+        CHECK(statusOf(fleet, vm, "unknown", "secret-n") == 401);
+    }
+    fleet.setStore({{"outage", "error"}});
+    for (const auto vm : followers) {
+        waitFor("doubt at " + fleet.vms[vm].id, DoubtLimit, [&fleet, vm] {
+            return statusOf(fleet, vm, "unknown", "secret-n") == 503;
+        });
+    }
+}
