--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -22,6 +22,8 @@
     Proxy::Dialect dialect = {};
     /// Whether the entry has its configuration from the start on.
     bool startsConfigured = true;
+    /// POST requests need a key of one of them, if there are any; the other routes are public.
+    std::vector<Bundles::Customer> customers = {};
 };
 
 /// Options with one upstream per endpoint and short timeouts.
@@ -31,7 +33,7 @@
 class EntryFixture
 {
 public:
-    explicit EntryFixture(const FixtureOptions &options);
+    explicit EntryFixture(const FixtureOptions &given);
     ~EntryFixture();
     EntryFixture(const EntryFixture &) = delete;
     EntryFixture &operator=(const EntryFixture &) = delete;
@@ -44,6 +46,9 @@
     /// Puts the configuration in force on an entry that started without one.
     void configure() const;
 
+    /// Replaces the customers by a new, confirmed version.
+    void setCustomers(const std::vector<Bundles::Customer> &customers);
+
     void shutDown(Duration drainDelay, Duration limit = std::chrono::seconds(20));
 
     /// Whether the shutdown ended.
@@ -55,12 +60,14 @@
     double metric(const std::string &series) const;
 
 private:
+    void applyConfiguration() const;
     void runOnLoop(const std::function<void()> &task) const;
 
+    FixtureOptions options;
+    std::uint64_t revision = 1;
     mutable boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     Telemetry::MetricsRegistry registry;
-    Bundles::Service service;
     std::unique_ptr<Proxy::EntryServer> server;
     std::atomic<bool> terminated = false;
     std::atomic<bool> ended = false;
