Choose upstreams evenly although load figures are old, and split routes in a low-discrepancy sequence

Callers: requests waited at full upstreams while others of the service were idle, and shares of a split route strayed in small samples. Cause: all VMs of a data centre send to the least loaded upstreams of the same figures, which are 30 to 300 ms old, and each VM draws the service of a split at random. Change: where a service balances evenly, a VM fills the known requests up to a level with the requests expected since the report and draws an upstream in proportion to its room below, with a preference for upstreams that answered this VM lately. Own requests that started or ended after a report are told apart. Requests leave the data centre in proportion to the excess over one request per slot. Slow and new upstreams count with fewer slots. Splits with such a service follow an additive recurrence with a random start.

--- a/include/verbenadock/bundle/bundle.h
+++ b/include/verbenadock/bundle/bundle.h
@@ -27,6 +27,9 @@
     /// Identity of the server process. Requests carry this name, so that another server that took over the address
     /// refuses them; empty when upstreams do not check it.
     std::string instance;
+    /// Time for which the upstream was still slow after its start when its entry was first read. It is not updated with
+    /// later entries, so that they are no change of configuration.
+    Duration remainingWarmUp{0};
 
     auto operator<=>(const Upstream &) const = default;
 };
--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -34,6 +34,8 @@
     unsigned sharePercent = 100;
     /// Whether the upstream is in the entry's data centre.
     bool near = true;
+    /// Mean load of the service's upstreams in the entry's data centre, in percent; zero without even balancing.
+    unsigned meanLoadPercent = 0;
 
     auto operator<=>(const UpstreamView &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -1,6 +1,7 @@
 #include "engine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Verbenadock::Core::Internal {
@@ -23,6 +24,9 @@
 /// Fraction of the wait that is randomized, so that callers rejected at the same moment do not all retry together.
 constexpr double RetryAfterSpread = 0.4;
 
+/// Step of the sequence with the most even distribution in the unit interval.
+constexpr double GoldenRatioFraction = 0.6180339887498949;
+
 } // namespace
 
 Duration Engine::retryAfter(std::optional<Duration> timeLeft)
@@ -84,7 +88,7 @@
         return std::nullopt;
     }
     if (target->split) {
-        target->service = this->chooseSplitService(*target->split);
+        target->service = this->chooseSplitService(*target);
     }
     if (const auto wait = this->callerLimits.admit(target->bundle, event.caller, this->now)) {
         this->reject(event.request, TooManyRequests, RejectionReason::CallerOverLimit, *wait);
@@ -93,13 +97,27 @@
     return target;
 }
 
-std::uint32_t Engine::chooseSplitService(const std::vector<SplitPart> &parts)
+double Engine::nextSplitPosition(const RouteTarget &target)
+{
+    if (!target.splitSequence) {
+        return this->random.fraction();
+    }
+    // An additive recurrence keeps the share of each part close to its weight after few requests, whatever the weights
+    // are, so that the sequence may go on when they change. A random start keeps the entries independent.
+    auto &position = this->splitPositions[*target.splitSequence];
+    position = position ? *position + GoldenRatioFraction : this->random.fraction();
+    position = *position - std::floor(*position);
+    return *position;
+}
+
+std::uint32_t Engine::chooseSplitService(const RouteTarget &target)
 {
+    const auto &parts = *target.split;
     double total = 0;
     for (const auto &part : parts) {
         total += part.weight;
     }
-    double position = this->random.fraction() * total;
+    double position = this->nextSplitPosition(target) * total;
     for (const auto &part : parts) {
         position -= part.weight;
         if (position < 0) {
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -50,7 +50,7 @@
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     attempt.active = false;
-    service.pool.finish(attempt.upstream);
+    service.pool.finish(attempt.upstream, this->now);
     this->reportLoad(service, attempt.upstream);
     this->scheduleDispatch(service);
     const auto latency = attempt.headLatency > Duration(0) ? attempt.headLatency : this->now - attempt.startedAt;
@@ -58,6 +58,7 @@
         service.pool.noteSuccess(attempt.upstream, this->now);
         if (request.replayable) {
             service.latency.add(latency);
+            service.pool.noteLatency(attempt.upstream, latency, this->now);
         }
     } else if (cause != Cause::Cancelled) {
         service.pool.noteFailure(attempt.upstream);
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -129,6 +129,7 @@
 void Engine::buildRoutes(const Configuration &configured)
 {
     std::vector<ResolvedRoute> resolved;
+    std::uint32_t sequences = 0;
     for (std::uint32_t index = 0; index < configured.bundles.size(); ++index) {
         const auto &bundle = configured.bundles[index];
         for (const auto &route : bundle.routes) {
@@ -139,11 +140,19 @@
                                .maxAttempts = route.maxAttempts,
                                .targetLatency = route.targetLatency};
             if (this->resolveServices(bundle.name, route, target)) {
+                const bool isEven
+                    = target.split && std::ranges::any_of(*target.split, [this](const SplitPart &part) {
+                          return this->services[part.service]->service.balancing == Bundles::Balancing::Even;
+                      });
+                if (isEven) {
+                    target.splitSequence = sequences++;
+                }
                 resolved.push_back(ResolvedRoute{.route = route, .target = target});
             }
         }
     }
     this->routes = std::make_shared<const RoutingTable>(resolved);
+    this->splitPositions.resize(sequences);
 }
 
 void Engine::updateBundleTimes(const Configuration &configured)
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -92,8 +92,10 @@
 
     // arrivals.cpp
     std::optional<RouteTarget> admit(const RequestArrived &event);
-    /// Weighted random choice; returns the index of the service.
-    std::uint32_t chooseSplitService(const std::vector<SplitPart> &parts);
+    /// Choice by weight; returns the index of the service.
+    std::uint32_t chooseSplitService(const RouteTarget &target);
+    /// Position in [0, 1) of the next request of a route with a split.
+    double nextSplitPosition(const RouteTarget &target);
     /// Value of Retry-After for a caller that waits this long at most.
     Duration retryAfter(std::optional<Duration> timeLeft);
     /// Value of Retry-After for a request that was not run.
@@ -192,6 +194,8 @@
     std::unordered_set<std::string> leaving;
 
     std::shared_ptr<const RoutingTable> routes;
+    /// Last position in each route's sequence, which starts at random.
+    std::vector<std::optional<double>> splitPositions;
     std::vector<std::unique_ptr<ServiceState>> services;
     std::map<std::pair<std::string, std::string>, std::uint32_t> serviceIndices;
     std::vector<std::uint32_t> scheduledServices;
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -29,6 +29,9 @@
     std::uint32_t service = 0;
     /// Null for a route to one service.
     std::shared_ptr<const std::vector<SplitPart>> split;
+    /// Number of the route among those with a split, if one of its services balances evenly; otherwise its requests are
+    /// distributed at random.
+    std::optional<std::uint32_t> splitSequence;
     /// Index of the bundle in the configuration; it selects the caller limits.
     std::uint32_t bundle = 0;
     bool idempotent = false;
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -173,7 +173,7 @@
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     const auto seen = service.pool.view(upstream);
-    service.pool.start(upstream);
+    service.pool.start(upstream, this->now);
     this->reportLoad(service, upstream);
     const auto &target = service.pool.at(upstream);
     request.attempts.push_back(
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -49,12 +49,14 @@
                                                   Field{"service", &UpstreamKey::service},
                                                   Field{"upstream", &UpstreamKey::upstream}};
 template<>
-inline constexpr std::tuple FieldsOf<Bundles::Upstream>{Field{"id", &Bundles::Upstream::id},
-                                                        Field{"endpoint", &Bundles::Upstream::endpoint},
-                                                        Field{"data_centre", &Bundles::Upstream::dataCentre},
-                                                        Field{"slots", &Bundles::Upstream::slots},
-                                                        Field{"connection_limit", &Bundles::Upstream::connectionLimit},
-                                                        Field{"instance", &Bundles::Upstream::instance}};
+inline constexpr std::tuple FieldsOf<Bundles::Upstream>{
+    Field{"id", &Bundles::Upstream::id},
+    Field{"endpoint", &Bundles::Upstream::endpoint},
+    Field{"data_centre", &Bundles::Upstream::dataCentre},
+    Field{"slots", &Bundles::Upstream::slots},
+    Field{"connection_limit", &Bundles::Upstream::connectionLimit},
+    Field{"instance", &Bundles::Upstream::instance},
+    Field{"remaining_warm_up", &Bundles::Upstream::remainingWarmUp}};
 template<>
 inline constexpr std::tuple FieldsOf<Bundles::Timeouts>{Field{"connect", &Bundles::Timeouts::connect},
                                                         Field{"first_byte", &Bundles::Timeouts::firstByte},
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -1,4 +1,5 @@
 // Load balancing of UpstreamPool: selects an upstream for a request.
+#include "upstreamload.h"
 #include "upstreampool.h"
 
 #include <algorithm>
@@ -18,14 +19,9 @@
 /// requests are longer, and a large body costs far more to transfer.
 constexpr double IdempotentLocalLoadLimit = 1.25;
 constexpr double LocalLoadLimit = 2;
-constexpr double LargeBodyLocalLoadLimit = 2.5;
 /// Load in requests per slot from which a request would miss its target latency. The targets of both deployments are
 /// three to four times the usual work time, so a request that waits for 1.5 times that time can still meet its target.
 constexpr double FullLoad = 2.5;
-/// Age up to which a load report of another data centre is used; reports arrive every 1.2 s.
-constexpr Duration DataCentreLoadValidity = std::chrono::seconds(4);
-/// Requests per slot added to the load of an upstream that recently did not answer this entry.
-constexpr double SuspectPathPenalty = 1.5;
 /// Load up to which upstreams are considered equally idle: half of the slots.
 constexpr double NegligibleLoad = 0.5;
 /// Fraction of the requests that go to the least loaded upstream regardless of its last answer, so that new upstreams
@@ -34,16 +30,6 @@
 /// Random draws before the whole pool is scanned.
 constexpr int RandomDraws = 6;
 
-double capacity(const UpstreamState &upstream)
-{
-    return std::max(1.0, upstream.concurrency * upstream.admission.share);
-}
-
-double load(const UpstreamState &upstream)
-{
-    return (upstream.inFlight + upstream.otherEntriesInFlight) / capacity(upstream);
-}
-
 bool isIdle(const UpstreamState &upstream)
 {
     return upstream.inFlight + upstream.otherEntriesInFlight == 0;
@@ -148,7 +134,7 @@
     if (count == 0) {
         return std::nullopt;
     }
-    if (this->prefersLocal) {
+    if (this->prefersLocal || this->balancing == Bundles::Balancing::Even) {
         return this->pickPreferringLocal(request, now, random);
     }
     std::optional<std::uint32_t> first;
@@ -222,7 +208,11 @@
         return choice.limited;
     }
     auto best = choice.local ? choice.local : choice.remote;
-    if (choice.local && choice.remote && this->sendsToRemote(request, *choice.local, *choice.remote, now, random)) {
+    // An entry that hears no other one stays with the upstreams that answered it, since others may be unreachable.
+    if (this->balancing == Bundles::Balancing::Even && this->reports.hearsOthers(now)) {
+        best = this->pickEvenly(request, now, random);
+    } else if (choice.local && choice.remote
+               && this->sendsToRemote(request, *choice.local, *choice.remote, now, random)) {
         best = choice.remote;
     }
     best = best ? best : choice.limited;
@@ -365,9 +355,11 @@
     const auto percent = [](double share) {
         return static_cast<unsigned>(std::lround(100 * share));
     };
+    const bool isEven = this->balancing == Bundles::Balancing::Even;
     return {.loadPercent = percent(load(state)),
             .sharePercent = state.admission.trialOnly ? 0 : percent(state.admission.share),
-            .near = state.ownDataCentre};
+            .near = state.ownDataCentre,
+            .meanLoadPercent = isEven ? percent(this->meanLocalLoad()) : 0};
 }
 
 } // namespace Verbenadock::Core::Internal
--- a/src/core/upstreampool.cpp
+++ b/src/core/upstreampool.cpp
@@ -1,5 +1,6 @@
 #include "upstreampool.h"
 
+#include "upstreamload.h"
 #include "verbenadock/base/drain.h"
 
 #include <algorithm>
@@ -44,6 +45,7 @@
         return;
     }
     this->prefersLocal = service->prefersOwnDataCentre;
+    this->balancing = service->balancing;
     std::set<std::string_view> dataCentreNames;
     for (const auto &upstream : service->upstreams) {
         dataCentreNames.insert(upstream.dataCentre);
@@ -64,6 +66,7 @@
                 .inFlight = state.inFlight,
                 .otherEntriesInFlight = 0,
                 .admission = {},
+                .warmUntil = now + upstream.remainingWarmUp,
             };
         }
         state.instance = upstream.instance;
@@ -142,14 +145,16 @@
     return !this->restricted.empty();
 }
 
-void UpstreamPool::start(std::uint32_t upstream)
+void UpstreamPool::start(std::uint32_t upstream, TimePoint now)
 {
     ++this->upstreams[upstream].inFlight;
+    this->reports.noteOwnChange(upstream, 1, now);
 }
 
-void UpstreamPool::finish(std::uint32_t upstream)
+void UpstreamPool::finish(std::uint32_t upstream, TimePoint now)
 {
     --this->upstreams[upstream].inFlight;
+    this->reports.noteOwnChange(upstream, -1, now);
 }
 
 void UpstreamPool::noteOtherEntriesLoad(const LoadChanged &change)
@@ -159,21 +164,39 @@
         return;
     }
     auto &state = this->upstreams[found->second];
-    const auto own = change.includesOwn ? state.inFlight : 0;
+    // The sum does not contain own requests that started just before it arrived, but contains those that ended then.
+    const auto included = this->balancing == Bundles::Balancing::Even
+                              ? this->reports.ownInReport(found->second, state.inFlight, change.at)
+                              : state.inFlight;
+    const auto own = change.includesOwn ? included : 0;
     state.otherEntriesInFlight = std::max(change.otherEntriesInFlight, own) - own;
-    if (!state.ownDataCentre) {
+    if (state.ownDataCentre) {
+        this->reports.noteReport(change.at);
+    } else {
         this->dataCentreLoads[state.dataCentre].detailedAt = change.at;
     }
 }
 
+void UpstreamPool::noteLatency(std::uint32_t upstream, Duration latency, TimePoint now)
+{
+    auto &state = this->upstreams[upstream];
+    const double kept = agedWeight(state.latencyAt, now);
+    state.latencySum = state.latencySum * kept + std::chrono::duration<double>(latency).count();
+    state.latencyCount = state.latencyCount * kept + 1;
+    state.latencyAt = now;
+    this->reports.noteLatency(latency);
+}
+
 void UpstreamPool::noteFailure(std::uint32_t upstream)
 {
     this->upstreams[upstream].lastSuccessAt = TimePoint{};
+    this->upstreams[upstream].successes = 0;
 }
 
 void UpstreamPool::noteSuccess(std::uint32_t upstream, TimePoint now)
 {
     auto &state = this->upstreams[upstream];
+    state.successes = 1 + (state.successes > 0 ? state.successes * agedWeight(state.lastSuccessAt, now) : 0);
     state.lastSuccessAt = now;
     state.backOff = Duration(0);
     state.concurrency = std::min<double>(state.slots, state.concurrency + 1 / state.concurrency);
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -1,6 +1,8 @@
 #ifndef VERBENADOCK_CORE_UPSTREAMPOOL_H
 #define VERBENADOCK_CORE_UPSTREAMPOOL_H
 
+#include "evenload.h"
+#include "loadreports.h"
 #include "random.h"
 #include "requesttable.h"
 #include "verbenadock/base/endpoint.h"
@@ -47,11 +49,19 @@
     Health::Admission admission;
     /// Time of the last success seen by this entry; reset by a failure.
     TimePoint lastSuccessAt{};
+    /// Successes seen by this entry until then, where older ones count less; zero after a failure.
+    double successes = 0;
     /// Until this time requests use new connections, since idle ones may be dead.
     TimePoint connectionsSuspectUntil{};
     /// Until this time the load of the upstream gets a penalty, since it did not answer this entry in time or was
     /// unreachable.
     TimePoint pathSuspectUntil{};
+    /// Until this time the upstream is slow after its start.
+    TimePoint warmUntil{};
+    /// Sum of the recent latencies in seconds, and their number; older ones count less.
+    double latencySum = 0;
+    double latencyCount = 0;
+    TimePoint latencyAt{};
 };
 
 /// What an upstream announced about itself. It is kept apart from the state, because the state is reset when the
@@ -74,7 +84,7 @@
     auto operator<=>(const PauseEnd &) const = default;
 };
 
-/// Upstreams of one service with load balancing, which is implemented in upstreamchoice.cpp.
+/// Upstreams of one service with load balancing, which is implemented in upstreamchoice.cpp and evenchoice.cpp.
 ///
 /// Usage: configure(); pick() an upstream, then start() on it and finish() when the attempt ends.
 class UpstreamPool
@@ -113,13 +123,15 @@
     /// Whether the reported load leaves a free slot, so that a request would not be queued by the upstream.
     bool hasFreeSlot(std::uint32_t upstream) const;
 
-    void start(std::uint32_t upstream);
-    void finish(std::uint32_t upstream);
+    void start(std::uint32_t upstream, TimePoint now);
+    void finish(std::uint32_t upstream, TimePoint now);
 
     /// Stores the load of another data centre in requests per slot, which is used for some seconds.
     void noteDataCentreLoad(const std::string &dataCentre, double load, TimePoint now);
     void noteOtherEntriesLoad(const LoadChanged &change);
     void noteSuccess(std::uint32_t upstream, TimePoint now);
+    /// The upstream answered a request whose latency does not depend on the caller.
+    void noteLatency(std::uint32_t upstream, Duration latency, TimePoint now);
     void noteFailure(std::uint32_t upstream);
     void noteShed(std::uint32_t upstream, TimePoint now, Random &random);
     void noteUnreachable(std::uint32_t upstream, TimePoint now, Random &random);
@@ -173,6 +185,24 @@
         unsigned localUpstreams = 0;
     };
     void addCandidate(LocalityCandidates &choice, std::uint32_t index, bool exploring, TimePoint now) const;
+    // evenchoice.cpp
+    /// Random choice that makes the load even; nothing if no upstream with full admission is usable.
+    std::optional<std::uint32_t> pickEvenly(const Request &request, TimePoint now, Random &random) const;
+    /// Fills the list with the usable upstreams with full admission, inside or outside the own data centre.
+    void collectCandidates(EvenLoad &list, bool local, const Request &request, TimePoint now) const;
+    /// Requests expected to be in flight at an upstream of the own data centre or of another one, before those that
+    /// other entries have sent since the last report.
+    double expectedRequests(const UpstreamState &upstream, TimePoint now) const;
+    double expectedRemoteRequests(const UpstreamState &upstream, TimePoint now) const;
+    /// Known requests in flight of the other entries in the own data centre.
+    double otherRequests() const;
+    /// Slots of the upstream by its speed relative to its siblings.
+    double effectiveSlots(const UpstreamState &upstream, TimePoint now) const;
+    /// Part of the requests to send to other data centres, 0 to 1, by loads in requests per slot.
+    static double remoteShare(const Request &request, double localLevel, double localShare, double remoteLoad);
+    /// Load of the own data centre's upstreams in requests per slot.
+    double meanLocalLoad() const;
+
     bool sendsToRemote(const Request &request,
                        std::uint32_t local,
                        std::uint32_t remote,
@@ -205,6 +235,11 @@
     /// By id.
     std::unordered_map<std::string, UpstreamNotice> notices;
     bool prefersLocal = false;
+    Bundles::Balancing balancing = Bundles::Balancing::LeastLoaded;
+    LoadReports reports;
+    /// Working memory of a choice, kept to avoid allocations.
+    mutable EvenLoad localCandidates;
+    mutable EvenLoad remoteCandidates;
     std::size_t dataCentres = 0;
     struct DataCentreLoad
     {
--- a/src/discovery/servicepolicy.cpp
+++ b/src/discovery/servicepolicy.cpp
@@ -67,6 +67,7 @@
     upstream.dataCentre = entry.dataCentre;
     upstream.slots = entry.slots;
     upstream.instance = entry.instance;
+    upstream.remainingWarmUp = entry.remainingWarmUp;
     return upstream;
 }
 
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -32,6 +32,7 @@
         return;
     }
     found->second->service = effect.upstream.service;
+    this->proxyMetrics.countChoice(effect.seen);
     found->second->attemptReports.push_back({.id = effect.attempt,
                                              .upstream = effect.upstream.upstream,
                                              .seen = effect.seen,
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -1,5 +1,6 @@
 #include "proxymetrics.h"
 
+#include <algorithm>
 #include <string>
 
 namespace Verbenadock::Proxy::internal {
@@ -48,6 +49,10 @@
     , registry(metrics)
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
     , replayed(metrics.counter("verbenadock_replayed_answers_total", "Answers to repeated idempotency keys."))
+    , remoteChoices(metrics.counter("verbenadock_remote_attempts_total",
+                                    "Attempts at upstreams outside the entry's data centre."))
+    , relativeLoad(metrics.histogram("verbenadock_relative_upstream_load",
+                                     "Known load of the chosen upstream over the mean of its service, not in seconds."))
     , leavingAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "leaving"}}))
     , pauseAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "pause"}}))
 {
@@ -112,6 +117,18 @@
     this->badRequests[static_cast<std::size_t>(reason)]->add();
 }
 
+void ProxyMetrics::countChoice(const Core::UpstreamView &seen)
+{
+    if (!seen.near) {
+        this->remoteChoices.add();
+    }
+    if (seen.meanLoadPercent > 0) {
+        // The histogram has logarithmic bins, so that an idle upstream counts in a low one.
+        const auto load = std::max(1U, seen.loadPercent);
+        this->relativeLoad.record(static_cast<double>(load) / seen.meanLoadPercent);
+    }
+}
+
 void ProxyMetrics::countAttempt(Health::Cause cause)
 {
     this->attempts[static_cast<std::size_t>(cause)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -37,6 +37,7 @@
     void countKeyAnswer(const KeyAnswer &answer);
     void countBadRequest(BadRequest reason);
     void countAttempt(Health::Cause cause);
+    void countChoice(const Core::UpstreamView &seen);
     void countClosed(CloseReason reason);
     void countAnnouncement(const AnnouncementReading &reading);
 
@@ -59,6 +60,8 @@
     Telemetry::MetricsRegistry &registry;
     Telemetry::Counter &answered;
     Telemetry::Counter &replayed;
+    Telemetry::Counter &remoteChoices;
+    Telemetry::Histogram &relativeLoad;
     Telemetry::Counter &leavingAnnouncements;
     Telemetry::Counter &pauseAnnouncements;
     std::array<Telemetry::Counter *, AnnouncementErrorCount> announcementErrors{};
