--- a/test/core/evenloadtest.cpp
+++ b/test/core/evenloadtest.cpp
@@ -272,3 +272,31 @@
     CHECK(even.misplacedShare() < least.misplacedShare());
     CHECK(even.meanWaitSeconds() < (utilisation > 0.5 ? 0.6 : 1.0) * least.meanWaitSeconds());
 }
+
+// Guards against queues in the data centre at its peak beside idle upstreams in others, against herds to the others,
+// and against requests that leave a data centre without need. Slots, utilisation and swing are those of the dock
+// deployment.
+TEST_CASE("a data centre at its peak sends its surplus to the others")
+{
+    LoadCase parameters{.vms = 45,
+                        .upstreams = 60,
+                        .slots = 4,
+                        .utilisation = 0.75,
+                        .workSeconds = 0.35,
+                        .seconds = 12,
+                        .dataCentres = 3,
+                        .swing = 0.55};
+    const auto even = LoadSimulation(parameters).run();
+    parameters.balancing = Bundles::Balancing::LeastLoaded;
+    const auto least = LoadSimulation(parameters).run();
+    const double part = static_cast<double>(even.leftFirst) / even.fromFirst;
+    const double leastPart = static_cast<double>(least.leftFirst) / least.fromFirst;
+    INFO("left " << part << " and " << leastPart << ", others " << even.leftOthers << " and " << least.leftOthers
+                 << " of " << even.requests << ", waits " << even.meanWaitSeconds() << " s and "
+                 << least.meanWaitSeconds() << " s");
+    // The data centre gets 1.16 requests per slot, so that 0.14 of its requests are surplus.
+    CHECK(part > 0.14);
+    CHECK(part < 0.3);
+    CHECK(even.leftOthers < 0.01 * even.requests);
+    CHECK(even.meanWaitSeconds() < least.meanWaitSeconds());
+}
--- a/test/core/loadsimulation.h
+++ b/test/core/loadsimulation.h
@@ -8,11 +8,13 @@
 #include <memory>
 #include <numeric>
 #include <queue>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace Verbenadock::Core::Test {
 
-/// VMs of one data centre that send the requests of one service.
+/// VMs that send the requests of one service.
 struct LoadCase
 {
     Bundles::Balancing balancing = Bundles::Balancing::Even;
@@ -27,6 +29,9 @@
     double workSeconds = 0.18;
     double seconds = 4;
     std::uint64_t seed = 1;
+    unsigned dataCentres = 1;
+    /// The first data centre gets this much more than the mean load, as a part of it; the others get less.
+    double swing = 0;
 };
 
 struct LoadResult
@@ -38,6 +43,10 @@
     double waited = 0;
     /// Sum over the arrivals of the requests at the busiest upstream over the mean of all.
     double busiest = 0;
+    /// Requests that left their data centre, from the first one and from the others.
+    unsigned leftFirst = 0;
+    unsigned leftOthers = 0;
+    unsigned fromFirst = 0;
 
     double misplacedShare() const
     {
@@ -68,17 +77,20 @@
         , inFlight(parameters.upstreams)
         , freeAt(parameters.upstreams, std::vector<double>(parameters.slots))
         , reported(parameters.upstreams)
+        , reportedAsFull(parameters.upstreams)
+        , smoothedLoads(parameters.dataCentres)
     {
         Bundles::Service service;
         service.name = "s";
         service.prefersOwnDataCentre = true;
         service.balancing = parameters.balancing;
         for (unsigned number = 0; number < parameters.upstreams; ++number) {
-            service.upstreams.push_back({.id = std::to_string(number), .dataCentre = "a", .slots = parameters.slots});
+            service.upstreams.push_back(
+                {.id = std::to_string(number), .dataCentre = this->nameOf(number), .slots = parameters.slots});
         }
         for (unsigned vm = 0; vm < parameters.vms; ++vm) {
             this->pools.push_back(std::make_unique<Internal::UpstreamPool>());
-            this->pools.back()->configure("b", &service, "a", TimePoint{});
+            this->pools.back()->configure("b", &service, this->nameOf(vm), TimePoint{});
         }
     }
 
@@ -91,15 +103,19 @@
         double nextArrival = this->exponential(rate);
         double nextCapture = interval;
         double nextDelivery = nextCapture + interval / 3;
+        double nextRemote = RemoteInterval;
         const double end = WarmUpSeconds + this->settings.seconds;
         for (double now = 0; now < end;) {
             const double nextEnd = this->ends.empty() ? end : this->ends.top().at;
-            now = std::min({nextArrival, nextCapture, nextDelivery, nextEnd});
+            now = std::min({nextArrival, nextCapture, nextDelivery, nextEnd, nextRemote});
             if (now == nextEnd && !this->ends.empty()) {
                 this->finish(now);
             } else if (now == nextDelivery) {
                 this->deliver(now);
                 nextDelivery += interval;
+            } else if (now == nextRemote) {
+                this->reportToOtherDataCentres(now);
+                nextRemote += RemoteInterval;
             } else if (now == nextCapture) {
                 this->captured = this->inFlight;
                 nextCapture += interval;
@@ -125,6 +141,35 @@
         }
     };
 
+    /// Interval of the reports of full upstreams to other data centres; every second one smooths the loads of the data
+    /// centres, and every sixth one reports them, as Fleet::LoadExchange does.
+    static constexpr double RemoteInterval = 0.2;
+    static constexpr unsigned PerSample = 2;
+    static constexpr unsigned PerLoadReport = 6;
+    static constexpr double NewestSampleWeight = 0.2;
+
+    /// VMs and upstreams are distributed over the data centres in turn.
+    unsigned dataCentreOf(unsigned number) const
+    {
+        return number % this->settings.dataCentres;
+    }
+
+    std::string nameOf(unsigned number) const
+    {
+        return "dc" + std::to_string(this->dataCentreOf(number));
+    }
+
+    unsigned chooseVm()
+    {
+        if (this->settings.dataCentres == 1) {
+            return this->random.below(this->settings.vms);
+        }
+        const bool isFirst = this->random.fraction() * this->settings.dataCentres < 1 + this->settings.swing;
+        const unsigned dataCentre = isFirst ? 0 : 1 + this->random.below(this->settings.dataCentres - 1);
+        return dataCentre
+               + this->settings.dataCentres * this->random.below(this->settings.vms / this->settings.dataCentres);
+    }
+
     static TimePoint timeAt(double seconds)
     {
         return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 + seconds)));
@@ -137,7 +182,7 @@
 
     void arrive(double now, bool counts)
     {
-        const unsigned vm = this->random.below(this->settings.vms);
+        const unsigned vm = this->chooseVm();
         const Internal::Request request{.idempotent = true};
         const auto upstream = this->pools[vm]->pick(request, timeAt(now), this->random);
         if (!upstream) {
@@ -150,6 +195,11 @@
             = !hasFreeSlot(this->inFlight[*upstream]) && std::ranges::any_of(this->inFlight, hasFreeSlot);
         this->result.requests += counts ? 1 : 0;
         this->result.misplaced += counts && misplaced ? 1 : 0;
+        const bool isFromFirst = this->dataCentreOf(vm) == 0;
+        const bool left = this->dataCentreOf(vm) != this->dataCentreOf(*upstream);
+        this->result.fromFirst += counts && isFromFirst ? 1 : 0;
+        this->result.leftFirst += counts && left && isFromFirst ? 1 : 0;
+        this->result.leftOthers += counts && left && !isFromFirst ? 1 : 0;
         ++this->inFlight[*upstream];
         this->pools[vm]->start(*upstream, timeAt(now));
         const auto slot = std::ranges::min_element(this->freeAt[*upstream]);
@@ -181,12 +231,65 @@
                 continue;
             }
             this->reported[upstream] = this->captured[upstream];
-            const LoadChanged change{.at = timeAt(now),
-                                     .upstream = {.bundle = "b", .service = "s", .upstream = std::to_string(upstream)},
-                                     .otherEntriesInFlight = this->captured[upstream],
-                                     .includesOwn = true};
-            for (const auto &pool : this->pools) {
-                pool->noteOtherEntriesLoad(change);
+            const auto change = this->changeOf(upstream, this->captured[upstream], now);
+            for (unsigned vm = this->dataCentreOf(upstream); vm < this->settings.vms;
+                 vm += this->settings.dataCentres) {
+                this->pools[vm]->noteOtherEntriesLoad(change);
+            }
+        }
+    }
+
+    LoadChanged changeOf(unsigned upstream, unsigned requests, double now) const
+    {
+        return {.at = timeAt(now),
+                .upstream = {.bundle = "b", .service = "s", .upstream = std::to_string(upstream)},
+                .otherEntriesInFlight = requests,
+                .includesOwn = true};
+    }
+
+    void reportToOtherDataCentres(double now)
+    {
+        ++this->remoteReports;
+        for (unsigned upstream = 0; upstream < this->settings.upstreams; ++upstream) {
+            const auto full = this->inFlight[upstream] >= this->settings.slots ? this->inFlight[upstream] : 0;
+            if (full != std::exchange(this->reportedAsFull[upstream], full)) {
+                const auto change = this->changeOf(upstream, full, now);
+                this->forOtherDataCentres(this->dataCentreOf(upstream), [&change](Internal::UpstreamPool &pool) {
+                    pool.noteOtherEntriesLoad(change);
+                });
+            }
+        }
+        for (unsigned dataCentre = 0; dataCentre < this->settings.dataCentres; ++dataCentre) {
+            this->reportLoadOf(dataCentre, now);
+        }
+    }
+
+    void reportLoadOf(unsigned dataCentre, double now)
+    {
+        auto &smoothed = this->smoothedLoads[dataCentre];
+        if (this->remoteReports % PerSample == 0) {
+            double requests = 0;
+            double slots = 0;
+            for (unsigned upstream = dataCentre; upstream < this->settings.upstreams;
+                 upstream += this->settings.dataCentres) {
+                requests += this->inFlight[upstream];
+                slots += this->settings.slots;
+            }
+            smoothed += NewestSampleWeight * (requests / slots - smoothed);
+        }
+        if (this->remoteReports % PerLoadReport == 0) {
+            this->forOtherDataCentres(dataCentre, [&](Internal::UpstreamPool &pool) {
+                pool.noteDataCentreLoad(this->nameOf(dataCentre), smoothed, timeAt(now));
+            });
+        }
+    }
+
+    template<typename Function>
+    void forOtherDataCentres(unsigned dataCentre, Function function)
+    {
+        for (unsigned vm = 0; vm < this->settings.vms; ++vm) {
+            if (this->dataCentreOf(vm) != dataCentre) {
+                function(*this->pools[vm]);
             }
         }
     }
@@ -199,6 +302,9 @@
     std::vector<std::vector<double>> freeAt;
     std::vector<unsigned> captured;
     std::vector<unsigned> reported;
+    std::vector<unsigned> reportedAsFull;
+    std::vector<double> smoothedLoads;
+    unsigned remoteReports = 0;
     std::priority_queue<End, std::vector<End>, std::greater<>> ends;
     LoadResult result;
 };
