--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -36,6 +36,7 @@
     }
     found->second->service = effect.upstream.service;
     found->second->customer = effect.customer;
+    this->proxyMetrics.countChoice(effect.seen);
     found->second->attemptReports.push_back({.id = effect.attempt,
                                              .upstream = effect.upstream.upstream,
                                              .seen = effect.seen,
