Test that slow upstreams get less with even balancing, and measure the time of a choice

Callers: no change. Cause: the relative speed and the cost of a choice were not covered. Change: a test and a measuring case that does not run by default.

--- a/test/core/evenloadtest.cpp
+++ b/test/core/evenloadtest.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -172,6 +173,31 @@
     CHECK(choices(reducer, 200).count("u0") == 0);
 }
 
+// Guards against equal numbers of requests for an upstream that takes twice as long as its siblings.
+TEST_CASE("an upstream that answers slowly gets less than its siblings")
+{
+    auto service = evenService(20, 4);
+    for (auto &upstream : service.upstreams) {
+        upstream.dataCentre = "a";
+    }
+    Internal::UpstreamPool pool;
+    pool.configure("nalezeno", &service, "a", at(0));
+    for (std::uint32_t upstream = 0; upstream < 20; ++upstream) {
+        auto change = report("u" + std::to_string(upstream), 2);
+        change.at = at(1000);
+        pool.noteOtherEntriesLoad(change);
+        for (int answer = 0; answer < 10; ++answer) {
+            pool.noteLatency(upstream, std::chrono::milliseconds(upstream == 0 ? 400 : 200), at(1000));
+        }
+    }
+    Internal::Random random(1);
+    int slow = 0;
+    for (int number = 0; number < 2000; ++number) {
+        slow += pool.pick({.idempotent = true}, at(1010), random) == 0U ? 1 : 0;
+    }
+    CHECK(slow < 50);
+}
+
 // Guards against probation that ends as soon as a service balances evenly.
 TEST_CASE("an upstream on probation gets its share with even balancing")
 {
@@ -256,6 +282,30 @@
     }
 }
 
+// Measures the time of a choice; not part of the regular run.
+TEST_CASE("time of a choice among 150 upstreams", "[.measure]")
+{
+    auto service = evenService(150, 2);
+    Internal::UpstreamPool pool;
+    pool.configure("nalezeno", &service, "a", at(0));
+    for (unsigned upstream = 0; upstream < 150; ++upstream) {
+        auto change = report("u" + std::to_string(upstream), 2 + upstream % 3);
+        change.at = at(1000);
+        pool.noteOtherEntriesLoad(change);
+        pool.noteLatency(upstream, std::chrono::milliseconds(200), at(1000));
+        pool.noteSuccess(upstream, at(1000));
+    }
+    Internal::Random random(1);
+    constexpr int Choices = 20'000;
+    const auto begin = std::chrono::steady_clock::now();
+    unsigned found = 0;
+    for (int number = 0; number < Choices; ++number) {
+        found += pool.pick({.idempotent = true}, at(1010), random) ? 1 : 0;
+    }
+    const std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - begin;
+    std::cout << elapsed.count() / Choices << " microseconds for a choice, " << found << " found\n";
+}
+
 // Guards against entries that overload upstreams in turn because their figures are old. Measured at 0.85: waits of 0.33
 // to 0.47 of those of the least loaded choice. docs/design/even-load.md has all cases.
 TEST_CASE("requests wait less and fewer are misplaced with even balancing when load figures are old")
