Test strict revocation with a real process

Callers: nothing changes. Cause: the way from the settings file to the core was covered by no test. Change: the store fleet takes further lines of the [store] table, and an integration test takes the store away.

--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -162,7 +162,8 @@
                   + line("admin", target.entryAdmin()) + "[callers]\n" + line("listen", target.entryListen())
                   + "[peers]\n" + line("listen", {target.address, Ports::EntryPeers}) + "[store]\n"
                   + line("endpoint", {target.address, StoreProxy}) + "seeds = [" + seeds
-                  + "]\nretry_allowance = 60\nretry_window_s = 10\n[shutdown]\n" + this->spec.shutdown);
+                  + "]\nretry_allowance = 60\nretry_window_s = 10\n" + this->spec.store + "[shutdown]\n"
+                  + this->spec.shutdown);
     target.entry = std::make_unique<Process>(
         this->programs / "verbenadock-entry", std::vector<std::string>{"--config", file.string()}, this->entryLog(vm));
 }
--- a/test/integration/customerkeystest.cpp
+++ b/test/integration/customerkeystest.cpp
@@ -122,3 +122,23 @@
         });
     }
 }
+
+// Guards against a setting that is read and has no effect.
+TEST_CASE("with strict revocation a VM without confirmation serves no request that needs a key")
+{
+    StoreFleet fleet(PROGRAM_DIR,
+                     {.dataCentres = {"a"},
+                      .vms = 1,
+                      .store = "strict_revocation = true\nrevocation_s = 2.5\n",
+                      .customers = {{"sese", {"secret-s"}}}});
+    fleet.start();
+    CHECK(statusOf(fleet, 0, "before", "secret-s") == 200);
+    fleet.setStore({{"outage", "error"}});
+    waitFor("a refusal", DoubtLimit, [&fleet] {
+        return statusOf(fleet, 0, "during", "secret-s") == 503;
+    });
+    fleet.setStore({{"outage", "none"}});
+    waitFor("service", DoubtLimit, [&fleet] {
+        return statusOf(fleet, 0, "after", "secret-s") == 200;
+    });
+}
