Share an overloaded service fairly between customers or routes

Callers: under overload a customer with many requests takes the capacity of all others. Cause: requests are served in the order of their deadlines and rejected at once when all upstreams are full. Change: services with fair sharing order queued requests by start-time fair queueing, reject first what holds most above its share, let requests wait for a short time at full upstreams, and derive Retry-After from the backlog. Services by arrival decide as before.

--- a/include/verbenadock/core/effect.h
+++ b/include/verbenadock/core/effect.h
@@ -8,6 +8,7 @@
 #include "verbenadock/health/servicedetector.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,6 +39,24 @@
     auto operator<=>(const UpstreamView &) const = default;
 };
 
+/// Share of a request's customer or route in the work of a service with fair sharing; for the log and metrics only.
+struct ShareView
+{
+    /// Empty without a customer.
+    std::string customer;
+    /// Work of the last seconds that the customer or route holds, and the equal share.
+    Duration held{0};
+    Duration equalShare{0};
+    /// Customers or routes above the equal share.
+    std::size_t aboveShare = 0;
+    /// Time that the request waited in this entry's queue.
+    Duration queueWait{0};
+    /// Whether the caller often comes back before its Retry-After.
+    bool returnsEarly = false;
+
+    auto operator<=>(const ShareView &) const = default;
+};
+
 /// State of a service when a request for it was rejected.
 struct RejectionView
 {
@@ -49,6 +68,8 @@
     std::size_t inService = 0;
     /// All configured upstreams.
     std::size_t configured = 0;
+    /// Only for a service with fair sharing.
+    std::optional<ShareView> share = {};
 
     auto operator<=>(const RejectionView &) const = default;
 };
@@ -77,6 +98,8 @@
     bool hidesCredentials = false;
     /// For the log only.
     UpstreamView seen = {};
+    /// For the metrics only; absent for further attempts and without fair sharing.
+    std::optional<ShareView> share = {};
 
     auto operator<=>(const StartAttempt &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -45,6 +45,9 @@
         // Callers return after the end of the pause, and not all together.
         return wait + std::chrono::duration_cast<Duration>(wait * (RetryAfterSpread * this->random.fraction()));
     }
+    if (this->serviceOf(request).service.sharing == Bundles::Sharing::Fair) {
+        return this->fairRetryAfter(request);
+    }
     return this->retryAfter(request.callerDeadline ? std::optional(*request.callerDeadline - this->now) : std::nullopt);
 }
 
@@ -141,6 +144,9 @@
     request.replayable = event.bodyBytes && *event.bodyBytes <= service.service.replayBytes;
     request.maxAttempts = target->maxAttempts;
     request.targetLatency = target->targetLatency;
+    request.arrivedAt = event.at;
+    request.caller = std::hash<std::string>{}(event.caller);
+    request.route = target->identity;
     const auto configured = target->timeout > Duration(0) ? target->timeout : service.service.timeouts.total;
     if (event.timeLeft) {
         request.callerDeadline = event.at + *event.timeLeft;
@@ -160,7 +166,8 @@
             .loadPercent = request.bestLoadPercent,
             .queued = service.queue.size(),
             .inService = service.pool.countInService(this->now),
-            .configured = service.pool.configured().size()};
+            .configured = service.pool.configured().size(),
+            .share = this->shareView(request)};
 }
 
 void Engine::failRequest(std::uint32_t slot, RejectionReason refusal)
@@ -190,6 +197,7 @@
 {
     this->dequeue(slot);
     this->requestTimers.clear(slot);
+    this->releaseShare(this->requests.at(slot));
     --this->serviceOf(this->requests.at(slot)).openRequests;
     this->requests.close(slot);
 }
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -54,6 +54,7 @@
     this->reportLoad(service, attempt.upstream);
     this->scheduleDispatch(service);
     const auto latency = attempt.headLatency > Duration(0) ? attempt.headLatency : this->now - attempt.startedAt;
+    request.workDone += latency;
     if (cause == Cause::Success) {
         service.pool.noteSuccess(attempt.upstream, this->now);
         if (request.replayable) {
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -224,7 +224,11 @@
 {
     const auto found = this->serviceIndices.find({event.upstream.bundle, event.upstream.service});
     if (found != this->serviceIndices.end()) {
-        this->services[found->second]->pool.noteOtherEntriesLoad(event);
+        auto &service = *this->services[found->second];
+        service.pool.noteOtherEntriesLoad(event);
+        if (service.service.sharing == Bundles::Sharing::Fair && !service.queue.empty()) {
+            this->scheduleDispatch(service);
+        }
     }
 }
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -13,6 +13,10 @@
 /// grows with the number of upstreams, and such a success changes no state unless an upstream is restricted.
 constexpr Duration MaxEvaluationDelay = std::chrono::milliseconds(1);
 
+/// Interval at which requests that wait because all upstreams are full are tried again. Reports of the load, which also
+/// trigger this, may be lost.
+constexpr Duration FullUpstreamsPoll = std::chrono::milliseconds(25);
+
 /// Fractions of a service's typical latency and of a route's target latency below which a failure is early, that is,
 /// before the work can have been done. Targets are three to four times the usual latency.
 constexpr double EarlyShareOfTypical = 0.3;
@@ -182,6 +186,9 @@
     if (!service.queue.empty()) {
         consider(service.pool.nextBackOffEnd(this->now));
         consider(service.pool.nextPauseEnd(this->now));
+        if (service.service.sharing == Bundles::Sharing::Fair) {
+            consider(this->now + FullUpstreamsPoll);
+        }
     }
     if (earliest && service.configured) {
         this->serviceTimers.set(service.index, *earliest);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -3,6 +3,8 @@
 
 #include "budgets.h"
 #include "callerlimits.h"
+#include "earlyreturns.h"
+#include "fairshare.h"
 #include "fleetreserve.h"
 #include "random.h"
 #include "requestqueue.h"
@@ -47,6 +49,7 @@
     /// The requests that had not been sent by then were withdrawn.
     bool startsEnded = false;
     RequestQueue queue;
+    FairShare shares;
     std::size_t openRequests = 0;
 };
 
@@ -58,8 +61,8 @@
     bool stoppedAccepting = false;
 };
 
-/// Implementation of the reducer, in arrivals.cpp, attempts.cpp, configuration.cpp, dump.cpp, engine.cpp and
-/// scheduling.cpp.
+/// Implementation of the reducer, in allowances.cpp, arrivals.cpp, attempts.cpp, configuration.cpp, customeraccess.cpp,
+/// dump.cpp, engine.cpp, fairscheduling.cpp and scheduling.cpp.
 class Engine
 {
 public:
@@ -129,6 +132,32 @@
     void recordOverdue(ServiceState &service, std::uint32_t upstream);
     void updateTimer(std::uint32_t slot);
 
+    // fairscheduling.cpp; for services with fair sharing
+    void scheduleFairly(std::uint32_t slot);
+    void enqueueFairly(std::uint32_t slot);
+    void dispatchFairly(ServiceState &service);
+    /// Starts the request unless no upstream has room.
+    bool startIfRoom(std::uint32_t slot);
+    /// Moves the queued request behind those that can still meet their target latency.
+    void defer(std::uint32_t slot);
+    bool missesTarget(const Request &request) const;
+    /// Whether the request can be answered before its deadline behind this number of queued requests.
+    bool isInTime(const Request &request, std::size_t ahead) const;
+    /// Rejects queued requests that cannot be answered before their deadline.
+    void rejectHopeless(ServiceState &service);
+    /// The queued request that is rejected first when there is no room for all.
+    const QueuePosition &leastClaim(const ServiceState &service) const;
+    RejectionReason reasonOfRejection(const Request &request, RejectionReason otherwise) const;
+    static ShareKey shareKey(const Request &request);
+    static std::size_t countInFlight(const ServiceState &service);
+    static Duration usualWork(const Request &request, const ServiceState &service);
+    /// Charges the request to its share unless this was done; returns the start tag.
+    Duration chargeShare(Request &request);
+    void releaseShare(Request &request);
+    /// Value of Retry-After for a request that was not run; remembers when its caller may return.
+    Duration fairRetryAfter(const Request &request);
+    std::optional<ShareView> shareView(const Request &request) const;
+
     // attempts.cpp
     struct RunningAttempt
     {
@@ -196,6 +225,7 @@
     std::map<std::pair<std::string, std::string>, std::uint32_t> serviceIndices;
     std::vector<std::uint32_t> scheduledServices;
     CallerLimits callerLimits;
+    EarlyReturns earlyReturns;
 
     RequestTable requests;
     TimerQueue requestTimers;
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_CORE_REQUESTTABLE_H
 #define VERBENADOCK_CORE_REQUESTTABLE_H
 
+#include "fairshare.h"
 #include "requestqueue.h"
 #include "verbenadock/base/identifiers.h"
 #include "verbenadock/base/time.h"
@@ -40,6 +41,16 @@
     bool excludesUpstream = true;
 };
 
+/// Work that was charged to a share for a request.
+struct ShareCharge
+{
+    ShareKey key = 0;
+    /// In seconds.
+    double work = 0;
+
+    auto operator<=>(const ShareCharge &) const = default;
+};
+
 /// State of one caller's request.
 struct Request
 {
@@ -64,8 +75,21 @@
     TimePoint deadline{};
     /// Time at which the caller stops waiting, if the request states it.
     std::optional<TimePoint> callerDeadline;
+    TimePoint arrivedAt{};
+    /// Hash of the caller's name or address.
+    std::uint64_t caller = 0;
+    /// The caller often comes back before its Retry-After.
+    bool returnsEarly = false;
+    /// Identity of the route for fair sharing without customers.
+    ShareKey route = 0;
+    std::optional<ShareCharge> shareCharge;
+    /// Time that the ended attempts took.
+    Duration workDone{0};
     std::vector<Attempt> attempts;
     std::optional<QueuePosition> queued;
+    /// Time at which the request was queued last, and its wait in the queue before that.
+    TimePoint queuedAt{};
+    Duration queueWait{0};
     /// Time at which the request is rejected if it is still queued.
     TimePoint queueExpiry{};
     /// Time at which the running attempt becomes overdue.
--- a/src/core/routingtable.cpp
+++ b/src/core/routingtable.cpp
@@ -65,6 +65,7 @@
         };
         if (std::none_of(methods.begin(), methods.end(), sameMethod)) {
             methods.push_back(MethodTarget{.method = route.method, .target = target});
+            methods.back().target.identity = routeKey(lowerCase(route.host), route.pathPrefix);
             ++this->routeCount;
         }
     }
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_CORE_ROUTINGTABLE_H
 #define VERBENADOCK_CORE_ROUTINGTABLE_H
 
+#include "fairshare.h"
 #include "verbenadock/bundle/bundle.h"
 
 #include <cstddef>
@@ -39,6 +40,8 @@
     unsigned maxAttempts = 0;
     /// Zero if the route sets none.
     Duration targetLatency{0};
+    /// Identity of the route's host and path prefix for fair sharing; set by the routing table.
+    ShareKey identity = 0;
 
     auto operator<=>(const RouteTarget &) const = default;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -20,6 +20,10 @@
 {
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
+    if (service.service.sharing == Bundles::Sharing::Fair) {
+        this->scheduleFairly(slot);
+        return;
+    }
     this->readmitUpstreams(request);
     if (service.queue.empty()) {
         const auto upstream = service.pool.pick(request, this->now, this->random);
@@ -127,11 +131,16 @@
     if (request.queued) {
         this->serviceOf(request).queue.erase(*request.queued);
         request.queued.reset();
+        request.queueWait += this->now - request.queuedAt;
     }
 }
 
 void Engine::dispatch(ServiceState &service)
 {
+    if (service.service.sharing == Bundles::Sharing::Fair) {
+        this->dispatchFairly(service);
+        return;
+    }
     int misses = 0;
     auto next = service.queue.begin();
     while (next != service.queue.end() && misses < MaxDispatchMisses) {
@@ -193,6 +202,7 @@
         .echoesAttemptId = service.service.echoesAttemptId,
         .instance = target.instance,
         .seen = seen,
+        .share = request.attempts.size() == 1 ? this->shareView(request) : std::nullopt,
     });
     // The duration of a long upload depends on the caller, so attempts with such bodies are never overdue.
     const auto usual = hedgeDelay(request, service);
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -51,7 +51,7 @@
     Telemetry::Histogram &addedLatency;
 
 private:
-    static constexpr std::size_t RefusalCount = static_cast<std::size_t>(Core::RejectionReason::OutcomeUnknown) + 1;
+    static constexpr std::size_t RefusalCount = static_cast<std::size_t>(Core::RejectionReason::OverFairShare) + 1;
     static constexpr std::size_t OutcomeCount = static_cast<std::size_t>(Core::Outcome::Unknown) + 1;
     static constexpr std::size_t CauseCount = static_cast<std::size_t>(Health::Cause::Cancelled) + 1;
     static constexpr std::size_t CloseReasonCount = static_cast<std::size_t>(CloseReason::NotReusable) + 1;
