Keep room for customers below their share at all VMs, and test fair sharing

Cause: a VM sees few requests, so other VMs fill the upstreams with the customer's requests. Change: the load up to which an upstream takes a request falls with what its customer or route holds above the others. Requests of callers that often return early go last.

--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -226,6 +226,7 @@
     if (found != this->serviceIndices.end()) {
         auto &service = *this->services[found->second];
         service.pool.noteOtherEntriesLoad(event);
+        // Requests may wait because other entries fill the upstreams.
         if (service.service.sharing == Bundles::Sharing::Fair && !service.queue.empty()) {
             this->scheduleDispatch(service);
         }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -136,6 +136,9 @@
     void scheduleFairly(std::uint32_t slot);
     void enqueueFairly(std::uint32_t slot);
     void dispatchFairly(ServiceState &service);
+    /// Load in percent of the slots from which an upstream has no room for the request. It falls with what the customer
+    /// or route holds above its share, so that all entries together leave room for the others.
+    unsigned loadLimitPercent(const Request &request) const;
     /// Starts the request unless no upstream has room.
     bool startIfRoom(std::uint32_t slot);
     /// Moves the queued request behind those that can still meet their target latency.
--- a/src/core/fairscheduling.cpp
+++ b/src/core/fairscheduling.cpp
@@ -2,14 +2,25 @@
 #include "engine.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace Verbenadock::Core::Internal {
 
 namespace {
 
-/// Queued requests per dispatch for which no upstream is found before the dispatch stops, as without fair sharing.
-constexpr int MaxDispatchMisses = 8;
+/// Queued requests per dispatch for which no upstream has room before the dispatch stops. Those behind them hold more
+/// above their share, so that they rarely find room; each try scans all upstreams.
+constexpr int MaxDispatchMisses = 3;
+
+/// Load in percent of the slots up to which an upstream takes requests, by priority. The differences leave room for
+/// higher priorities and for customers below their share that arrive at other entries.
+constexpr std::array<unsigned, 3> HighestLoadPercent{250, 200, 150};
+/// The same for whoever holds most above its share: an upstream with a free slot takes any request.
+constexpr unsigned LowestLoadPercent = 100;
+/// Multiple of what the others hold on average up to which a customer keeps all of the room. One entry sees so few
+/// requests that customers of equal size often differ by this factor.
+constexpr double RandomRatio = 2;
 
 /// Work of a request before any is known: a fraction of the target latency, which is three to four times the usual
 /// work, and without a target the usual work of the deployments.
@@ -80,27 +91,26 @@
         return;
     }
     auto &shares = this->serviceOf(request).shares;
-    const auto &[key, work] = *request.shareCharge;
-    if (request.workDone > Duration(0)) {
+    const auto &[key, work, started] = *request.shareCharge;
+    if (started && request.workDone > Duration(0)) {
         shares.settle(key, work, toSeconds(request.workDone), this->now);
     } else {
-        shares.refund(key, work, this->now);
+        shares.refund(key, work, started, this->now);
     }
     request.shareCharge.reset();
 }
 
 bool Engine::missesTarget(const Request &request) const
 {
-    const auto &service = this->serviceOf(request);
     return request.targetLatency > Duration(0)
-           && this->now + service.latency.typical() > request.arrivedAt + request.targetLatency;
+           && this->now + usualWork(request, this->serviceOf(request)) > request.arrivedAt + request.targetLatency;
 }
 
 bool Engine::isInTime(const Request &request, std::size_t ahead) const
 {
     // By Little's law this entry starts as many requests in the typical latency as it has in flight.
     const auto &service = this->serviceOf(request);
-    const auto typical = service.latency.typical();
+    const auto typical = usualWork(request, service);
     const auto inFlight = std::max<std::size_t>(1, countInFlight(service));
     const auto wait = typical * static_cast<Duration::rep>(ahead) / static_cast<Duration::rep>(inFlight);
     return this->now + wait + typical <= request.deadline;
@@ -109,10 +119,14 @@
 void Engine::scheduleFairly(std::uint32_t slot)
 {
     auto &request = this->requests.at(slot);
-    const auto &service = this->serviceOf(request);
+    auto &service = this->serviceOf(request);
     this->readmitUpstreams(request);
     if (request.attempts.empty()) {
-        request.returnsEarly = this->earlyReturns.noteArrival(request.caller ^ shareKey(request), this->now);
+        service.shares.noteOffered(shareKey(request), this->now);
+        request.isNeglected = service.shares.isNeglected(shareKey(request), this->now);
+        // A caller with many independent requests also seems to return early, and must not starve because of that.
+        const bool returnsEarly = this->earlyReturns.noteArrival(request.caller ^ shareKey(request), this->now);
+        request.returnsEarly = returnsEarly && !request.isNeglected;
     }
     if (service.queue.empty() && this->startIfRoom(slot)) {
         return;
@@ -127,6 +141,17 @@
     }
 }
 
+unsigned Engine::loadLimitPercent(const Request &request) const
+{
+    const auto &shares = this->serviceOf(request).shares;
+    const auto top = HighestLoadPercent.at(static_cast<std::size_t>(request.priority));
+    const double ratio = shares.ratioToOthers(shareKey(request), this->now);
+    if (ratio <= RandomRatio || request.isNeglected) {
+        return top;
+    }
+    return std::max(LowestLoadPercent, static_cast<unsigned>(top * RandomRatio / ratio));
+}
+
 bool Engine::startIfRoom(std::uint32_t slot)
 {
     auto &request = this->requests.at(slot);
@@ -135,8 +160,10 @@
     if (!upstream) {
         return false;
     }
-    if (service.pool.isFull(*upstream, this->now)) {
-        request.bestLoadPercent = service.pool.view(*upstream).loadPercent;
+    const auto seen = service.pool.view(*upstream);
+    if (service.pool.isFull(*upstream, this->now)
+        || (service.service.prefersOwnDataCentre && seen.loadPercent >= this->loadLimitPercent(request))) {
+        request.bestLoadPercent = seen.loadPercent;
         return false;
     }
     if (request.queued && !request.queued->deferred) {
@@ -144,6 +171,10 @@
     }
     this->dequeue(slot);
     this->chargeShare(request);
+    if (!request.shareCharge->started) {
+        service.shares.start(request.shareCharge->key, request.shareCharge->work, this->now);
+        request.shareCharge->started = true;
+    }
     this->startAttempt(slot, *upstream, false);
     return true;
 }
@@ -153,7 +184,8 @@
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
     // A retry was charged when it first started, and its tag is the oldest possible one, since it has waited longest.
-    const auto startTag = this->chargeShare(request);
+    const auto ownTag = this->chargeShare(request);
+    const auto startTag = request.isNeglected ? Duration(0) : ownTag;
     request.queued = QueuePosition{.priority = request.priority,
                                    .deferred = request.returnsEarly,
                                    .startTag = startTag,
@@ -161,7 +193,7 @@
                                    .sequence = ++this->lastSequence,
                                    .slot = slot};
     request.queuedAt = this->now;
-    request.queueExpiry = std::max(this->now, request.deadline - service.latency.typical());
+    request.queueExpiry = std::max(this->now, request.deadline - usualWork(request, service));
     service.queue.insert(*request.queued);
     this->updateTimer(slot);
     if (service.queue.size() > service.service.queueLimit) {
@@ -192,7 +224,8 @@
     const auto lowest = service.queue.rbegin()->priority;
     const auto claimOf = [this, &service](const QueuePosition &position) {
         const auto &request = this->requests.at(position.slot);
-        return std::tuple(request.returnsEarly, service.shares.held(shareKey(request), this->now));
+        const double held = request.isNeglected ? 0 : service.shares.held(shareKey(request), this->now);
+        return std::tuple(request.returnsEarly, held);
     };
     // Backwards, so that of equal claims the last request is found.
     auto least = service.queue.rbegin();
@@ -262,10 +295,6 @@
         if (this->startIfRoom(slot)) {
             continue;
         }
-        if (request.idempotent && request.attempts.empty()) {
-            // The request may go to any upstream, so no upstream has room.
-            return;
-        }
         ++misses;
     }
 }
@@ -276,9 +305,8 @@
     const auto inFlight = std::max<std::size_t>(1, countInFlight(service));
     const double rounds = 1 + static_cast<double>(service.queue.size()) / static_cast<double>(inFlight);
     const auto backlog = scaled(usualWork(request, service), rounds);
-    const auto limit = request.callerDeadline
-                           ? scaled(*request.callerDeadline - this->now, RetryAfterShareOfTimeLeft)
-                           : MaxRetryAfterWithoutDeadline;
+    const auto limit = request.callerDeadline ? scaled(*request.callerDeadline - this->now, RetryAfterShareOfTimeLeft)
+                                              : MaxRetryAfterWithoutDeadline;
     // The limit has precedence over the lower bound: a caller with so little time left gives up in any case.
     const auto latest = std::min(limit, std::max(2 * MinRetryAfter, scaled(backlog, LatestReturn)));
     const auto earliest = std::min(latest / 2, scaled(backlog, EarliestReturn));
--- a/src/core/fairshare.h
+++ b/src/core/fairshare.h
@@ -21,14 +21,18 @@
 /// seconds that requests take at upstreams. Designed for 7 to 17 requests per second, of which a customer sends between
 /// two per second and one in ten seconds.
 ///
-/// Usage: charge() each request when it is queued or started, then refund() it if it was not run, or settle() it with
-/// the time that it took. Of the queued requests the one with the lowest startTag() goes first.
+/// Usage: noteOffered() each request and charge() it; start() it when it is sent to an upstream; then refund() it if it
+/// was not run, or settle() it with the time that it took. Of the queued requests the one with the lowest start tag
+/// goes first.
 class FairShare
 {
 public:
-    /// Start tag of start-time fair queueing: the service that the key has received, in seconds of work.
+    void noteOffered(ShareKey key, TimePoint now);
+    /// Returns the start tag of start-time fair queueing: the service that the key has received, in seconds of work.
     double charge(ShareKey key, double work, TimePoint now);
-    void refund(ShareKey key, double work, TimePoint now);
+    /// The charged request is sent to an upstream.
+    void start(ShareKey key, double work, TimePoint now);
+    void refund(ShareKey key, double work, bool wasStarted, TimePoint now);
     /// Replaces the estimated work by the actual one, which also improves the next estimates.
     void settle(ShareKey key, double estimated, double actual, TimePoint now);
     /// A queued request with this start tag was started.
@@ -41,6 +45,11 @@
     double held(ShareKey key, TimePoint now) const;
     /// Held work of all keys divided by the number of keys that hold any.
     double equalShare(TimePoint now) const;
+    /// Whether the key is served far less often than all.
+    bool isNeglected(ShareKey key, TimePoint now) const;
+    /// Held work of the key, without queued requests, as a multiple of what each other key holds on average; 1 if there
+    /// is no other one.
+    double ratioToOthers(ShareKey key, TimePoint now) const;
     /// Whether the key holds more than the equal share, and other keys hold work too.
     bool isAboveShare(ShareKey key, TimePoint now) const;
     std::size_t countAboveShare(TimePoint now) const;
@@ -51,8 +60,13 @@
 private:
     struct Account
     {
-        /// Decays exponentially.
+        /// Work of requests that were started; decays exponentially.
         double held = 0;
+        /// Work of queued requests.
+        double waiting = 0;
+        /// Requests of the last seconds, and those of them that were started; decay exponentially.
+        double offered = 0;
+        double started = 0;
         /// Finish tag of the last request; its distance from the virtual time decays exponentially.
         double finishTag = 0;
         /// Smoothed work of a request.
@@ -62,6 +76,7 @@
 
     Account &accountFor(ShareKey key, TimePoint now);
     void evictLeast(TimePoint now);
+    static double startedWork(const Account &account, TimePoint now);
     static double heldAt(const Account &account, TimePoint now);
 
     double virtualTime = 0;
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -47,6 +47,7 @@
     ShareKey key = 0;
     /// In seconds.
     double work = 0;
+    bool started = false;
 
     auto operator<=>(const ShareCharge &) const = default;
 };
@@ -80,6 +81,8 @@
     std::uint64_t caller = 0;
     /// The caller often comes back before its Retry-After.
     bool returnsEarly = false;
+    /// When the request arrived, its customer or route was served far less often than all.
+    bool isNeglected = false;
     /// Identity of the route for fair sharing without customers.
     ShareKey route = 0;
     std::optional<ShareCharge> shareCharge;
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -55,6 +55,23 @@
     return text;
 }
 
+/// Share of the customer or route in a service with fair sharing.
+std::string shareField(const std::optional<Core::ShareView> &share)
+{
+    if (!share) {
+        return {};
+    }
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    std::string field = " customer=" + (share->customer.empty() ? std::string("-") : share->customer);
+    field.append(" share_ms=").append(milliseconds(share->held)).append("/").append(milliseconds(share->equalShare));
+    field.append(" above_share=").append(std::to_string(share->aboveShare));
+    field.append(" queue_ms=").append(milliseconds(share->queueWait));
+    field.append(share->returnsEarly ? " returns_early=yes" : "");
+    return field;
+}
+
 } // namespace
 
 std::string requestLine(const Proxy::RequestReport &report)
@@ -88,6 +105,7 @@
         line.append(" queued=").append(std::to_string(rejection.queued));
         line.append(" in_service=").append(std::to_string(rejection.inService));
         line.append("/").append(std::to_string(rejection.configured));
+        line.append(shareField(rejection.share));
     }
     line.append(announcementsField(report.attempts));
     line.append(" ms=").append(milliseconds(report.duration));
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -27,6 +27,9 @@
 
 void Host::carryOut(const Core::StartAttempt &effect)
 {
+    if (effect.share) {
+        this->proxyMetrics.recordShare(effect.upstream.service, *effect.share);
+    }
     const auto found = this->exchanges.find(effect.request);
     if (found == this->exchanges.end() || found->second->decision) {
         return;
@@ -96,6 +99,9 @@
 
 void Host::carryOut(const Core::RespondLocally &effect)
 {
+    if (effect.seen.share && effect.outcome == Core::Outcome::NotRun) {
+        this->proxyMetrics.recordShare(effect.seen.service, *effect.seen.share);
+    }
     if (auto *exchange = this->findExchange(effect.request)) {
         // Once the head of an answer was forwarded, the failure can be signalled only by a reset.
         this->decide(*exchange, exchange->headForwarded ? Decision(ResetCaller{}) : Decision(effect));
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -46,6 +46,9 @@
     , addedLatency(metrics.histogram("verbenadock_added_seconds",
                                      "Part of the latency that the entry adds, for requests with one attempt."))
     , registry(metrics)
+    , queueWait(metrics.histogram("verbenadock_queue_wait_seconds",
+                                  "Wait in the entry's queue before the first attempt or the rejection, for services "
+                                  "with fair sharing."))
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
     , replayed(metrics.counter("verbenadock_replayed_answers_total", "Answers to repeated idempotency keys."))
     , leavingAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "leaving"}}))
@@ -126,6 +129,16 @@
     }
 }
 
+void ProxyMetrics::recordShare(const std::string &service, const Core::ShareView &share)
+{
+    this->queueWait.record(std::chrono::duration<double>(share.queueWait).count());
+    this->registry
+        .gauge("verbenadock_customers_above_share",
+               "Customers, or routes without customers, that held more than the equal share at the last request.",
+               {{"service", service}})
+        .set(static_cast<double>(share.aboveShare));
+}
+
 void ProxyMetrics::countClosed(CloseReason reason)
 {
     this->closedConnections[static_cast<std::size_t>(reason)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -39,6 +39,8 @@
     void countAttempt(Health::Cause cause);
     void countClosed(CloseReason reason);
     void countAnnouncement(const AnnouncementReading &reading);
+    /// Records the share of a request of a service with fair sharing.
+    void recordShare(const std::string &service, const Core::ShareView &share);
 
     Telemetry::Counter &aborted;
     Telemetry::Counter &callerDisconnected;
@@ -57,6 +59,7 @@
     static constexpr std::size_t CloseReasonCount = static_cast<std::size_t>(CloseReason::NotReusable) + 1;
 
     Telemetry::MetricsRegistry &registry;
+    Telemetry::Histogram &queueWait;
     Telemetry::Counter &answered;
     Telemetry::Counter &replayed;
     Telemetry::Counter &leavingAnnouncements;
--- a/test/core/propertytest.cpp
+++ b/test/core/propertytest.cpp
@@ -109,6 +109,7 @@
     {
         auto service = makeService(2 + choice % 3, 1 + choice % 2);
         service.queueLimit = choice % 4;
+        service.sharing = choice % 2 == 0 ? Bundles::Sharing::ByArrival : Bundles::Sharing::Fair;
         service.timeouts.total = std::chrono::seconds(2);
         service.budgets.hedgePercent = 50;
         this->slots.clear();
@@ -142,8 +143,9 @@
         const bool proof
             = !forwarded && (step == StepKind::NotRun || step == StepKind::Refused || step == StepKind::NothingWritten);
         request.attemptsThatMayHaveRun += proof ? 0 : 1;
-        this->remove(attempt.request, attempt.attempt);
+        // The parameter may refer to the removed element.
         const auto finished = attempt;
+        this->remove(finished.request, finished.attempt);
         if (step == StepKind::Reset || step == StepKind::Refused || step == StepKind::NothingWritten) {
             this->feed(AttemptFailed{.at = this->time,
                                      .request = finished.request,
