--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_CORE_ROUTINGTABLE_H
 #define VERBENADOCK_CORE_ROUTINGTABLE_H
 
+#include "fairshare.h"
 #include "verbenadock/bundle/bundle.h"
 
 #include <cstddef>
@@ -44,6 +45,8 @@
     Duration targetLatency{0};
     /// No key of a customer is required.
     bool isPublic = false;
+    /// Identity of the route's host and path prefix for fair sharing; set by the routing table.
+    ShareKey identity = 0;
 
     auto operator<=>(const RouteTarget &) const = default;
 };
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -23,6 +23,10 @@
     }
     auto &request = this->requests.at(slot);
     auto &service = this->serviceOf(request);
+    if (service.service.sharing == Bundles::Sharing::Fair) {
+        this->scheduleFairly(slot);
+        return;
+    }
     this->readmitUpstreams(request);
     if (service.queue.empty()) {
         const auto upstream = service.pool.pick(request, this->now, this->random);
@@ -130,11 +134,16 @@
     if (request.queued) {
         this->serviceOf(request).queue.erase(*request.queued);
         request.queued.reset();
+        request.queueWait += this->now - request.queuedAt;
     }
 }
 
 void Engine::dispatch(ServiceState &service)
 {
+    if (service.service.sharing == Bundles::Sharing::Fair) {
+        this->dispatchFairly(service);
+        return;
+    }
     int misses = 0;
     auto next = service.queue.begin();
     while (next != service.queue.end() && misses < MaxDispatchMisses) {
@@ -206,6 +215,7 @@
         .customer = request.customer ? request.customer->name : std::string(),
         .hidesCredentials = hidesCredentials,
         .seen = seen,
+        .share = request.attempts.size() == 1 ? this->shareView(request) : std::nullopt,
     });
     // The duration of a long upload depends on the caller, so attempts with such bodies are never overdue.
     const auto usual = hedgeDelay(request, service);
