Serve idempotent requests of one connection side by side

Callers that send several requests on a connection waited for each answer before the next request was started, and a disconnect behind a second request was not noticed. The connection now reads further heads while requests are unanswered, as long as all of them are idempotent, without body and key, up to [limits] pipeline_depth (16). RequestPipeline keeps the order; answers are held (1 MiB per connection) or wait with backpressure until it is their turn. A read no longer writes into a buffer that holds bytes, so that these can be parsed meanwhile.

--- a/include/verbenadock/core/reducer.h
+++ b/include/verbenadock/core/reducer.h
@@ -54,6 +54,9 @@
     /// Empty unless the configuration has a route for the request that is not idempotent.
     std::optional<KeyScope> keyScope(std::string_view host, std::string_view method, std::string_view target) const;
 
+    /// Whether the configuration has an idempotent route for the request.
+    bool isIdempotent(std::string_view host, std::string_view method, std::string_view target) const;
+
     /// Whether the request may still be sent to the upstream of a running attempt. The upstream may have left, or may
     /// have been ejected, since the attempt started. If not, report the attempt as failed with nothing written.
     bool maySend(RequestId request, AttemptId attempt, TimePoint now) const;
--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -38,7 +38,7 @@
     std::string id;
     std::string host;
     std::string target;
-    /// One of "answered", "not-run", "unknown", "aborted", "caller-gone" or "bad-request".
+    /// One of "answered", "not-run", "unknown", "aborted", "caller-gone", "not-read" or "bad-request".
     std::string_view outcome;
     std::string_view reason;
     unsigned status = 0;
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -44,6 +44,8 @@
     std::size_t maxAnswerBytes = 268435456;
     std::size_t maxCallerConnections = 4096;
     std::size_t maxRequests = 10000;
+    /// Largest number of requests of one connection that are processed at a time.
+    std::size_t pipelineDepth = 16;
     /// Largest number of idle connections kept per upstream.
     std::size_t maxIdlePerUpstream = 8;
     /// A non-idempotent request uses a new connection, or an idle one that carried an answer within this time.
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -119,6 +119,12 @@
     return KeyScope{.bundle = service.bundle, .replayBytes = service.service.replayBytes};
 }
 
+bool Engine::isIdempotent(std::string_view host, std::string_view method, std::string_view target) const
+{
+    const auto found = this->configuration ? this->routes->find(host, method, target) : std::nullopt;
+    return found && found->idempotent;
+}
+
 void Engine::on(const RequestArrived &event)
 {
     if (this->requests.find(event.request)) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -68,6 +68,7 @@
     Effects apply(const Event &event);
     std::optional<TimePoint> nextDeadline() const;
     std::optional<KeyScope> keyScope(std::string_view host, std::string_view method, std::string_view target) const;
+    bool isIdempotent(std::string_view host, std::string_view method, std::string_view target) const;
     bool maySend(RequestId request, AttemptId attempt, TimePoint now) const;
     bool ready() const;
     std::string dump(TimePoint at) const;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -35,6 +35,11 @@
     return this->state->engine.keyScope(host, method, target);
 }
 
+bool Reducer::isIdempotent(std::string_view host, std::string_view method, std::string_view target) const
+{
+    return this->state->engine.isIdempotent(host, method, target);
+}
+
 bool Reducer::maySend(RequestId request, AttemptId attempt, TimePoint now) const
 {
     return this->state->engine.maySend(request, attempt, now);
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -229,11 +229,11 @@
     auto &caller = *this->exchange->caller;
     std::string part;
     std::string text;
-    while (!caller.bodyDone()) {
+    while (!this->exchange->parser->is_done()) {
         part.clear();
         // A slow caller is limited by its stall timeout and the deadline; the upstream's timeout is suspended.
         this->timer.set(this->parameters.deadline);
-        const auto state = co_await caller.readBody(part);
+        const auto state = co_await caller.readBody(*this->exchange, part);
         if (this->stopped()) {
             co_return;
         }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -43,6 +43,15 @@
     /// Allows a streaming answer to be forwarded.
     void startForwarding();
 
+    /// Continues forwarding when the answer may now be written to the caller.
+    void turnReached();
+
+    /// Bytes of the answer that are held in memory.
+    std::size_t heldBytes() const
+    {
+        return this->body.size();
+    }
+
     /// Appends the complete answer as it is sent to the caller.
     void appendBufferedAnswer(std::string &out, bool close) const;
 
@@ -106,6 +115,9 @@
     /// Whether callers would take the status as proof that the request was not run, which the upstream did not state.
     bool promisesWithoutProof() const;
     Task<bool> readBody();
+    bool mayForward() const;
+    /// Whether a part of the answer has to be forwarded before more of it is read.
+    bool holdsEnough() const;
     Task<bool> forwardBodyPart(bool last);
     void captureBodyPart(Capture &capture);
     void complete();
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
 // Limits the 1xx answers, which are dropped. An upstream sends at most a 100 and some 103 (early hints).
 constexpr unsigned MaxInterimAnswers = 8;
+// Bounds the answers of one connection that wait for their turn: one of the largest usual downloads (540 KB) and some
+// smaller ones.
+constexpr std::size_t MaxWaitingAnswerBytes = 1048576;
 constexpr std::size_t SmallReadBytes = 4096;
 constexpr std::size_t LargeReadBytes = 65536;
 
@@ -193,15 +196,12 @@
 Task<bool> Attempt::readBody()
 {
     auto &parser = this->response->parser;
-    const auto length = parser.content_length();
-    const bool tooLongToBuffer = !parser.is_done() && length && *length > this->parameters.holdBackBytes;
     for (;;) {
         if (this->response->parseBody(this->connection->buffer)) {
             this->fail(Health::Cause::Malformed);
             co_return false;
         }
-        if (!this->headReported && !parser.is_done()
-            && (tooLongToBuffer || this->body.size() > this->parameters.holdBackBytes)) {
+        if (!this->headReported && !parser.is_done() && this->holdsEnough()) {
             if (this->statesNotRun() || this->promisesWithoutProof()) {
                 // Such an answer is never forwarded, so that the rest of its body is not needed.
                 co_return true;
@@ -226,9 +226,27 @@
     }
 }
 
+bool Attempt::holdsEnough() const
+{
+    const auto *caller = this->exchange->caller.get();
+    if (caller != nullptr && !caller->isFirst(*this->exchange)) {
+        // A long answer that waits for its turn is read as far as the connection may hold, so that its upstream is
+        // released and a failure can still be retried.
+        return caller->waitingAnswerBytes() > MaxWaitingAnswerBytes;
+    }
+    const auto length = this->response->parser.content_length();
+    return (length && *length > this->parameters.holdBackBytes) || this->body.size() > this->parameters.holdBackBytes;
+}
+
+bool Attempt::mayForward() const
+{
+    const auto *caller = this->exchange->caller.get();
+    return this->forwarding && (caller == nullptr || caller->isFirst(*this->exchange));
+}
+
 Task<bool> Attempt::forwardBodyPart(bool last)
 {
-    while (!this->forwarding && !this->exchange->decision && !this->stopped()) {
+    while (!this->mayForward() && !this->exchange->decision && !this->stopped()) {
         co_await this->forwardAllowed.wait();
     }
     if (this->stopped()) {
@@ -250,8 +268,11 @@
     if (!this->headForwarded) {
         this->headForwarded = true;
         this->exchange->headForwarded = true;
-        appendResponseHead(
-            this->outgoing, this->response->parser, this->host->dialect(), framing, caller.closesAfterAnswer());
+        appendResponseHead(this->outgoing,
+                           this->response->parser,
+                           this->host->dialect(),
+                           framing,
+                           caller.decideClose(*this->exchange));
     }
     if (framing.kind == BodyFraming::Kind::Chunked) {
         appendChunk(this->outgoing, this->body);
@@ -324,6 +345,11 @@
     this->host->metrics().countClosed(CloseReason::NotReusable);
 }
 
+void Attempt::turnReached()
+{
+    this->forwardAllowed.notify();
+}
+
 void Attempt::startForwarding()
 {
     this->forwarding = true;
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -35,7 +35,7 @@
     }
     if (std::holds_alternative<AnswerStreamed>(*current.decision)) {
         this->host->metrics().countAnswered();
-        co_return this->nextStepAfterAnswer(true);
+        co_return this->nextStepAfterAnswer(current, true);
     }
     if (std::holds_alternative<ResetCaller>(*current.decision)) {
         this->host->metrics().aborted.add();
@@ -50,7 +50,7 @@
 Task<CallerConnection::NextStep> CallerConnection::writeHeldAnswer(Exchange &current, std::shared_ptr<Attempt> attempt)
 {
     std::string text;
-    const bool close = this->closesAfterAnswer();
+    const bool close = this->decideClose(current);
     attempt->appendBufferedAnswer(text, close);
     const bool written = co_await this->write(text);
     if (written) {
@@ -59,14 +59,14 @@
     } else {
         this->host->metrics().callerDisconnected.add();
     }
-    co_return close ? (written ? NextStep::Linger : NextStep::Close) : this->nextStepAfterAnswer(written);
+    co_return this->nextStepAfterAnswer(current, written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeLocalAnswer(Exchange &current,
                                                                     const Core::RespondLocally &answer)
 {
     this->host->metrics().countLocalAnswer(answer.outcome, answer.refusal);
-    const bool close = this->closesAfterAnswer();
+    const bool close = this->decideClose(current);
     const auto text = localAnswerText(LocalAnswer{.status = answer.status,
                                                   .outcome = answer.outcome,
                                                   .reason = Core::toString(answer.refusal),
@@ -75,21 +75,22 @@
                                                   .close = close,
                                                   .headMethod = current.request.headMethod});
     const bool written = co_await this->write(text);
-    co_return close ? (written ? NextStep::Linger : NextStep::Close) : this->nextStepAfterAnswer(written);
+    co_return this->nextStepAfterAnswer(current, written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeKeyAnswer(Exchange &current, const KeyAnswer &answer)
 {
     this->host->metrics().countKeyAnswer(answer);
-    const bool close = this->closesAfterAnswer();
+    const bool close = this->decideClose(current);
     const auto text = keyAnswerText(answer, close, current.request.headMethod);
     const bool written = co_await this->write(text);
-    co_return close ? (written ? NextStep::Linger : NextStep::Close) : this->nextStepAfterAnswer(written);
+    co_return this->nextStepAfterAnswer(current, written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeBodyRejection(Exchange &current, const RejectBody &rejection)
 {
     this->host->metrics().countBadRequest(rejection.reason);
+    this->pipeline.close();
     const auto text
         = localAnswerText(LocalAnswer{.status = statusOf(rejection),
                                       .outcome = rejection.mayHaveRun ? Core::Outcome::Unknown : Core::Outcome::NotRun,
@@ -100,12 +101,12 @@
     co_return written ? NextStep::Linger : NextStep::Close;
 }
 
-CallerConnection::NextStep CallerConnection::nextStepAfterAnswer(bool written) const
+CallerConnection::NextStep CallerConnection::nextStepAfterAnswer(const Exchange &current, bool written)
 {
     if (!written) {
         return NextStep::Close;
     }
-    return this->closesAfterAnswer() ? NextStep::Linger : NextStep::Request;
+    return this->decideClose(current) ? NextStep::Linger : NextStep::Request;
 }
 
 Task<void> CallerConnection::linger()
@@ -116,7 +117,7 @@
     this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
     const auto end = monotonicNow() + MaxLingerTime;
     for (auto now = monotonicNow(); now < end && !this->inputEnded; now = monotonicNow()) {
-        if (!this->reading) {
+        if (!this->bufferInUse) {
             this->buffer.clear();
         }
         if (!(co_await this->waitForInput(end - now))) {
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -1,6 +1,6 @@
 #include "callerconnection.h"
 
-#include "headwriter.h"
+#include "attempt.h"
 #include "host.h"
 
 #include <algorithm>
@@ -12,15 +12,15 @@
 
 namespace {
 
-constexpr std::size_t SmallReadBytes = 4096;
-constexpr std::size_t LargeReadBytes = 65536;
+constexpr std::size_t HeadReserveBytes = 4096;
+constexpr std::size_t MinBufferBytes = 65536;
 
 } // namespace
 
 CallerConnection::CallerConnection(std::shared_ptr<Host> owner, Socket callerSocket)
     : host(std::move(owner))
     , socket(std::move(callerSocket))
-    , buffer(std::max(this->host->limits().maxHeaderBytes + SmallReadBytes, LargeReadBytes))
+    , buffer(std::max(this->host->limits().maxHeaderBytes + HeadReserveBytes, MinBufferBytes))
     , inputTimer(this->host->timers(),
                  [this] {
                      this->inputTimedOut = true;
@@ -50,9 +50,15 @@
 Task<void> CallerConnection::serveRequests()
 {
     for (;;) {
-        auto next = co_await this->readHead();
+        auto next = NextStep::Request;
+        if (this->pipeline.empty()) {
+            next = co_await this->readHead();
+            if (next == NextStep::Request) {
+                this->beginRequest(this->traitsOfNext());
+            }
+        }
         if (next == NextStep::Request) {
-            next = co_await this->serveRequest();
+            next = co_await this->serveFirst();
         }
         if (next == NextStep::Linger) {
             co_await this->linger();
@@ -63,84 +69,31 @@
     }
 }
 
-Task<CallerConnection::NextStep> CallerConnection::readHead()
-{
-    this->message.emplace();
-    this->message->parser.body_limit(this->host->limits().maxBodyBytes);
-    this->request = CheckedRequest();
-    this->continueSent = false;
-    for (;;) {
-        // An empty line before a request is allowed, and some callers send one after a body.
-        while (!this->reading && asView(this->buffer).starts_with("\r\n")) {
-            this->buffer.consume(2);
-        }
-        const auto state = this->reading ? HeadState::Incomplete
-                                         : this->message->parseHead(this->buffer, this->host->limits().maxHeaderBytes);
-        if (state == HeadState::Complete) {
-            break;
-        }
-        if (state != HeadState::Incomplete) {
-            const auto reason = state == HeadState::Malformed ? reasonOf(this->message->headError, *this->message)
-                                                              : reasonOf(state, asView(this->buffer));
-            co_return co_await this->rejectHead(reason);
-        }
-        const auto next = co_await this->waitForHead(!this->reading && this->buffer.size() > 0);
-        if (next != NextStep::Request) {
-            co_return next;
-        }
-    }
-    auto checked = checkRequest(this->message->parser);
-    if (const auto *bad = std::get_if<BadRequest>(&checked)) {
-        co_return co_await this->rejectHead(*bad);
-    }
-    this->request = std::move(std::get<CheckedRequest>(checked));
-    if (this->message->bodyOverLimit) {
-        co_return co_await this->rejectHead(BadRequest::BodyTooLarge);
-    }
-    co_return NextStep::Request;
-}
-
-Task<CallerConnection::NextStep> CallerConnection::waitForHead(bool headStarted)
+void CallerConnection::beginRequest(const PipelineTraits &traits)
 {
-    if (!headStarted && this->host->stopsAccepting() && !this->hasUnreadInput()) {
-        co_return NextStep::Close;
+    auto started = std::make_shared<Exchange>();
+    started->caller = this->shared_from_this();
+    started->message = std::move(this->message);
+    started->parser = &started->message->parser;
+    started->headText = &started->message->headText;
+    started->request = std::move(std::get<CheckedRequest>(this->checkedHead));
+    this->headState = HeadState::Incomplete;
+    this->exchanges.push_back(started);
+    started->id = this->host->nextRequestId();
+    this->pipeline.start(started->id, traits);
+    if (this->exchanges.size() > 1) {
+        this->host->metrics().pipelinedRequests.add();
+    } else {
+        this->continueSent = false;
+        this->watchingForDisconnect = false;
     }
-    const auto &limits = this->host->limits();
-    // The header timeout counts from the first byte of the head; later bytes do not extend it.
-    if (headStarted && !this->message->firstByteAt) {
-        this->message->firstByteAt = monotonicNow();
-    }
-    const auto limit
-        = headStarted ? *this->message->firstByteAt + limits.headerTimeout - monotonicNow() : limits.callerIdleTimeout;
-    if (co_await this->waitForInput(limit)) {
-        co_return NextStep::Request;
-    }
-    if (this->inputTimedOut && headStarted) {
-        co_return co_await this->rejectHead(BadRequest::HeaderTimeout);
-    }
-    co_return NextStep::Close;
+    this->host->beginExchange(started);
 }
 
-Task<CallerConnection::NextStep> CallerConnection::rejectHead(BadRequest reason)
+Task<CallerConnection::NextStep> CallerConnection::serveFirst()
 {
-    this->host->metrics().countBadRequest(reason);
-    const bool headMethod = this->message->parser.methodText == "HEAD";
-    const auto text = localAnswerText(
-        LocalAnswer{.status = statusOf(reason), .reason = toString(reason), .close = true, .headMethod = headMethod});
-    const bool written = co_await this->write(text);
-    co_return written ? NextStep::Linger : NextStep::Close;
-}
-
-Task<CallerConnection::NextStep> CallerConnection::serveRequest()
-{
-    auto current = std::make_shared<Exchange>();
-    current->caller = this->shared_from_this();
-    current->parser = &this->message->parser;
-    current->headText = &this->message->headText;
-    current->request = std::move(this->request);
-    this->exchange = current;
-    this->host->beginExchange(current);
-    if (this->bodyDone()) {
+    const auto current = this->exchanges.front();
+    if (current->parser->is_done()) {
         this->watchForDisconnect();
     }
     while (!current->decision) {
@@ -151,130 +104,57 @@
         }
     }
     const auto next = co_await this->writeDecision(*current);
-    this->watchingForDisconnect = false;
-    this->exchange.reset();
+    const bool callerGone = std::holds_alternative<CallerGone>(*current->decision);
+    this->finishFirst();
     this->host->endExchange(*current);
+    if (next != NextStep::Request) {
+        this->dropUnanswered(!callerGone);
+    }
     co_return next;
 }
 
-Task<void> CallerConnection::bufferBody(Exchange &current)
+void CallerConnection::finishFirst()
 {
-    std::size_t limit = current.keyed ? current.keyed->bodyLimit : 0;
-    for (const auto &attempt : current.pendingAttempts) {
-        limit = std::max(limit, attempt.replayBytes);
+    this->exchanges.erase(this->exchanges.begin());
+    this->pipeline.finishFirst();
+    if (this->exchanges.empty()) {
+        this->watchingForDisconnect = false;
+        return;
     }
-    const bool hasLength = current.request.bodyBytes.has_value();
-    current.bodyStreams = hasLength && *current.request.bodyBytes > limit;
-    while (!this->bodyDone() && !current.bodyStreams) {
-        const auto state = co_await this->readBody(current.body);
-        if (state != BodyState::Progress) {
-            this->host->bodyFailed(current, state);
-            co_return;
-        }
-        current.bodyStreams = !this->bodyDone() && current.body.size() > limit;
+    const auto attempts = this->exchanges.front()->attempts;
+    for (const auto &attempt : attempts) {
+        attempt->turnReached();
     }
-    current.bodyReady = true;
-    current.bodyReadyAt = monotonicNow();
-    if (this->bodyDone()) {
-        this->watchForDisconnect();
-    }
-    this->host->startPending(current);
-}
-
-bool CallerConnection::bodyDone() const
-{
-    return this->message->parser.is_done();
 }
 
-Task<BodyState> CallerConnection::readBody(std::string &output)
+void CallerConnection::dropUnanswered(bool countsAsNotRead)
 {
-    this->message->parser.bodySink = &output;
-    const auto initialSize = output.size();
-    for (;;) {
-        if (!this->reading && this->buffer.size() > 0) {
-            const auto error = this->message->parseBody(this->buffer);
-            if (error) {
-                co_return error == http::error::body_limit ? BodyState::TooLarge : BodyState::Malformed;
-            }
-        }
-        if (output.size() > initialSize || this->bodyDone()) {
-            co_return BodyState::Progress;
-        }
-        if (!(co_await this->sendContinue())) {
-            co_return BodyState::Stopped;
-        }
-        const bool arrived = co_await this->waitForInput(this->host->limits().callerStallTimeout);
-        if (!this->exchange || this->exchange->decision || (!arrived && !this->inputTimedOut)) {
-            co_return BodyState::Stopped;
-        }
-        if (!arrived) {
-            co_return BodyState::TimedOut;
-        }
+    this->pipeline.close();
+    for (const auto &unanswered : std::exchange(this->exchanges, {})) {
+        this->pipeline.finishFirst();
+        this->host->dropUnread(*unanswered, countsAsNotRead);
     }
 }
 
-Task<bool> CallerConnection::sendContinue()
+bool CallerConnection::isFirst(const Exchange &exchange) const
 {
-    if (this->continueSent || !this->exchange || !this->exchange->request.expectContinue) {
-        co_return true;
-    }
-    this->continueSent = true;
-    co_return co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
+    return this->pipeline.isFirst(exchange.id);
 }
 
-Task<bool> CallerConnection::waitForInput(Duration limit)
+std::size_t CallerConnection::waitingAnswerBytes() const
 {
-    this->startRead();
-    this->inputTimedOut = false;
-    this->inputTimer.setAfter(limit);
-    const bool hadDecision = this->exchange && this->exchange->decision;
-    while (this->reading && !this->inputTimedOut) {
-        if (this->exchange && this->exchange->decision && !hadDecision) {
-            break;
+    std::size_t bytes = 0;
+    for (const auto &waiting : this->exchanges) {
+        if (waiting == this->exchanges.front()) {
+            continue;
         }
-        co_await this->inputSignal.wait();
-    }
-    this->inputTimer.clear();
-    co_return !this->reading && !this->inputEnded;
-}
-
-void CallerConnection::watchForDisconnect()
-{
-    this->watchingForDisconnect = true;
-    // Bytes of a pipelined request have to stay in the buffer until that request is read.
-    if (this->buffer.size() == 0) {
-        this->startRead();
-    }
-}
-
-void CallerConnection::startRead()
-{
-    const auto room = this->buffer.max_size() - this->buffer.size();
-    if (this->reading || this->inputEnded || !this->socket.is_open() || room == 0) {
-        return;
-    }
-    this->reading = true;
-    const bool body = this->exchange && !this->watchingForDisconnect;
-    const auto size = std::min(room, body ? LargeReadBytes : SmallReadBytes);
-    this->socket.async_read_some(this->buffer.prepare(size),
-                                 [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
-                                     self->readCompleted(error, bytes);
-                                 });
-}
-
-void CallerConnection::readCompleted(ErrorCode error, std::size_t size)
-{
-    this->reading = false;
-    this->buffer.commit(size);
-    this->inputEnded = this->inputEnded || error;
-    this->inputSignal.notify();
-    if (!this->exchange) {
-        return;
-    }
-    // After bytes of a pipelined request no further read is started, so a later disconnect is not detected.
-    if (error) {
-        this->host->callerGone(*this->exchange);
+        for (const auto &attempt : waiting->attempts) {
+            bytes += attempt->heldBytes();
+        }
+        const auto *held = waiting->decision ? std::get_if<ForwardBuffered>(&*waiting->decision) : nullptr;
+        bytes += held ? held->attempt->heldBytes() : 0;
     }
+    return bytes;
 }
 
 Task<bool> CallerConnection::write(std::string_view data)
@@ -303,10 +183,14 @@
     return this->peerAddressText;
 }
 
-bool CallerConnection::closesAfterAnswer() const
+bool CallerConnection::decideClose(const Exchange &exchange)
 {
-    const bool keepAlive = this->exchange && this->exchange->request.keepAlive;
-    return !keepAlive || !this->bodyDone() || this->host->stopping() || this->inputEnded;
+    // During a stop the requests that were started are answered, and the connection is closed behind the last one.
+    const bool stops = this->host->stopping() && this->pipeline.isLast(exchange.id);
+    if (!exchange.request.keepAlive || !exchange.parser->is_done() || stops || this->inputEnded) {
+        this->pipeline.close();
+    }
+    return this->pipeline.closed();
 }
 
 void CallerConnection::wake()
@@ -318,7 +202,7 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!this->exchange && this->buffer.size() == 0 && !this->hasUnreadInput()) {
+    if (this->exchanges.empty() && this->buffer.size() == 0 && !this->hasUnreadInput()) {
         this->close();
     }
 }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -4,12 +4,14 @@
 #include "exchange.h"
 #include "httpparser.h"
 #include "io.h"
+#include "requestpipeline.h"
 #include "timerwheel.h"
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Verbenadock::Proxy::internal {
 
@@ -26,8 +28,9 @@
     Stopped,
 };
 
-/// A connection from a caller. A coroutine reads requests and writes answers. At most one read is outstanding at any
-/// time; it is also kept while an upstream works, so that a disconnect is detected at once.
+/// A connection from a caller. A coroutine serves the first unanswered request. Idempotent requests behind it are
+/// started as they arrive; their answers wait until it is their turn. At most one read is outstanding at any time; it
+/// is also kept while an upstream works, so that a disconnect is detected at once.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -39,22 +42,26 @@
     /// Serves requests until the connection ends.
     Task<void> run();
 
-    /// Appends the next decoded bytes of the request body to the output.
-    Task<BodyState> readBody(std::string &output);
+    /// Appends the next decoded bytes of the request body to the output. Only the first request can have a body.
+    Task<BodyState> readBody(const Exchange &exchange, std::string &output);
 
-    /// Whether the whole body of the current request was read.
-    bool bodyDone() const;
-
-    /// Starts to detect a disconnect of the caller while an upstream works.
+    /// Starts to read further requests and to detect a disconnect of the caller while an upstream works.
     void watchForDisconnect();
 
+    /// Whether the answer to the request is the next one to be written.
+    bool isFirst(const Exchange &exchange) const;
+
+    /// Bytes of answers that are held until it is their turn.
+    std::size_t waitingAnswerBytes() const;
+
     /// Writes all data; returns false on an error or when no progress is made for the stall timeout.
     Task<bool> write(std::string_view data);
 
     const std::string &peerAddress() const;
 
-    /// Whether the connection ends after the current answer.
-    bool closesAfterAnswer() const;
+    /// Decides whether the connection ends after the answer to the request, which is now written. If it does, no
+    /// further request is started.
+    bool decideClose(const Exchange &exchange);
 
     /// Resumes the coroutines that wait for input or a decision.
     void wake();
@@ -74,9 +81,19 @@
 
     Task<void> serveRequests();
     Task<NextStep> readHead();
+    HeadState parseNextHead();
+    bool hasHeadBytes() const;
     Task<NextStep> waitForHead(bool headStarted);
     Task<NextStep> rejectHead(BadRequest reason);
-    Task<NextStep> serveRequest();
+    /// Starts the request whose head was read.
+    void beginRequest(const PipelineTraits &traits);
+    PipelineTraits traitsOfNext() const;
+    /// Starts the requests in the buffer that may run beside the unanswered ones, and reads on.
+    void readAhead();
+    Task<NextStep> serveFirst();
+    void finishFirst();
+    /// Ends the requests behind an answer that closed the connection.
+    void dropUnanswered(bool countsAsNotRead);
     Task<void> bufferBody(Exchange &exchange);
     Task<bool> sendContinue();
     Task<bool> waitForInput(Duration limit);
@@ -87,8 +104,13 @@
     Task<NextStep> writeBodyRejection(Exchange &exchange, const RejectBody &refusal);
     Task<void> linger();
     bool hasUnreadInput() const;
-    NextStep nextStepAfterAnswer(bool written) const;
+    NextStep nextStepAfterAnswer(const Exchange &current, bool written);
+    bool firstIsDecided() const;
     void startRead();
+    /// Detects a reset while nothing is read.
+    void watchForReset();
+    void reportCallerGone();
+    void readReady(ErrorCode error, std::size_t size);
     void readCompleted(ErrorCode error, std::size_t size);
     void reset();
 
@@ -96,17 +118,26 @@
     Socket socket;
     std::string peerAddressText;
     Buffer buffer;
-    std::optional<RequestMessage> message;
-    CheckedRequest request;
-    std::shared_ptr<Exchange> exchange;
+    /// The next request. Null while no byte of it was parsed.
+    std::unique_ptr<RequestMessage> message;
+    /// State of the next head. A head may be complete before its request may start.
+    HeadState headState = HeadState::Incomplete;
+    /// Set when the next head is complete.
+    CheckResult checkedHead;
+    RequestPipeline pipeline;
+    /// The unanswered requests, in the order of the pipeline.
+    std::vector<std::shared_ptr<Exchange>> exchanges;
     Signal inputSignal;
     Signal decisionSignal;
     Timer inputTimer;
     Timer outputTimer;
     bool reading = false;
+    /// The outstanding read writes into the buffer, which was empty when the read was started.
+    bool bufferInUse = false;
     bool inputTimedOut = false;
     bool inputEnded = false;
     bool watchingForDisconnect = false;
+    bool watchingForReset = false;
     bool continueSent = false;
 };
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_PROXY_EXCHANGE_H
 #define VERBENADOCK_PROXY_EXCHANGE_H
 
+#include "httpparser.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/base/identifiers.h"
@@ -47,9 +48,11 @@
 /// Status with which the request is rejected.
 unsigned statusOf(const RejectBody &rejection);
 
-/// The caller closed its connection.
+/// The caller closed its connection, or an earlier answer closed it.
 struct CallerGone
 {
+    /// The request counts as not read, because an earlier answer of its connection closed the connection.
+    bool countsAsNotRead = false;
 };
 
 using Decision = std::
@@ -82,6 +85,8 @@
     std::shared_ptr<CallerConnection> caller;
     std::optional<KeyedRequest> keyed;
     std::unique_ptr<Capture> capture;
+    /// Null for captured work.
+    std::unique_ptr<RequestMessage> message;
     const RequestParser *parser = nullptr;
     /// The head as received from the caller.
     const std::string *headText = nullptr;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -83,9 +83,9 @@
         this->report.status = statusOf(refusal);
     }
 
-    void operator()(const CallerGone & /*gone*/) const
+    void operator()(const CallerGone &gone) const
     {
-        this->report.outcome = "caller-gone";
+        this->report.outcome = gone.countsAsNotRead ? "not-read" : "caller-gone";
     }
 
     void operator()(const KeyAnswer &answer) const
@@ -213,10 +213,9 @@
 
 void Host::beginExchange(const std::shared_ptr<Exchange> &exchange)
 {
-    exchange->id = ++this->lastRequest;
     exchange->arrivedAt = monotonicNow();
     exchange->bodyReadyAt = exchange->arrivedAt;
-    exchange->bodyReady = exchange->caller->bodyDone();
+    exchange->bodyReady = exchange->parser->is_done();
     exchange->requestIdText = requestIdText(*exchange, this->options);
     this->exchanges.emplace(exchange->id, exchange);
     if (!this->beginKeyedRequest(*exchange)) {
@@ -281,6 +280,25 @@
     }
 }
 
+void Host::dropUnread(Exchange &exchange, bool countsAsNotRead)
+{
+    const bool decided = exchange.decision.has_value();
+    const bool alreadyGone = decided && std::holds_alternative<CallerGone>(*exchange.decision);
+    exchange.decision = CallerGone{.countsAsNotRead = countsAsNotRead && !alreadyGone};
+    auto &counter
+        = countsAsNotRead && !alreadyGone ? this->proxyMetrics.notRead : this->proxyMetrics.callerDisconnected;
+    counter.add();
+    if (!decided) {
+        this->abandonRequest(exchange);
+    }
+    this->endExchange(exchange);
+}
+
+bool Host::isIdempotent(const CheckedRequest &request, std::string_view method) const
+{
+    return this->reducer.isIdempotent(request.host, method, request.target);
+}
+
 void Host::abandonRequest(Exchange &exchange)
 {
     const auto id = exchange.id;
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -48,6 +48,9 @@
     void endExchange(Exchange &exchange);
     void startPending(Exchange &exchange);
     void callerGone(Exchange &exchange);
+    /// Cancels a request behind an answer that closed the connection, and ends its exchange.
+    void dropUnread(Exchange &exchange, bool countsAsNotRead);
+    bool isIdempotent(const CheckedRequest &request, std::string_view method) const;
     void bodyFailed(Exchange &exchange, BodyState state);
     void recordLatency(const Exchange &exchange, const Attempt &attempt);
 
--- a/src/proxy/hosteffects.cpp
+++ b/src/proxy/hosteffects.cpp
@@ -13,6 +13,7 @@
 
 /// Longest time for writing the answers to abandoned requests. SIGKILL follows soon after.
 constexpr Duration FinalAnswersTime = std::chrono::milliseconds(200);
+constexpr unsigned GatewayTimeoutStatus = 504;
 
 } // namespace
 
@@ -105,7 +106,14 @@
 void Host::carryOut(const Core::AbortCaller &effect)
 {
     if (auto *exchange = this->findExchange(effect.request)) {
-        this->decide(*exchange, ResetCaller{});
+        // An answer that still waited for its turn on the connection has not been forwarded.
+        this->decide(*exchange,
+                     exchange->headForwarded
+                         ? Decision(ResetCaller{})
+                         : Decision(Core::RespondLocally{.request = effect.request,
+                                                         .status = GatewayTimeoutStatus,
+                                                         .outcome = Core::Outcome::Unknown,
+                                                         .refusal = Core::RejectionReason::AllAttemptsFailed}));
     }
 }
 
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -36,6 +36,9 @@
     : aborted(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "aborted"}, {"refusal", ""}}))
     , callerDisconnected(
           metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller-disconnected"}, {"refusal", ""}}))
+    , notRead(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "not-read"}, {"refusal", ""}}))
+    , pipelinedRequests(metrics.counter("verbenadock_pipelined_requests_total",
+                                        "Requests that were started before an earlier one was answered."))
     , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
     , callerConnectionsRefused(
           metrics.counter("verbenadock_caller_connections_refused_total", "Connections of callers over the limit."))
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -42,6 +42,8 @@
 
     Telemetry::Counter &aborted;
     Telemetry::Counter &callerDisconnected;
+    Telemetry::Counter &notRead;
+    Telemetry::Counter &pipelinedRequests;
     Telemetry::Counter &callerConnections;
     Telemetry::Counter &callerConnectionsRefused;
     Telemetry::Gauge &openCallerConnections;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -45,6 +45,7 @@
     reader.readSize("max_answer_bytes", limits.maxAnswerBytes, {.least = 1, .most = 1024 * Gibibyte});
     readCount(reader, "max_caller_connections", limits.maxCallerConnections);
     readCount(reader, "max_requests", limits.maxRequests);
+    readCount(reader, "pipeline_depth", limits.pipelineDepth);
     readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
     const Toml::Range<Duration> range{.least = MinTimeout, .most = internal::MaxDuration};
     reader.readDuration("proven_alive_time", limits.provenAliveTime, range);
