Bound the bytes held for slow callers and upstreams

Callers and upstreams that read slowly could make the process hold any number of bytes. HeldBytes counts buffered answers and request bodies. At the limit ([limits] memory_mb) long bodies get 503 with Retry-After and answers are streamed from the first byte. TCP_NOTSENT_LOWAT bounds what the kernel holds for a caller.

A caller that took 1.3 MB/s was cut by a stall timeout of 0.6 s, because the kernel reports room only when a third of its buffer is free. Acknowledged bytes now count as progress.

--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -51,6 +51,8 @@
     Duration duration{0};
     /// Time that the caller announced to wait for the answer.
     std::optional<Duration> callerDeadline;
+    /// The request was refused, or its answer was streamed from the first byte, because memory ran short.
+    bool memoryLimited = false;
 };
 
 } // namespace Verbenadock::Proxy
--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -46,6 +46,8 @@
     std::size_t maxRequests = 10000;
     /// Largest number of requests of one connection that are processed at a time.
     std::size_t pipelineDepth = 16;
+    /// Bytes that the process may hold for slow callers and upstreams; 0 for no limit.
+    std::size_t heldBytes = 0;
     /// Largest number of idle connections kept per upstream.
     std::size_t maxIdlePerUpstream = 8;
     /// A non-idempotent request uses a new connection, or an idle one that carried an answer within this time.
--- a/src/entry/statelines.cpp
+++ b/src/entry/statelines.cpp
@@ -90,6 +90,7 @@
         line.append("/").append(std::to_string(rejection.configured));
     }
     line.append(announcementsField(report.attempts));
+    line.append(report.memoryLimited ? " memory_limited=1" : "");
     line.append(" ms=").append(milliseconds(report.duration));
     line.append(" deadline_ms=").append(report.callerDeadline ? milliseconds(*report.callerDeadline) : "-");
     return line;
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Larger buffers are freed after the request was written.
+constexpr std::size_t MaxKeptBytes = 16384;
+
 /// Whether resources of the own VM ran out. Such failures are no evidence about the upstream.
 bool isLocalResourceFailure(ErrorCode error)
 {
@@ -38,6 +41,9 @@
     , exchange(std::move(servedExchange))
     , parameters(std::move(startEffect))
     , idText(this->host->attemptIdText(this->parameters.attempt))
+    , answerCharge(this->host->heldBytes(), HeldKind::Callers)
+    , requestCharge(this->host->heldBytes(), HeldKind::Upstreams)
+    , transitCharge(this->host->heldBytes(), this->parameters.endpoint)
     , timer(this->host->timers(), [this] {
         this->timedOut = true;
         if (this->connection) {
@@ -64,6 +70,7 @@
 void Attempt::cancel()
 {
     this->cancelled = true;
+    this->transitCharge.clear();
     this->timer.clear();
     if (this->connection) {
         this->connection->close();
@@ -93,7 +100,14 @@
 {
     // A streamed body cannot be sent to a second upstream, and no work may start after the deadline. The upstream may
     // have left while the caller sent the body or while the connection was established.
-    return now < this->parameters.deadline && !this->exchange->bodyConsumed && this->host->maySend(this->parameters);
+    return now < this->parameters.deadline && !this->exchange->bodyConsumed && this->host->maySend(this->parameters)
+           && this->host->heldBytes()->admitsTransit(this->parameters.endpoint, this->knownBodyBytes());
+}
+
+std::uint64_t Attempt::knownBodyBytes() const
+{
+    const auto &length = this->exchange->request.bodyBytes;
+    return this->exchange->bodyStreams && length ? *length : this->exchange->body.size();
 }
 
 Task<bool> Attempt::open()
@@ -156,7 +170,13 @@
     // Upstreams may write an answer twice. The repeated answer to an earlier attempt bears the id of this request.
     this->exchange->usedConnections.push_back(this->connection->number);
     this->outgoing = this->requestText();
+    this->transitCharge.add(this->knownBodyBytes());
+    this->requestCharge.set(this->outgoing.size());
     const auto error = co_await this->writeAll(this->outgoing);
+    this->requestCharge.set(0);
+    if (this->outgoing.capacity() > MaxKeptBytes) {
+        this->outgoing = std::string();
+    }
     if (this->stopped()) {
         co_return false;
     }
@@ -244,6 +264,7 @@
         if (!(co_await this->writeBodyPart(part, text))) {
             co_return;
         }
+        this->requestCharge.set(0);
     }
     caller.watchForDisconnect();
     ErrorCode error;
@@ -258,12 +279,14 @@
 Task<bool> Attempt::writeBodyPart(std::string &part, std::string &text)
 {
     this->setTimeout(this->parameters.firstByteTimeout);
+    this->requestCharge.set(part.capacity() + text.capacity());
     ErrorCode error;
     if (this->exchange->request.bodyBytes) {
         error = co_await this->writeAll(part);
     } else {
         text.clear();
         appendChunk(text, part);
+        this->transitCharge.add(part.size());
         error = co_await this->writeAll(text);
     }
     // The reading coroutine tells an early answer from a broken connection.
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -52,8 +52,8 @@
         return this->body.size();
     }
 
-    /// Appends the complete answer as it is sent to the caller.
-    void appendBufferedAnswer(std::string &out, bool close) const;
+    /// Appends the complete answer as it is sent to the caller, and frees its body.
+    void takeBufferedAnswer(std::string &out, bool close);
 
     /// The complete answer of captured work.
     Keys::StoredAnswer bufferedAnswer() const;
@@ -92,6 +92,8 @@
 private:
     /// Whether the first byte of the request may be written.
     bool maySend(TimePoint now) const;
+    /// Known length of the request body in bytes.
+    std::uint64_t knownBodyBytes() const;
     Task<bool> open();
     Core::ConnectionPolicy connectionPolicy() const;
     Task<ErrorCode> connect();
@@ -116,9 +118,13 @@
     bool promisesWithoutProof() const;
     Task<bool> readBody();
     bool mayForward() const;
+    /// Whether the answer cannot be held, because memory runs short.
+    bool memoryLimits() const;
     /// Whether a part of the answer has to be forwarded before more of it is read.
     bool holdsEnough() const;
     Task<bool> forwardBodyPart(bool last);
+    /// Counts the bytes that are held for the caller.
+    void countHeldAnswer();
     void captureBodyPart(Capture &capture);
     void complete();
 
@@ -137,6 +143,9 @@
     std::string idText;
     std::shared_ptr<UpstreamPeer> peer;
     std::unique_ptr<UpstreamConnection> connection;
+    HeldCharge answerCharge;
+    HeldCharge requestCharge;
+    TransitCharge transitCharge;
     Timer timer;
     Signal forwardAllowed;
     std::optional<ResponseMessage> response;
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -96,7 +96,7 @@
 {
     ErrorCode error;
     auto &buffer = this->connection->buffer;
-    const bool large = this->headReported;
+    const bool large = this->headReported && !this->memoryLimits();
     const auto size = co_await this->connection->socket.async_read_some(
         buffer.prepare(large ? LargeReadBytes : SmallReadBytes), asio::redirect_error(UseTask, error));
     buffer.commit(size);
@@ -201,12 +201,14 @@
             this->fail(Health::Cause::Malformed);
             co_return false;
         }
+        this->countHeldAnswer();
         if (!this->headReported && !parser.is_done() && this->holdsEnough()) {
             if (this->statesNotRun() || this->promisesWithoutProof()) {
                 // Such an answer is never forwarded, so that the rest of its body is not needed.
                 co_return true;
             }
             this->headReported = true;
+            this->exchange->memoryLimited = this->exchange->memoryLimited || this->memoryLimits();
             this->timer.set(this->parameters.deadline);
             this->host->answerHeadReceived(*this, parser.statusCode);
         }
@@ -232,10 +234,24 @@
     if (caller != nullptr && !caller->isFirst(*this->exchange)) {
         // A long answer that waits for its turn is read as far as the connection may hold, so that its upstream is
         // released and a failure can still be retried.
-        return caller->waitingAnswerBytes() > MaxWaitingAnswerBytes;
+        return caller->waitingAnswerBytes() > MaxWaitingAnswerBytes || this->memoryLimits();
     }
     const auto length = this->response->parser.content_length();
-    return (length && *length > this->parameters.holdBackBytes) || this->body.size() > this->parameters.holdBackBytes;
+    return (length && *length > this->parameters.holdBackBytes) || this->body.size() > this->parameters.holdBackBytes
+           || this->memoryLimits();
+}
+
+bool Attempt::memoryLimits() const
+{
+    return this->exchange->caller && this->host->heldBytes()->exhausted();
+}
+
+void Attempt::countHeldAnswer()
+{
+    // The buffer of the connection is as large as the longest read.
+    const bool hasLargeBuffer = this->headReported && this->connection;
+    this->answerCharge.set(this->body.size() + this->outgoing.size()
+                           + (hasLargeBuffer ? this->connection->buffer.capacity() : 0));
 }
 
 bool Attempt::mayForward() const
@@ -277,11 +293,15 @@
     if (framing.kind == BodyFraming::Kind::Chunked) {
         appendChunk(this->outgoing, this->body);
         this->outgoing.append(last ? LastChunk : std::string_view());
+    } else if (this->outgoing.empty()) {
+        this->outgoing.swap(this->body);
     } else {
         this->outgoing.append(this->body);
     }
     this->body.clear();
+    this->countHeldAnswer();
     const bool written = co_await caller.write(this->outgoing);
+    this->outgoing.clear();
     if (this->stopped()) {
         co_return false;
     }
@@ -321,6 +341,7 @@
     this->timer.clear();
     this->finished = true;
     this->answerComplete = true;
+    this->transitCharge.clear();
     this->answeredAt = monotonicNow();
     const bool notRun = this->statesNotRun();
     const bool isFalsePromise = this->promisesWithoutProof();
@@ -374,10 +395,12 @@
     return {.kind = BodyFraming::Kind::Length, .length = this->body.size()};
 }
 
-void Attempt::appendBufferedAnswer(std::string &out, bool close) const
+void Attempt::takeBufferedAnswer(std::string &out, bool close)
 {
     appendResponseHead(out, this->response->parser, this->host->dialect(), this->answerFraming(), close);
     out.append(this->body);
+    this->body = std::string();
+    this->answerCharge.set(0);
 }
 
 bool Attempt::hasFlagField(std::string_view name) const
@@ -392,6 +415,7 @@
         return;
     }
     this->finished = true;
+    this->transitCharge.clear();
     this->timer.clear();
     if (this->connection) {
         this->connection->close();
--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration MaxLingerTime = std::chrono::seconds(2);
 constexpr unsigned GatewayTimeoutStatus = 504;
+constexpr Duration MemoryRetryDelay = std::chrono::seconds(1);
 
 } // namespace
 
@@ -33,6 +34,9 @@
     if (const auto *answer = std::get_if<KeyAnswer>(&*current.decision)) {
         co_return co_await this->writeKeyAnswer(current, *answer);
     }
+    if (std::holds_alternative<RefuseForMemory>(*current.decision)) {
+        co_return co_await this->writeMemoryRefusal(current);
+    }
     if (std::holds_alternative<AnswerStreamed>(*current.decision)) {
         this->host->metrics().countAnswered();
         co_return this->nextStepAfterAnswer(current, true);
@@ -51,7 +55,9 @@
 {
     std::string text;
     const bool close = this->decideClose(current);
-    attempt->appendBufferedAnswer(text, close);
+    attempt->takeBufferedAnswer(text, close);
+    HeldCharge charge(this->host->heldBytes(), HeldKind::Callers);
+    charge.set(text.size());
     const bool written = co_await this->write(text);
     if (written) {
         this->host->metrics().countAnswered();
@@ -101,6 +107,21 @@
     co_return written ? NextStep::Linger : NextStep::Close;
 }
 
+Task<CallerConnection::NextStep> CallerConnection::writeMemoryRefusal(Exchange &current)
+{
+    this->host->metrics().refusedForMemory.add();
+    const bool close = this->decideClose(current);
+    const auto text = localAnswerText(LocalAnswer{.status = MemoryLimitStatus,
+                                                  .outcome = Core::Outcome::NotRun,
+                                                  .reason = MemoryLimitReason,
+                                                  .retryAfter = MemoryRetryDelay,
+                                                  .fractionalRetryAfter = this->host->dialect().fractionalRetryAfter,
+                                                  .close = close,
+                                                  .headMethod = current.request.headMethod});
+    const bool written = co_await this->write(text);
+    co_return this->nextStepAfterAnswer(current, written);
+}
+
 CallerConnection::NextStep CallerConnection::nextStepAfterAnswer(const Exchange &current, bool written)
 {
     if (!written) {
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -8,6 +8,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace Verbenadock::Proxy::internal {
 
 namespace {
@@ -27,7 +30,7 @@
                      this->inputSignal.notify();
                  })
     , outputTimer(this->host->timers(), [this] {
-        this->close();
+        this->outputStalled();
     })
 {
     ErrorCode ignored;
@@ -167,6 +170,7 @@
     }
     written = error ? 0 : written;
     while (written < data.size()) {
+        this->unacknowledgedAtStart = this->unacknowledgedBytes();
         this->outputTimer.setAfter(this->host->limits().callerStallTimeout);
         written += co_await this->socket.async_write_some(asio::buffer(data.substr(written)),
                                                           asio::redirect_error(UseTask, error));
@@ -178,6 +182,26 @@
     co_return true;
 }
 
+void CallerConnection::outputStalled()
+{
+    // The kernel reports room only when a third of its buffer is free, which a slow caller may need longer for than the
+    // stall timeout. Bytes that the caller has acknowledged are progress.
+    const auto left = this->unacknowledgedBytes();
+    if (left < this->unacknowledgedAtStart) {
+        this->unacknowledgedAtStart = left;
+        this->outputTimer.setAfter(this->host->limits().callerStallTimeout);
+        return;
+    }
+    this->close();
+}
+
+std::size_t CallerConnection::unacknowledgedBytes()
+{
+    int bytes = 0;
+    const bool known = ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 const std::string &CallerConnection::peerAddress() const
 {
     return this->peerAddressText;
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -101,11 +101,14 @@
     Task<NextStep> writeHeldAnswer(Exchange &exchange, std::shared_ptr<Attempt> attempt);
     Task<NextStep> writeLocalAnswer(Exchange &exchange, const Core::RespondLocally &answer);
     Task<NextStep> writeKeyAnswer(Exchange &exchange, const KeyAnswer &answer);
+    Task<NextStep> writeMemoryRefusal(Exchange &exchange);
     Task<NextStep> writeBodyRejection(Exchange &exchange, const RejectBody &refusal);
     Task<void> linger();
     bool hasUnreadInput() const;
     NextStep nextStepAfterAnswer(const Exchange &current, bool written);
     bool firstIsDecided() const;
+    void outputStalled();
+    std::size_t unacknowledgedBytes();
     void startRead();
     /// Detects a reset while nothing is read.
     void watchForReset();
@@ -131,6 +134,8 @@
     Signal decisionSignal;
     Timer inputTimer;
     Timer outputTimer;
+    /// Bytes that the caller had not acknowledged when the output timer was set.
+    std::size_t unacknowledgedAtStart = 0;
     bool reading = false;
     /// The outstanding read writes into the buffer, which was empty when the read was started.
     bool bufferInUse = false;
--- a/src/proxy/callerinput.cpp
+++ b/src/proxy/callerinput.cpp
@@ -141,6 +141,7 @@
         limit = std::max(limit, attempt.replayBytes);
     }
     const bool hasLength = current.request.bodyBytes.has_value();
+    current.bodyCharge.emplace(this->host->heldBytes(), HeldKind::Upstreams);
     current.bodyStreams = hasLength && *current.request.bodyBytes > limit;
     while (!current.parser->is_done() && !current.bodyStreams) {
         const auto state = co_await this->readBody(current, current.body);
@@ -149,6 +150,11 @@
             co_return;
         }
         current.bodyStreams = !current.parser->is_done() && current.body.size() > limit;
+        current.bodyCharge->set(current.body.size());
+    }
+    if (current.bodyStreams && !hasLength && this->host->heldBytes()->exhausted()) {
+        this->host->refuseForMemory(current);
+        co_return;
     }
     current.bodyReady = true;
     current.bodyReadyAt = monotonicNow();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,6 +1,7 @@
 #ifndef VERBENADOCK_PROXY_EXCHANGE_H
 #define VERBENADOCK_PROXY_EXCHANGE_H
 
+#include "heldbytes.h"
 #include "httpparser.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
@@ -55,8 +56,22 @@
     bool countsAsNotRead = false;
 };
 
-using Decision = std::
-    variant<ForwardBuffered, AnswerStreamed, Core::RespondLocally, ResetCaller, RejectBody, CallerGone, KeyAnswer>;
+/// The request is rejected, because the process holds as many bytes as it may.
+struct RefuseForMemory
+{
+};
+
+inline constexpr std::string_view MemoryLimitReason = "memory-limit";
+inline constexpr unsigned MemoryLimitStatus = 503;
+
+using Decision = std::variant<ForwardBuffered,
+                              AnswerStreamed,
+                              Core::RespondLocally,
+                              ResetCaller,
+                              RejectBody,
+                              CallerGone,
+                              KeyAnswer,
+                              RefuseForMemory>;
 
 /// Additional data of a caller's request with an idempotency key.
 struct KeyedRequest
@@ -98,6 +113,10 @@
 
     /// The whole body, or its beginning if the body streams.
     std::string body;
+    /// Counts the buffered body.
+    std::optional<HeldCharge> bodyCharge;
+    /// Memory ran short, so that the request was refused or its answer was not held back.
+    bool memoryLimited = false;
     /// Attempts may start, because the body is buffered or known to be too long to buffer.
     bool bodyReady = false;
     bool bodyStreams = false;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -88,6 +88,13 @@
         this->report.outcome = gone.countsAsNotRead ? "not-read" : "caller-gone";
     }
 
+    void operator()(const RefuseForMemory & /*refusal*/) const
+    {
+        this->report.outcome = Core::toString(Core::Outcome::NotRun);
+        this->report.reason = MemoryLimitReason;
+        this->report.status = MemoryLimitStatus;
+    }
+
     void operator()(const KeyAnswer &answer) const
     {
         this->report.outcome = "answered-by-key";
@@ -142,6 +149,7 @@
     , sweepTimer(this->timerWheel,
                  [this] {
                      this->upstreamPool.sweep(monotonicNow());
+                     this->proxyMetrics.showHeldBytes(*this->held);
                      this->sweepTimer.setAfter(SweepInterval);
                  })
     , acceptRetryTimer(this->timerWheel,
@@ -155,6 +163,8 @@
                         })
     , deadlineTimer(io.get_executor())
 {
+    this->held->setLimit(this->options.limits.heldBytes);
+    this->proxyMetrics.showHeldBytes(*this->held);
     this->sweepTimer.setAfter(SweepInterval);
 }
 
@@ -218,6 +228,11 @@
     exchange->bodyReady = exchange->parser->is_done();
     exchange->requestIdText = requestIdText(*exchange, this->options);
     this->exchanges.emplace(exchange->id, exchange);
+    if (exchange->request.bodyBytes.value_or(0) > SmallBodyBytes && this->held->exhausted()) {
+        exchange->memoryLimited = true;
+        this->decide(*exchange, RefuseForMemory{});
+        return;
+    }
     if (!this->beginKeyedRequest(*exchange)) {
         this->apply(makeArrivalEvent(*exchange, exchange->caller->peerAddress(), this->options.dialect));
     }
@@ -244,7 +259,8 @@
                          .service = exchange.service,
                          .attempts = exchange.attemptReports,
                          .duration = monotonicNow() - exchange.arrivedAt,
-                         .callerDeadline = parseCallerDeadline(exchange, this->options.dialect)};
+                         .callerDeadline = parseCallerDeadline(exchange, this->options.dialect),
+                         .memoryLimited = exchange.memoryLimited};
     std::visit(ReportOutcome{.report = report}, *exchange.decision);
     this->handlers.requestEnded(report);
 }
@@ -349,6 +365,13 @@
     this->abandonRequest(exchange);
 }
 
+void Host::refuseForMemory(Exchange &exchange)
+{
+    exchange.memoryLimited = true;
+    this->decide(exchange, RefuseForMemory{});
+    this->abandonRequest(exchange);
+}
+
 void Host::recordLatency(const Exchange &exchange, const Attempt &attempt)
 {
     const auto now = monotonicNow();
@@ -389,6 +412,7 @@
 void Host::setLimits(const Settings::EntryLimits &changed)
 {
     this->options.limits = changed;
+    this->held->setLimit(changed.heldBytes);
 }
 
 const Dialect &Host::dialect() const
@@ -411,6 +435,11 @@
     return this->upstreamPool;
 }
 
+const std::shared_ptr<HeldBytes> &Host::heldBytes() const
+{
+    return this->held;
+}
+
 DrainLog &Host::drains()
 {
     return this->drainLog;
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -6,6 +6,7 @@
 #include "drainlog.h"
 #include "evidencepool.h"
 #include "exchange.h"
+#include "heldbytes.h"
 #include "io.h"
 #include "keyhost.h"
 #include "proxymetrics.h"
@@ -52,6 +53,8 @@
     void dropUnread(Exchange &exchange, bool countsAsNotRead);
     bool isIdempotent(const CheckedRequest &request, std::string_view method) const;
     void bodyFailed(Exchange &exchange, BodyState state);
+    /// Rejects a request of which nothing was sent, because its body is long and memory runs short.
+    void refuseForMemory(Exchange &exchange);
     void recordLatency(const Exchange &exchange, const Attempt &attempt);
 
     // Called by Attempt.
@@ -81,6 +84,7 @@
     const Dialect &dialect() const;
     ProxyMetrics &metrics();
     TimerWheel &timers();
+    const std::shared_ptr<HeldBytes> &heldBytes() const;
     UpstreamPool &pool();
     EvidencePool &evidence();
     DrainLog &drains();
@@ -142,6 +146,7 @@
     TimerWheel timerWheel;
     UpstreamPool upstreamPool;
     EvidencePool evidencePool;
+    std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>();
     DrainLog drainLog;
     Acceptor acceptor;
     Timer sweepTimer;
--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 
+#include <netinet/tcp.h>
+
 namespace Verbenadock::Proxy::internal {
 
 namespace {
@@ -13,6 +15,11 @@
 // A delay after a failed accept prevents a busy loop when no file descriptors are available.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(10);
 
+// Without a limit the kernel holds up to 4 MB for each caller that reads nothing, which also counts as memory of the
+// process where that is limited.
+using UnsentLimit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+constexpr int MaxUnsentBytes = 131072;
+
 } // namespace
 
 void Host::start()
@@ -103,6 +110,7 @@
     ErrorCode error;
     socket.non_blocking(true, error);
     socket.set_option(tcp::no_delay(true), error);
+    socket.set_option(UnsentLimit(MaxUnsentBytes), error);
     if (this->connections.size() >= this->options.limits.maxCallerConnections) {
         this->refuseConnection(socket);
         return;
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -1,5 +1,7 @@
 #include "proxymetrics.h"
 
+#include "exchange.h"
+
 #include <string>
 
 namespace Verbenadock::Proxy::internal {
@@ -13,6 +15,9 @@
 constexpr auto UpstreamConnectionsName = "verbenadock_upstream_connections_total";
 constexpr auto UpstreamConnectionsHelp = "Connections taken for attempts, opened or reused.";
 
+constexpr auto HeldBytesName = "verbenadock_held_bytes";
+constexpr auto HeldBytesHelp = "Bytes of answers held for callers and of request bodies held for upstreams.";
+
 std::string_view toString(CloseReason reason)
 {
     switch (reason) {
@@ -39,6 +44,9 @@
     , notRead(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "not-read"}, {"refusal", ""}}))
     , pipelinedRequests(metrics.counter("verbenadock_pipelined_requests_total",
                                         "Requests that were started before an earlier one was answered."))
+    , refusedForMemory(metrics.counter(RequestsName,
+                                       RequestsHelp,
+                                       {{"outcome", "not-run"}, {"refusal", std::string(MemoryLimitReason)}}))
     , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
     , callerConnectionsRefused(
           metrics.counter("verbenadock_caller_connections_refused_total", "Connections of callers over the limit."))
@@ -51,6 +59,10 @@
     , registry(metrics)
     , answered(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "answered"}, {"refusal", ""}}))
     , replayed(metrics.counter("verbenadock_replayed_answers_total", "Answers to repeated idempotency keys."))
+    , heldBytes{&metrics.gauge(HeldBytesName, HeldBytesHelp, {{"kind", "callers"}}),
+                &metrics.gauge(HeldBytesName, HeldBytesHelp, {{"kind", "upstreams"}})}
+    , heldBytesLimit(metrics.gauge("verbenadock_held_bytes_limit",
+                                   "Bytes that may be held for callers and upstreams; 0 for no limit."))
     , leavingAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "leaving"}}))
     , pauseAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "pause"}}))
 {
@@ -129,6 +141,14 @@
     }
 }
 
+void ProxyMetrics::showHeldBytes(const HeldBytes &held)
+{
+    for (std::size_t index = 0; index < HeldKindCount; ++index) {
+        this->heldBytes[index]->set(static_cast<double>(held.held(static_cast<HeldKind>(index))));
+    }
+    this->heldBytesLimit.set(static_cast<double>(held.limit()));
+}
+
 void ProxyMetrics::countClosed(CloseReason reason)
 {
     this->closedConnections[static_cast<std::size_t>(reason)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_PROXY_PROXYMETRICS_H
 
 #include "announcement.h"
+#include "heldbytes.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/core/effect.h"
@@ -38,12 +39,14 @@
     void countBadRequest(BadRequest reason);
     void countAttempt(Health::Cause cause);
     void countClosed(CloseReason reason);
+    void showHeldBytes(const HeldBytes &held);
     void countAnnouncement(const AnnouncementReading &reading);
 
     Telemetry::Counter &aborted;
     Telemetry::Counter &callerDisconnected;
     Telemetry::Counter &notRead;
     Telemetry::Counter &pipelinedRequests;
+    Telemetry::Counter &refusedForMemory;
     Telemetry::Counter &callerConnections;
     Telemetry::Counter &callerConnectionsRefused;
     Telemetry::Gauge &openCallerConnections;
@@ -61,6 +64,8 @@
     Telemetry::MetricsRegistry &registry;
     Telemetry::Counter &answered;
     Telemetry::Counter &replayed;
+    std::array<Telemetry::Gauge *, HeldKindCount> heldBytes{};
+    Telemetry::Gauge &heldBytesLimit;
     Telemetry::Counter &leavingAnnouncements;
     Telemetry::Counter &pauseAnnouncements;
     std::array<Telemetry::Counter *, AnnouncementErrorCount> announcementErrors{};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t Gibibyte = 1 << 30;
 constexpr std::uint64_t MaxCount = 1'000'000;
 constexpr double MaxRetryAllowance = 1e6;
+constexpr double MaxMemoryMegabytes = 1e6;
 constexpr double MinProcessorShareCores = 0.01;
 constexpr double MaxProcessorShareCores = 1024;
 constexpr double MinRetryWindowSeconds = 0.1;
@@ -35,6 +36,16 @@
     }
 }
 
+/// The process itself and the buffers of its connections need the other half and 40 MB.
+std::size_t heldBytesFor(double memoryMegabytes)
+{
+    constexpr double ProcessMegabytes = 40;
+    constexpr double MinHeldMegabytes = 16;
+    constexpr double Megabyte = 1e6;
+    const auto megabytes = std::max(MinHeldMegabytes, memoryMegabytes / 2 - ProcessMegabytes);
+    return static_cast<std::size_t>(megabytes * Megabyte);
+}
+
 void readLimits(TableReader &root, EntryLimits &limits)
 {
     auto reader = root.readTable("limits");
@@ -46,6 +57,10 @@
     readCount(reader, "max_caller_connections", limits.maxCallerConnections);
     readCount(reader, "max_requests", limits.maxRequests);
     readCount(reader, "pipeline_depth", limits.pipelineDepth);
+    double memory = 0;
+    if (reader.readNumber("memory_mb", memory, {.least = 0, .most = MaxMemoryMegabytes}) && memory > 0) {
+        limits.heldBytes = heldBytesFor(memory);
+    }
     readCount(reader, "max_idle_per_upstream", limits.maxIdlePerUpstream, 0);
     const Toml::Range<Duration> range{.least = MinTimeout, .most = internal::MaxDuration};
     reader.readDuration("proven_alive_time", limits.provenAliveTime, range);
--- a/test/proxy/pipelinetest.cpp
+++ b/test/proxy/pipelinetest.cpp
@@ -106,7 +106,9 @@
 FixtureOptions pipelineOptions(const std::vector<Endpoint> &upstreams)
 {
     auto options = optionsFor(upstreams);
-    options.service.timeouts.firstByte = std::chrono::seconds(8);
+    // Longer than each wait of a test, so that no retry takes part.
+    options.service.timeouts.firstByte = std::chrono::seconds(30);
+    options.service.timeouts.total = std::chrono::seconds(30);
     for (auto &upstream : options.service.upstreams) {
         upstream.slots = 64;
     }
--- a/test/proxy/testsocket.cpp
+++ b/test/proxy/testsocket.cpp
@@ -187,11 +187,22 @@
     return size == 0 || (size < 0 && errno != EAGAIN);
 }
 
+bool TestSocket::hungUp() const
+{
+    pollfd pollDescriptor{.fd = this->descriptor, .events = POLLRDHUP, .revents = 0};
+    return ::poll(&pollDescriptor, 1, 0) > 0;
+}
+
 void TestSocket::closeSending()
 {
     ::shutdown(this->descriptor, SHUT_WR);
 }
 
+void TestSocket::shutDown()
+{
+    ::shutdown(this->descriptor, SHUT_RDWR);
+}
+
 void TestSocket::reset()
 {
     const linger option{.l_onoff = 1, .l_linger = 0};
--- a/test/proxy/testsocket.h
+++ b/test/proxy/testsocket.h
@@ -63,7 +63,12 @@
     /// Whether the peer has closed or reset the connection. Does not block.
     bool peerClosed() const;
 
+    /// Whether the peer has closed or reset the connection, also behind unread bytes. Does not block.
+    bool hungUp() const;
+
     void closeSending();
+    /// Ends both directions, also for a thread that sends or receives.
+    void shutDown();
     void reset();
     void close();
 
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -147,6 +147,29 @@
     CHECK(deployed("10").drainDelay == 2200ms);
 }
 
+// Guards against a process that holds more than its VM has, and against one that can hold nothing.
+TEST_CASE("the held bytes follow the memory of the VM, and the deployment fills it in")
+{
+    const auto heldBytes = [](const std::string &lines) {
+        const auto limits = parseEntrySettings(ValidEntry + "[limits]\n" + lines).limits;
+        return limits.heldBytes;
+    };
+    CHECK(heldBytes("") == 0);
+    CHECK(heldBytes("memory_mb = 0\n") == 0);
+    CHECK(heldBytes("memory_mb = 160\n") == 40'000'000);
+    CHECK(heldBytes("memory_mb = 64\n") == 16'000'000);
+    CHECK(heldBytes("memory_mb = 389\n") == 154'500'000);
+    CHECK(readFile(DEPLOY_DIR "/entry.toml").find("{{#limits.memoryMb}}memory_mb = {{limits.memoryMb}}\n")
+          != std::string::npos);
+}
+
+// Guards against a depth with which a connection serves nothing.
+TEST_CASE("the pipeline depth is at least 1")
+{
+    CHECK(parseEntrySettings(ValidEntry + "[limits]\npipeline_depth = 1\n").limits.pipelineDepth == 1);
+    CHECK(mistakesIn(ValidEntry + "[limits]\npipeline_depth = 0\n").find("pipeline_depth") != std::string::npos);
+}
+
 // Guards against a limit of which nobody can tell where it comes from.
 TEST_CASE("a shutdown limit beside the time of SIGKILL is reported")
 {
