--- a/include/verbenadock/proxy/requestreport.h
+++ b/include/verbenadock/proxy/requestreport.h
@@ -38,7 +38,7 @@
     std::string id;
     std::string host;
     std::string target;
-    /// One of "answered", "not-run", "unknown", "aborted", "caller-gone" or "bad-request".
+    /// One of "answered", "not-run", "unknown", "aborted", "caller-gone", "not-read" or "bad-request".
     std::string_view outcome;
     std::string_view reason;
     unsigned status = 0;
@@ -53,6 +53,8 @@
     Duration duration{0};
     /// Time that the caller announced to wait for the answer.
     std::optional<Duration> callerDeadline;
+    /// The request was refused, or its answer was streamed from the first byte, because memory ran short.
+    bool memoryLimited = false;
 };
 
 } // namespace Verbenadock::Proxy
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -43,8 +43,17 @@
     /// Allows a streaming answer to be forwarded.
     void startForwarding();
 
-    /// Appends the complete answer as it is sent to the caller.
-    void appendBufferedAnswer(std::string &out, bool close) const;
+    /// Continues forwarding when the answer may now be written to the caller.
+    void turnReached();
+
+    /// Bytes of the answer that are held in memory.
+    std::size_t heldBytes() const
+    {
+        return this->body.size();
+    }
+
+    /// Appends the complete answer as it is sent to the caller, and frees its body.
+    void takeBufferedAnswer(std::string &out, bool close);
 
     /// The complete answer of captured work.
     Keys::StoredAnswer bufferedAnswer() const;
@@ -83,6 +92,8 @@
 private:
     /// Whether the first byte of the request may be written.
     bool maySend(TimePoint now) const;
+    /// Known length of the request body in bytes.
+    std::uint64_t knownBodyBytes() const;
     Task<bool> open();
     Core::ConnectionPolicy connectionPolicy() const;
     Task<ErrorCode> connect();
@@ -106,7 +117,14 @@
     /// Whether callers would take the status as proof that the request was not run, which the upstream did not state.
     bool promisesWithoutProof() const;
     Task<bool> readBody();
+    bool mayForward() const;
+    /// Whether the answer cannot be held, because memory runs short.
+    bool memoryLimits() const;
+    /// Whether a part of the answer has to be forwarded before more of it is read.
+    bool holdsEnough() const;
     Task<bool> forwardBodyPart(bool last);
+    /// Counts the bytes that are held for the caller.
+    void countHeldAnswer();
     void captureBodyPart(Capture &capture);
     void complete();
 
@@ -125,6 +143,9 @@
     std::string idText;
     std::shared_ptr<UpstreamPeer> peer;
     std::unique_ptr<UpstreamConnection> connection;
+    HeldCharge answerCharge;
+    HeldCharge requestCharge;
+    TransitCharge transitCharge;
     Timer timer;
     Signal forwardAllowed;
     std::optional<ResponseMessage> response;
--- a/src/proxy/attemptanswer.cpp
+++ b/src/proxy/attemptanswer.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t MaxAnswerHeadBytes = 65536;
 // Limits the 1xx answers, which are dropped. An upstream sends at most a 100 and some 103 (early hints).
 constexpr unsigned MaxInterimAnswers = 8;
+// Bounds the answers of one connection that wait for their turn: one of the largest usual downloads (540 KB) and some
+// smaller ones.
+constexpr std::size_t MaxWaitingAnswerBytes = 1048576;
 constexpr std::size_t SmallReadBytes = 4096;
 constexpr std::size_t LargeReadBytes = 65536;
 
@@ -96,7 +99,7 @@
 {
     ErrorCode error;
     auto &buffer = this->connection->buffer;
-    const bool large = this->headReported;
+    const bool large = this->headReported && !this->memoryLimits();
     const auto size = co_await this->connection->socket.async_read_some(
         buffer.prepare(large ? LargeReadBytes : SmallReadBytes), asio::redirect_error(UseTask, error));
     buffer.commit(size);
@@ -199,20 +202,19 @@
 Task<bool> Attempt::readBody()
 {
     auto &parser = this->response->parser;
-    const auto length = parser.content_length();
-    const bool tooLongToBuffer = !parser.is_done() && length && *length > this->parameters.holdBackBytes;
     for (;;) {
         if (this->response->parseBody(this->connection->buffer)) {
             this->fail(Health::Cause::Malformed);
             co_return false;
         }
-        if (!this->headReported && !parser.is_done()
-            && (tooLongToBuffer || this->body.size() > this->parameters.holdBackBytes)) {
+        this->countHeldAnswer();
+        if (!this->headReported && !parser.is_done() && this->holdsEnough()) {
             if (this->statesNotRun() || this->promisesWithoutProof()) {
                 // Such an answer is never forwarded, so that the rest of its body is not needed.
                 co_return true;
             }
             this->headReported = true;
+            this->exchange->memoryLimited = this->exchange->memoryLimited || this->memoryLimits();
             this->timer.set(this->parameters.deadline);
             this->host->answerHeadReceived(*this, parser.statusCode);
         }
@@ -232,9 +234,41 @@
     }
 }
 
+bool Attempt::holdsEnough() const
+{
+    const auto *caller = this->exchange->caller.get();
+    if (caller != nullptr && !caller->isFirst(*this->exchange)) {
+        // A long answer that waits for its turn is read as far as the connection may hold, so that its upstream is
+        // released and a failure can still be retried.
+        return caller->waitingAnswerBytes() > MaxWaitingAnswerBytes || this->memoryLimits();
+    }
+    const auto length = this->response->parser.content_length();
+    return (length && *length > this->parameters.holdBackBytes) || this->body.size() > this->parameters.holdBackBytes
+           || this->memoryLimits();
+}
+
+bool Attempt::memoryLimits() const
+{
+    return this->exchange->caller && this->host->heldBytes()->exhausted();
+}
+
+void Attempt::countHeldAnswer()
+{
+    // The buffer of the connection is as large as the longest read.
+    const bool hasLargeBuffer = this->headReported && this->connection;
+    this->answerCharge.set(this->body.size() + this->outgoing.size()
+                           + (hasLargeBuffer ? this->connection->buffer.capacity() : 0));
+}
+
+bool Attempt::mayForward() const
+{
+    const auto *caller = this->exchange->caller.get();
+    return this->forwarding && (caller == nullptr || caller->isFirst(*this->exchange));
+}
+
 Task<bool> Attempt::forwardBodyPart(bool last)
 {
-    while (!this->forwarding && !this->exchange->decision && !this->stopped()) {
+    while (!this->mayForward() && !this->exchange->decision && !this->stopped()) {
         co_await this->forwardAllowed.wait();
     }
     if (this->stopped()) {
@@ -256,17 +290,24 @@
     if (!this->headForwarded) {
         this->headForwarded = true;
         this->exchange->headForwarded = true;
-        appendResponseHead(
-            this->outgoing, this->response->parser, this->host->dialect(), framing, caller.closesAfterAnswer());
+        appendResponseHead(this->outgoing,
+                           this->response->parser,
+                           this->host->dialect(),
+                           framing,
+                           caller.decideClose(*this->exchange));
     }
     if (framing.kind == BodyFraming::Kind::Chunked) {
         appendChunk(this->outgoing, this->body);
         this->outgoing.append(last ? LastChunk : std::string_view());
+    } else if (this->outgoing.empty()) {
+        this->outgoing.swap(this->body);
     } else {
         this->outgoing.append(this->body);
     }
     this->body.clear();
+    this->countHeldAnswer();
     const bool written = co_await caller.write(this->outgoing);
+    this->outgoing.clear();
     if (this->stopped()) {
         co_return false;
     }
@@ -306,6 +347,7 @@
     this->timer.clear();
     this->finished = true;
     this->answerComplete = true;
+    this->transitCharge.clear();
     this->answeredAt = monotonicNow();
     const bool notRun = this->statesNotRun();
     const bool isFalsePromise = this->promisesWithoutProof();
@@ -330,6 +372,11 @@
     this->host->metrics().countClosed(CloseReason::NotReusable);
 }
 
+void Attempt::turnReached()
+{
+    this->forwardAllowed.notify();
+}
+
 void Attempt::startForwarding()
 {
     this->forwarding = true;
@@ -354,10 +401,12 @@
     return {.kind = BodyFraming::Kind::Length, .length = this->body.size()};
 }
 
-void Attempt::appendBufferedAnswer(std::string &out, bool close) const
+void Attempt::takeBufferedAnswer(std::string &out, bool close)
 {
     appendResponseHead(out, this->response->parser, this->host->dialect(), this->answerFraming(), close);
     out.append(this->body);
+    this->body = std::string();
+    this->answerCharge.set(0);
 }
 
 bool Attempt::hasFlagField(std::string_view name) const
@@ -372,6 +421,7 @@
         return;
     }
     this->finished = true;
+    this->transitCharge.clear();
     this->timer.clear();
     if (this->connection) {
         this->connection->close();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,6 +1,8 @@
 #ifndef VERBENADOCK_PROXY_EXCHANGE_H
 #define VERBENADOCK_PROXY_EXCHANGE_H
 
+#include "heldbytes.h"
+#include "httpparser.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/base/identifiers.h"
@@ -47,13 +49,29 @@
 /// Status with which the request is rejected.
 unsigned statusOf(const RejectBody &rejection);
 
-/// The caller closed its connection.
+/// The caller closed its connection, or an earlier answer closed it.
 struct CallerGone
 {
+    /// The request counts as not read, because an earlier answer of its connection closed the connection.
+    bool countsAsNotRead = false;
 };
 
-using Decision = std::
-    variant<ForwardBuffered, AnswerStreamed, Core::RespondLocally, ResetCaller, RejectBody, CallerGone, KeyAnswer>;
+/// The request is rejected, because the process holds as many bytes as it may.
+struct RefuseForMemory
+{
+};
+
+inline constexpr std::string_view MemoryLimitReason = "memory-limit";
+inline constexpr unsigned MemoryLimitStatus = 503;
+
+using Decision = std::variant<ForwardBuffered,
+                              AnswerStreamed,
+                              Core::RespondLocally,
+                              ResetCaller,
+                              RejectBody,
+                              CallerGone,
+                              KeyAnswer,
+                              RefuseForMemory>;
 
 /// Additional data of a caller's request with an idempotency key.
 struct KeyedRequest
@@ -82,6 +100,8 @@
     std::shared_ptr<CallerConnection> caller;
     std::optional<KeyedRequest> keyed;
     std::unique_ptr<Capture> capture;
+    /// Null for captured work.
+    std::unique_ptr<RequestMessage> message;
     const RequestParser *parser = nullptr;
     /// The head as received from the caller.
     const std::string *headText = nullptr;
@@ -93,6 +113,10 @@
 
     /// The whole body, or its beginning if the body streams.
     std::string body;
+    /// Counts the buffered body.
+    std::optional<HeldCharge> bodyCharge;
+    /// Memory ran short, so that the request was refused or its answer was not held back.
+    bool memoryLimited = false;
     /// Attempts may start, because the body is buffered or known to be too long to buffer.
     bool bodyReady = false;
     bool bodyStreams = false;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -87,9 +87,16 @@
         this->report.status = statusOf(refusal);
     }
 
-    void operator()(const CallerGone & /*gone*/) const
+    void operator()(const CallerGone &gone) const
     {
-        this->report.outcome = "caller-gone";
+        this->report.outcome = gone.countsAsNotRead ? "not-read" : "caller-gone";
+    }
+
+    void operator()(const RefuseForMemory & /*refusal*/) const
+    {
+        this->report.outcome = Core::toString(Core::Outcome::NotRun);
+        this->report.reason = MemoryLimitReason;
+        this->report.status = MemoryLimitStatus;
     }
 
     void operator()(const KeyAnswer &answer) const
@@ -147,6 +154,7 @@
     , sweepTimer(this->timerWheel,
                  [this] {
                      this->upstreamPool.sweep(monotonicNow());
+                     this->proxyMetrics.showHeldBytes(*this->held);
                      this->sweepTimer.setAfter(SweepInterval);
                  })
     , acceptRetryTimer(this->timerWheel,
@@ -165,6 +173,8 @@
                         })
     , deadlineTimer(io.get_executor())
 {
+    this->held->setLimit(this->options.limits.heldBytes);
+    this->proxyMetrics.showHeldBytes(*this->held);
     this->sweepTimer.setAfter(SweepInterval);
 }
 
@@ -226,12 +236,16 @@
 
 void Host::beginExchange(const std::shared_ptr<Exchange> &exchange)
 {
-    exchange->id = ++this->lastRequest;
     exchange->arrivedAt = monotonicNow();
     exchange->bodyReadyAt = exchange->arrivedAt;
-    exchange->bodyReady = exchange->caller->bodyDone();
+    exchange->bodyReady = exchange->parser->is_done();
     exchange->requestIdText = requestIdText(*exchange, this->options);
     this->exchanges.emplace(exchange->id, exchange);
+    if (exchange->request.bodyBytes.value_or(0) > SmallBodyBytes && this->held->exhausted()) {
+        exchange->memoryLimited = true;
+        this->decide(*exchange, RefuseForMemory{});
+        return;
+    }
     if (!this->beginKeyedRequest(*exchange)) {
         auto event = makeArrivalEvent(*exchange, exchange->caller->peerAddress(), this->options.dialect);
         exchange->hasKey = event.key.has_value();
@@ -261,7 +275,8 @@
                          .customer = exchange.customer,
                          .attempts = exchange.attemptReports,
                          .duration = monotonicNow() - exchange.arrivedAt,
-                         .callerDeadline = parseCallerDeadline(exchange, this->options.dialect)};
+                         .callerDeadline = parseCallerDeadline(exchange, this->options.dialect),
+                         .memoryLimited = exchange.memoryLimited};
     std::visit(ReportOutcome{.report = report}, *exchange.decision);
     this->handlers.requestEnded(report);
 }
@@ -297,6 +312,25 @@
     }
 }
 
+void Host::dropUnread(Exchange &exchange, bool countsAsNotRead)
+{
+    const bool decided = exchange.decision.has_value();
+    const bool alreadyGone = decided && std::holds_alternative<CallerGone>(*exchange.decision);
+    exchange.decision = CallerGone{.countsAsNotRead = countsAsNotRead && !alreadyGone};
+    auto &counter
+        = countsAsNotRead && !alreadyGone ? this->proxyMetrics.notRead : this->proxyMetrics.callerDisconnected;
+    counter.add();
+    if (!decided) {
+        this->abandonRequest(exchange);
+    }
+    this->endExchange(exchange);
+}
+
+bool Host::isIdempotent(const CheckedRequest &request, std::string_view method) const
+{
+    return this->reducer.isIdempotent(request.host, method, request.target);
+}
+
 void Host::abandonRequest(Exchange &exchange)
 {
     const auto id = exchange.id;
@@ -347,6 +381,13 @@
     this->abandonRequest(exchange);
 }
 
+void Host::refuseForMemory(Exchange &exchange)
+{
+    exchange.memoryLimited = true;
+    this->decide(exchange, RefuseForMemory{});
+    this->abandonRequest(exchange);
+}
+
 void Host::recordLatency(const Exchange &exchange, const Attempt &attempt)
 {
     const auto now = monotonicNow();
@@ -387,6 +428,7 @@
 void Host::setLimits(const Settings::EntryLimits &changed)
 {
     this->options.limits = changed;
+    this->held->setLimit(changed.heldBytes);
 }
 
 const Dialect &Host::dialect() const
@@ -409,6 +451,11 @@
     return this->upstreamPool;
 }
 
+const std::shared_ptr<HeldBytes> &Host::heldBytes() const
+{
+    return this->held;
+}
+
 DrainLog &Host::drains()
 {
     return this->drainLog;
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -1,6 +1,9 @@
 #include "proxymetrics.h"
 
 #include <algorithm>
+
+#include "exchange.h"
+
 #include <string>
 
 namespace Verbenadock::Proxy::internal {
@@ -14,6 +17,9 @@
 constexpr auto UpstreamConnectionsName = "verbenadock_upstream_connections_total";
 constexpr auto UpstreamConnectionsHelp = "Connections taken for attempts, opened or reused.";
 
+constexpr auto HeldBytesName = "verbenadock_held_bytes";
+constexpr auto HeldBytesHelp = "Bytes of answers held for callers and of request bodies held for upstreams.";
+
 std::string_view toString(CloseReason reason)
 {
     switch (reason) {
@@ -52,6 +58,12 @@
     : aborted(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "aborted"}, {"refusal", ""}}))
     , callerDisconnected(
           metrics.counter(RequestsName, RequestsHelp, {{"outcome", "caller-disconnected"}, {"refusal", ""}}))
+    , notRead(metrics.counter(RequestsName, RequestsHelp, {{"outcome", "not-read"}, {"refusal", ""}}))
+    , pipelinedRequests(metrics.counter("verbenadock_pipelined_requests_total",
+                                        "Requests that were started before an earlier one was answered."))
+    , refusedForMemory(metrics.counter(RequestsName,
+                                       RequestsHelp,
+                                       {{"outcome", "not-run"}, {"refusal", std::string(MemoryLimitReason)}}))
     , callerConnections(metrics.counter("verbenadock_caller_connections_total", "Accepted connections of callers."))
     , callerConnectionsRefused(
           metrics.counter("verbenadock_caller_connections_refused_total", "Connections of callers over the limit."))
@@ -71,6 +83,10 @@
                                     "Attempts at upstreams outside the entry's data centre."))
     , relativeLoad(metrics.histogram("verbenadock_relative_upstream_load",
                                      "Known load of the chosen upstream over the mean of its service, not in seconds."))
+    , heldBytes{&metrics.gauge(HeldBytesName, HeldBytesHelp, {{"kind", "callers"}}),
+                &metrics.gauge(HeldBytesName, HeldBytesHelp, {{"kind", "upstreams"}})}
+    , heldBytesLimit(metrics.gauge("verbenadock_held_bytes_limit",
+                                   "Bytes that may be held for callers and upstreams; 0 for no limit."))
     , leavingAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "leaving"}}))
     , pauseAnnouncements(metrics.counter(AnnouncementsName, AnnouncementsHelp, {{"kind", "pause"}}))
 {
@@ -176,6 +192,14 @@
         .set(static_cast<double>(share.aboveShare));
 }
 
+void ProxyMetrics::showHeldBytes(const HeldBytes &held)
+{
+    for (std::size_t index = 0; index < HeldKindCount; ++index) {
+        this->heldBytes[index]->set(static_cast<double>(held.held(static_cast<HeldKind>(index))));
+    }
+    this->heldBytesLimit.set(static_cast<double>(held.limit()));
+}
+
 void ProxyMetrics::countClosed(CloseReason reason)
 {
     this->closedConnections[static_cast<std::size_t>(reason)]->add();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_PROXY_PROXYMETRICS_H
 
 #include "announcement.h"
+#include "heldbytes.h"
 #include "keyanswer.h"
 #include "requestcheck.h"
 #include "verbenadock/core/effect.h"
@@ -51,12 +52,16 @@
     void countChoice(const Core::UpstreamView &seen);
     void countClosed(CloseReason reason);
     void countKey(KeyResult result);
+    void showHeldBytes(const HeldBytes &held);
     void countAnnouncement(const AnnouncementReading &reading);
     /// Records the share of a request of a service with fair sharing.
     void recordShare(const std::string &service, const Core::ShareView &share);
 
     Telemetry::Counter &aborted;
     Telemetry::Counter &callerDisconnected;
+    Telemetry::Counter &notRead;
+    Telemetry::Counter &pipelinedRequests;
+    Telemetry::Counter &refusedForMemory;
     Telemetry::Counter &callerConnections;
     Telemetry::Counter &callerConnectionsRefused;
     Telemetry::Gauge &openCallerConnections;
@@ -78,6 +83,8 @@
     Telemetry::Counter &replayed;
     Telemetry::Counter &remoteChoices;
     Telemetry::Histogram &relativeLoad;
+    std::array<Telemetry::Gauge *, HeldKindCount> heldBytes{};
+    Telemetry::Gauge &heldBytesLimit;
     Telemetry::Counter &leavingAnnouncements;
     Telemetry::Counter &pauseAnnouncements;
     std::array<Telemetry::Counter *, AnnouncementErrorCount> announcementErrors{};
