End the soak with a quiet phase in which the keys are judged

Callers: nothing changes. Change: after the faults a last version is published and the callers go on for 6 s; only disturbances of the VM itself and of the store within the time to apply a version excuse it.

--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -28,6 +28,9 @@
     /// Ends all faults and waits until every entry is ready.
     void restore();
 
+    /// Publishes the next version of the configuration.
+    void configure();
+
 private:
     struct Pending
     {
@@ -57,7 +60,6 @@
     void breakStore();
     /// Has the store return from a copy that is some seconds old, or takes the copy for it.
     void drillStore();
-    void configure();
 
     std::size_t pick(std::size_t count);
     Duration length();
--- a/test/soak/keyjudge.cpp
+++ b/test/soak/keyjudge.cpp
@@ -15,6 +15,22 @@
 /// microseconds.
 constexpr std::int64_t ApplyLimitUs = 2'500'000;
 constexpr std::int64_t ApplySlackUs = 500'000;
+/// Time in which a VM asks the store again after an outage.
+constexpr Duration ReconnectTime = std::chrono::milliseconds(1600);
+
+/// Whether neither the VM nor the store was disturbed in the time that the VM had to apply the configuration.
+/// Disturbances of upstreams and of other VMs do not excuse a VM that has an old configuration.
+bool isUndisturbed(const RunRecord &run, std::size_t vm, TimePoint until)
+{
+    const auto from = until - std::chrono::microseconds(ApplyLimitUs + ApplySlackUs);
+    return std::ranges::none_of(run.disturbances, [&](const Disturbance &disturbance) {
+        const auto &subject = disturbance.subject;
+        const bool concerns = subject.empty() || subject == "store" || subject == run.vms.at(vm)
+                              || subject == "store-" + run.vms.at(vm);
+        const bool over = disturbance.until != TimePoint::max() && disturbance.until + ReconnectTime < from;
+        return concerns && !over && disturbance.from <= until;
+    });
+}
 
 bool heldOnceBy(const RunRecord &run, const std::string &key, const std::string &customer, std::int64_t untilUs)
 {
@@ -68,7 +84,7 @@
         return;
     }
     const auto until = due->storedAt + std::chrono::microseconds(startedUs - due->storedUnixUs);
-    if (isCalm(run, due->storedAt, until)) {
+    if (isUndisturbed(run, call.vm, until)) {
         broken.push_back("removed key: " + text + " " + std::to_string((startedUs - due->storedUnixUs) / 1000)
                          + " ms after version " + std::to_string(due->version));
     }
@@ -80,7 +96,7 @@
     const auto *due = dueVersion(run, call.sentUnixUs);
     const bool isInForce = due != nullptr && !holderOf(call.key, due->version).empty()
                            && dueVersion(run, call.endedUnixUs + ApplyLimitUs + ApplySlackUs) == due
-                           && isCalm(run, due->storedAt, call.endedAt);
+                           && isUndisturbed(run, call.vm, call.endedAt);
     if (isInAllVersions || isInForce) {
         broken.push_back("valid key rejected: " + call.id + " with " + call.key);
     }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -34,6 +34,9 @@
 )";
 
 constexpr auto Step = std::chrono::milliseconds(20);
+/// Time without faults at the end, after a last version. During the faults hardly any moment lies long enough after the
+/// last disturbance of a VM and of the store for keys to be judged.
+constexpr auto QuietTime = std::chrono::seconds(6);
 /// After the last fault, callers have to be served again within this time.
 constexpr auto RecoveryLimit = std::chrono::seconds(15);
 
@@ -113,6 +116,8 @@
         std::this_thread::sleep_for(Step);
     }
     faults.restore();
+    faults.configure();
+    std::this_thread::sleep_for(QuietTime);
     callers.stop();
     run.calls = callers.records();
     auto broken = judgeRecovery(fleet, newest, run);
