--- a/src/proxy/hostaccept.cpp
+++ b/src/proxy/hostaccept.cpp
@@ -15,8 +15,8 @@
 // A delay after a failed accept prevents a busy loop when no file descriptors are available.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(10);
 
-// Without a limit the kernel holds up to 4 MB for each caller that reads nothing, which also counts as memory of the
-// process where that is limited.
+// Without a limit the kernel holds as much as net.ipv4.tcp_wmem allows for each slow caller, which also counts as
+// memory of the process where that is limited.
 using UnsentLimit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 constexpr int MaxUnsentBytes = 131072;
 
