--- a/include/verbenadock/mesh/members.h
+++ b/include/verbenadock/mesh/members.h
@@ -32,6 +32,9 @@
     /// Addresses of the VMs in other data centres.
     std::vector<std::string> remoteAddresses() const;
 
+    /// Names of all VMs including this one, in alphabetical order.
+    std::vector<std::string> vms() const;
+
     /// Processor share of each other VM in the own data centre, in percent of a core, by VM name.
     std::map<std::string, std::uint64_t> localProcessors() const;
 
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -4,6 +4,7 @@
 #include "verbenadock/base/storeposition.h"
 #include "verbenadock/base/time.h"
 #include "verbenadock/health/sample.h"
+#include "verbenadock/mesh/customernumber.h"
 #include "verbenadock/mesh/upstreamnumber.h"
 
 #include <compare>
@@ -151,6 +152,52 @@
     auto operator<=>(const StoreRecords &) const = default;
 };
 
+/// Parts of a VM's share of every cap, in thousandths. See Allowance::AllowancePool for the two kinds of customers.
+struct AllowanceParts
+{
+    /// For customers whose cap is small for the number of VMs.
+    std::uint64_t small = 0;
+    std::uint64_t large = 0;
+
+    auto operator<=>(const AllowanceParts &) const = default;
+};
+
+/// A VM lends parts of its share of the customers' caps to the receiving hub. Replaces its earlier loan to this hub.
+struct AllowanceLoan
+{
+    std::string vm;
+    /// Incarnation of the sender (Hello); a loan of an earlier process of the VM does not replace one of a later.
+    std::uint64_t incarnation = 0;
+    AllowanceParts parts;
+
+    auto operator<=>(const AllowanceLoan &) const = default;
+};
+
+/// A VM asks a hub for a token of a customer.
+struct AllowanceRequest
+{
+    std::string vm;
+    /// Identifies the request in the answer.
+    std::uint64_t number = 0;
+    CustomerNumber customer = 0;
+
+    auto operator<=>(const AllowanceRequest &) const = default;
+};
+
+/// Answer of a hub to AllowanceRequest.
+struct AllowanceGrant
+{
+    std::string vm;
+    std::uint64_t number = 0;
+    CustomerNumber customer = 0;
+    /// Zero for a refusal.
+    std::uint64_t tokens = 0;
+    /// Time until the hub has a token again; zero in a refusal of a hub that holds no part of the cap.
+    Duration retryAfter{0};
+
+    auto operator<=>(const AllowanceGrant &) const = default;
+};
+
 using Message = std::variant<Hello,
                              Goodbye,
                              OutcomeReport,
@@ -159,7 +206,10 @@
                              ReserveUse,
                              DataCentreLoads,
                              UpstreamLoads,
-                             StoreRecords>;
+                             StoreRecords,
+                             AllowanceLoan,
+                             AllowanceRequest,
+                             AllowanceGrant>;
 
 /// Encodes a message as one datagram. The fields have fixed positions instead of names to keep the messages small,
 /// because they are most of the traffic within the fleet.
--- /dev/null
+++ b/src/allowance/loans.cpp
@@ -0,0 +1,91 @@
+// Member functions of AllowanceClient that lend the share of the VM to hubs.
+#include "parts.h"
+#include "verbenadock/allowance/allowanceclient.h"
+
+#include <algorithm>
+
+namespace Verbenadock::Allowance {
+
+namespace {
+
+constexpr Duration LoanInterval = std::chrono::milliseconds(400);
+
+/// Time for which a part counts as lent after the last message to its hub. Longer than the lifetime of the loan at the
+/// hub by the longest assumed delay of a datagram (1 s).
+constexpr Duration LentTime = std::chrono::milliseconds(2500);
+
+Mesh::AllowanceParts minimum(const Mesh::AllowanceParts &left, const Mesh::AllowanceParts &right)
+{
+    return {.small = std::min(left.small, right.small), .large = std::min(left.large, right.large)};
+}
+
+/// What is left of a whole share.
+Mesh::AllowanceParts remainder(const Mesh::AllowanceParts &parts)
+{
+    return {.small = Internal::WholeShare - std::min(Internal::WholeShare, parts.small),
+            .large = Internal::WholeShare - std::min(Internal::WholeShare, parts.large)};
+}
+
+} // namespace
+
+void AllowanceClient::renewLoans(Update &update, TimePoint now)
+{
+    this->loansDueAt = now + LoanInterval;
+    std::erase_if(this->hubStates, [this](const auto &entry) {
+        return std::ranges::find(this->hubs.local, entry.first) == this->hubs.local.end()
+               && std::ranges::find(this->hubs.remote, entry.first) == this->hubs.remote.end();
+    });
+    // A hub may be heard without hearing this VM; a loan to it would be lost.
+    auto reachable = this->hubs.local;
+    std::erase_if(reachable, [&](const std::string &hub) {
+        return hub != this->ownVm && this->isSilent(hub, now);
+    });
+    for (std::size_t index = 0; index < std::min<std::size_t>(2, reachable.size()); ++index) {
+        if (reachable[index] != this->ownVm) {
+            const auto wanted = index == 0 ? Internal::FirstHubParts : Internal::SecondHubParts;
+            this->lendTo(reachable[index], wanted, update, now);
+        }
+    }
+    this->pool.setOwnParts(remainder(this->lentParts(now, {})), now);
+}
+
+void AllowanceClient::lendTo(const std::string &hub,
+                             const Mesh::AllowanceParts &wanted,
+                             Update &update,
+                             TimePoint now)
+{
+    const auto parts = minimum(wanted, remainder(this->lentParts(now, hub)));
+    if (parts == Mesh::AllowanceParts{}) {
+        return;
+    }
+    auto &loans = this->lent[hub];
+    std::erase_if(loans, [&](const Loan &loan) {
+        return loan.until <= now || loan.parts == parts;
+    });
+    loans.push_back({.parts = parts, .until = now + LentTime});
+    update.messages.push_back(
+        {.vm = hub,
+         .message
+         = Mesh::AllowanceLoan{.vm = this->ownVm, .incarnation = this->ownIncarnation, .parts = parts}});
+}
+
+Mesh::AllowanceParts AllowanceClient::lentParts(TimePoint now, const std::string &except) const
+{
+    Mesh::AllowanceParts sum;
+    for (const auto &[hub, loans] : this->lent) {
+        Mesh::AllowanceParts largest;
+        for (const auto &loan : loans) {
+            if (loan.until > now) {
+                largest = {.small = std::max(largest.small, loan.parts.small),
+                           .large = std::max(largest.large, loan.parts.large)};
+            }
+        }
+        if (hub != except) {
+            sum.small += largest.small;
+            sum.large += largest.large;
+        }
+    }
+    return sum;
+}
+
+} // namespace Verbenadock::Allowance
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -66,6 +66,16 @@
     return result;
 }
 
+std::vector<std::string> Members::vms() const
+{
+    std::vector<std::string> result{this->own.vm};
+    for (const auto &entry : this->otherMembers) {
+        result.push_back(entry.first);
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
 std::map<std::string, std::uint64_t> Members::localProcessors() const
 {
     std::map<std::string, std::uint64_t> result;
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -13,9 +13,10 @@
 using Json = nlohmann::json;
 
 // Incremented with each change of the format, so that VMs of different releases ignore each other's messages.
-constexpr int FormatVersion = 9;
+constexpr int FormatVersion = 10;
 constexpr std::size_t MaxTextBytes = 128;
 constexpr std::uint64_t MaxInFlight = 1'000'000;
+constexpr std::uint64_t MaxParts = 1000;
 constexpr auto MaxAge = std::chrono::minutes(1);
 
 enum class Kind {
@@ -28,6 +29,9 @@
     DataCentreLoads = 7,
     UpstreamLoads = 8,
     StoreRecords = 9,
+    AllowanceLoan = 10,
+    AllowanceRequest = 11,
+    AllowanceGrant = 12,
 };
 
 Json fields(const Hello &hello)
@@ -123,6 +127,33 @@
     return json;
 }
 
+Json fields(const AllowanceLoan &loan)
+{
+    return Json::array({FormatVersion,
+                        static_cast<int>(Kind::AllowanceLoan),
+                        loan.vm,
+                        loan.incarnation,
+                        loan.parts.small,
+                        loan.parts.large});
+}
+
+Json fields(const AllowanceRequest &request)
+{
+    return Json::array(
+        {FormatVersion, static_cast<int>(Kind::AllowanceRequest), request.vm, request.number, request.customer});
+}
+
+Json fields(const AllowanceGrant &grant)
+{
+    return Json::array({FormatVersion,
+                        static_cast<int>(Kind::AllowanceGrant),
+                        grant.vm,
+                        grant.number,
+                        grant.customer,
+                        grant.tokens,
+                        static_cast<std::uint64_t>(grant.retryAfter.count())});
+}
+
 /// Reads the fields in order. A missing field or a field of the wrong type makes the whole message invalid.
 class FieldReader
 {
@@ -156,6 +187,13 @@
         return usable ? value->get<std::uint64_t>() : 0;
     }
 
+    /// Up to MaxAge.
+    Duration duration()
+    {
+        return Duration(static_cast<Duration::rep>(
+            this->number(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(MaxAge).count()))));
+    }
+
     /// Whether the message is valid so far and has further fields.
     bool hasMore() const
     {
@@ -200,8 +238,7 @@
     outcome.upstream = reader.text();
     outcome.cause = static_cast<Health::Cause>(reader.number(static_cast<std::uint64_t>(Health::Cause::Cancelled)));
     outcome.early = reader.number(1) == 1;
-    outcome.age = Duration(static_cast<Duration::rep>(
-        reader.number(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(MaxAge).count()))));
+    outcome.age = reader.duration();
 }
 
 StorePosition readPosition(FieldReader &reader)
@@ -272,6 +309,30 @@
     }
 }
 
+void read(FieldReader &reader, AllowanceLoan &loan)
+{
+    loan.vm = reader.text();
+    loan.incarnation = reader.number(UINT64_MAX);
+    loan.parts.small = reader.number(MaxParts);
+    loan.parts.large = reader.number(MaxParts);
+}
+
+void read(FieldReader &reader, AllowanceRequest &request)
+{
+    request.vm = reader.text();
+    request.number = reader.number(UINT64_MAX);
+    request.customer = reader.number(UINT64_MAX);
+}
+
+void read(FieldReader &reader, AllowanceGrant &grant)
+{
+    grant.vm = reader.text();
+    grant.number = reader.number(UINT64_MAX);
+    grant.customer = reader.number(UINT64_MAX);
+    grant.tokens = reader.number(MaxInFlight);
+    grant.retryAfter = reader.duration();
+}
+
 template<typename Type>
 Message readAs(FieldReader &reader)
 {
@@ -301,6 +362,12 @@
         return readAs<UpstreamLoads>(reader);
     case Kind::StoreRecords:
         return readAs<StoreRecords>(reader);
+    case Kind::AllowanceLoan:
+        return readAs<AllowanceLoan>(reader);
+    case Kind::AllowanceRequest:
+        return readAs<AllowanceRequest>(reader);
+    case Kind::AllowanceGrant:
+        return readAs<AllowanceGrant>(reader);
     }
     return std::nullopt;
 }
@@ -311,7 +378,7 @@
     if (reader.number(FormatVersion) != FormatVersion) {
         return std::nullopt;
     }
-    const auto kind = static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::StoreRecords)));
+    const auto kind = static_cast<Kind>(reader.number(static_cast<std::uint64_t>(Kind::AllowanceGrant)));
     auto message = readKind(reader, kind);
     return reader.isComplete() ? message : std::nullopt;
 }
--- /dev/null
+++ b/test/allowance/fleettest.cpp
@@ -0,0 +1,214 @@
+// Caps over a whole fleet, in virtual time: nothing beyond the bound in any failure, and few refusals below the cap.
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace Verbenadock;
+using namespace Verbenadock::Allowance;
+using namespace Verbenadock::Allowance::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto FaultAt = 20s;
+constexpr auto HealedAt = 35s;
+constexpr auto EndAt = 45s;
+constexpr double MaxCalmRefusals = 0.01;
+constexpr double MaxRefusalsWhileCut = 0.05;
+/// Load at which a customer presses against its cap (1.6 times the usual load).
+constexpr double Overload = 7.5;
+
+struct Fault
+{
+    std::string name;
+    std::function<void(TestFleet &)> begin;
+};
+
+void report(const std::string &what, const TestFleet &fleet, Duration from, Duration to)
+{
+    if (std::getenv("ALLOWANCE_FIGURES") != nullptr) {
+        const auto refusals = fleet.refusals(from, to);
+        std::cerr << what << " vms=" << fleet.size() << " load=" << fleet.loadFactor
+                  << " refused_percent=" << 100 * refusals.share() << " of=" << refusals.total
+                  << " excess=" << fleet.excess() << "\n";
+    }
+}
+
+std::vector<Fault> faults()
+{
+    const auto isolate = [](TestFleet &fleet, unsigned every) {
+        fleet.linkUp = [every](unsigned from, unsigned to) {
+            return from % every != 1 && to % every != 1;
+        };
+    };
+    return {
+        {"data centre cut off",
+         [](TestFleet &fleet) {
+             fleet.linkUp = [](unsigned from, unsigned to) {
+                 return (from % DataCentres == 0) == (to % DataCentres == 0);
+             };
+         }},
+        {"single VMs cut off",
+         [isolate](TestFleet &fleet) {
+             isolate(fleet, 7);
+         }},
+        {"every VM cut off",
+         [](TestFleet &fleet) {
+             fleet.linkUp = [](unsigned, unsigned) {
+                 return false;
+             };
+         }},
+        {"halves",
+         [](TestFleet &fleet) {
+             const auto half = fleet.size() / 2;
+             fleet.linkUp = [half](unsigned from, unsigned to) {
+                 return (from < half) == (to < half);
+             };
+         }},
+        {"data centre that receives only",
+         [](TestFleet &fleet) {
+             fleet.linkUp = [](unsigned from, unsigned to) {
+                 return from % DataCentres != 0 || to % DataCentres == 0;
+             };
+         }},
+        {"VMs that receive only",
+         [](TestFleet &fleet) {
+             fleet.linkUp = [](unsigned from, unsigned) {
+                 return from % 5 != 1;
+             };
+         }},
+        {"VMs that send only",
+         [](TestFleet &fleet) {
+             fleet.linkUp = [](unsigned, unsigned to) {
+                 return to % 5 != 1;
+             };
+         }},
+        {"hubs killed",
+         [](TestFleet &fleet) {
+             for (const auto hub : fleet.firstHubs()) {
+                 fleet.kill(hub);
+             }
+         }},
+        {"all restarted",
+         [](TestFleet &fleet) {
+             for (unsigned vm = 0; vm < fleet.size(); ++vm) {
+                 fleet.restart(vm);
+             }
+         }},
+        {"half restarted",
+         [](TestFleet &fleet) {
+             for (unsigned vm = 0; vm < fleet.size(); vm += 2) {
+                 fleet.restart(vm);
+             }
+         }},
+    };
+}
+
+void heal(TestFleet &fleet)
+{
+    fleet.linkUp = [](unsigned, unsigned) {
+        return true;
+    };
+}
+
+} // namespace
+
+// An even split refuses requests that are within the cap, since a VM gets far less than one request per second of most
+// customers.
+TEST_CASE("below the cap few requests are refused")
+{
+    for (const unsigned vms : {3U, 41U, 121U, 293U}) {
+        TestFleet fleet(vms, vms);
+        fleet.runUntil(40s);
+        report("calm", fleet, 10s, 40s);
+        CAPTURE(vms);
+        CHECK(fleet.refusals(10s, 40s).share() < MaxCalmRefusals);
+        CHECK(fleet.excess() <= 0);
+        CHECK(fleet.lateDecisions == 0);
+    }
+}
+
+TEST_CASE("below the cap few requests are refused while a data centre is cut off")
+{
+    for (const unsigned vms : {3U, 41U, 121U, 293U}) {
+        TestFleet fleet(vms, vms + 1000);
+        fleet.runUntil(FaultAt);
+        faults().front().begin(fleet);
+        fleet.runUntil(HealedAt);
+        heal(fleet);
+        fleet.runUntil(EndAt);
+        report("data centre cut off", fleet, FaultAt, HealedAt);
+        report("data centre back", fleet, HealedAt, EndAt);
+        CAPTURE(vms);
+        CHECK(fleet.refusals(FaultAt, HealedAt).share() < MaxRefusalsWhileCut);
+        CHECK(fleet.excess() <= 0);
+        CHECK(fleet.lateDecisions == 0);
+    }
+}
+
+// A token with two holders, or a share that is used by its owner and a hub, shows as requests beyond the bound.
+TEST_CASE("no failure lets a customer exceed its cap, at any load")
+{
+    for (const unsigned vms : {3U, 41U, 121U, 293U}) {
+        for (const auto &fault : faults()) {
+            for (const double load : {1.0, Overload}) {
+                TestFleet fleet(vms, vms + 2000);
+                fleet.loadFactor = load;
+                fleet.runUntil(FaultAt);
+                fault.begin(fleet);
+                fleet.runUntil(HealedAt);
+                heal(fleet);
+                fleet.runUntil(EndAt);
+                report(fault.name, fleet, FaultAt, HealedAt);
+                CAPTURE(vms, fault.name, load);
+                CHECK(fleet.excess() <= 0);
+                CHECK(fleet.lateDecisions == 0);
+            }
+        }
+    }
+}
+
+TEST_CASE("a customer at 7.5 times its usual load costs the others nothing")
+{
+    for (const unsigned vms : {3U, 41U, 121U, 293U}) {
+        TestFleet fleet(vms, vms + 3000);
+        fleet.runUntil(FaultAt);
+        auto &noisy = fleet.customers[2];
+        fleet.loadFactors[noisy.number] = Overload;
+        fleet.runUntil(HealedAt);
+        const auto sent = std::ranges::count_if(noisy.granted, [](TimePoint at) {
+            return at >= TimePoint(1h) + FaultAt + 2s;
+        });
+        const auto expected = noisy.cap.requestsPerSecond * 13;
+        const auto own = noisy.refused.size();
+        const auto all = fleet.refusals(FaultAt, HealedAt);
+        report("one customer at 7.5 times", fleet, FaultAt, HealedAt);
+        CAPTURE(vms, sent, expected);
+        CHECK(fleet.excess() <= 0);
+        // Its cap is used, not wasted on VMs.
+        CHECK(static_cast<double>(sent) > 0.85 * expected);
+        CHECK(static_cast<double>(all.refused - own) < MaxCalmRefusals * static_cast<double>(all.total - own));
+    }
+}
+
+TEST_CASE("a lowered cap takes effect at once")
+{
+    for (const unsigned vms : {3U, 121U}) {
+        TestFleet fleet(vms, vms + 4000);
+        fleet.loadFactor = Overload;
+        fleet.runUntil(FaultAt);
+        std::map<Mesh::CustomerNumber, Cap> lower;
+        for (auto &customer : fleet.customers) {
+            customer.cap = {.requestsPerSecond = customer.cap.requestsPerSecond / 4, .burst = customer.cap.burst / 4};
+            lower.emplace(customer.number, customer.cap);
+        }
+        fleet.setCaps(lower);
+        fleet.runUntil(HealedAt);
+        report("lowered cap", fleet, FaultAt, HealedAt);
+        CAPTURE(vms);
+        CHECK(fleet.excess(FaultAt) <= 0);
+    }
+}
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -49,7 +49,14 @@
                      .era = 2,
                      .from = 3,
                      .end = 5,
-                     .records = {{.offset = 3, .data = std::string("\0a", 2)}, {.offset = 4, .data = ""}}}};
+                     .records = {{.offset = 3, .data = std::string("\0a", 2)}, {.offset = 4, .data = ""}}},
+        AllowanceLoan{.vm = "7", .incarnation = UINT64_MAX, .parts = {.small = 1000, .large = 600}},
+        AllowanceRequest{.vm = "7", .number = UINT64_MAX, .customer = customerNumber("papirna")},
+        AllowanceGrant{.vm = "7",
+                       .number = 3,
+                       .customer = UINT64_MAX,
+                       .tokens = 4,
+                       .retryAfter = std::chrono::milliseconds(1500)}};
     for (const auto &message : messages) {
         CHECK(decode(encode(message)) == message);
         // A truncated message is invalid.
@@ -59,6 +66,13 @@
     }
 }
 
+// A loan above the whole share would let a hub admit more than the cap.
+TEST_CASE("a loan of more than a whole share is no message")
+{
+    CHECK_FALSE(decode(encode(AllowanceLoan{.vm = "7", .incarnation = 1, .parts = {.small = 1001, .large = 0}})));
+    CHECK_FALSE(decode(encode(AllowanceLoan{.vm = "7", .incarnation = 1, .parts = {.small = 0, .large = 1001}})));
+}
+
 // Any host that reaches the port can send any bytes.
 TEST_CASE("arbitrary datagrams are decoded without a crash")
 {
