--- a/include/verbenadock/allowance/allowanceclient.h
+++ b/include/verbenadock/allowance/allowanceclient.h
@@ -163,7 +163,11 @@
     /// Ends searches beyond the number of waiting requests.
     void endSurplusSearches(Mesh::CustomerNumber customer);
     void renewLoans(Update &update, TimePoint now);
-    void lendTo(const std::string &hub, const Mesh::AllowanceParts &wanted, Update &update, TimePoint now);
+    void lendTo(const std::string &hub,
+                const Mesh::AllowanceParts &wanted,
+                std::uint64_t creditNumber,
+                Update &update,
+                TimePoint now);
     /// Parts lent to all hubs, or to all except one.
     Mesh::AllowanceParts lentParts(TimePoint now, const std::string &except) const;
     void forgetOldTokens(TimePoint now);
@@ -174,8 +178,8 @@
     TimePoint lendsFrom;
     TimePoint keepsFrom;
     TimePoint loansDueAt;
-    /// The hub with the larger part of the share, and the number and time of the credit that it was given.
-    std::string creditedHub;
+    /// The hubs that give initial tokens for the loans of this VM, and the number and time of that order.
+    std::vector<std::string> creditedHubs;
     std::uint64_t credit = 0;
     TimePoint creditedAt;
     Hubs hubs;
--- a/include/verbenadock/allowance/allowancepool.h
+++ b/include/verbenadock/allowance/allowancepool.h
@@ -74,13 +74,12 @@
         TimePoint until;
     };
 
-    /// The last loan for which initial tokens were added.
+    /// The last loans of a VM for which initial tokens were added, and their largest parts.
     struct Credit
     {
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
-
-        auto operator<=>(const Credit &) const = default;
+        Mesh::AllowanceParts parts;
     };
 
     struct Bucket
@@ -106,7 +105,10 @@
     void settle(Bucket &bucket, TimePoint now) const;
     void addUpParts();
     /// Adds the initial tokens for the parts, if they were not added before.
-    void addCredit(const std::string &vm, const Credit &credit, const Mesh::AllowanceParts &parts);
+    void addCredit(const std::string &vm,
+                   std::uint64_t incarnation,
+                   std::uint64_t number,
+                   const Mesh::AllowanceParts &parts);
     void addCredit(Bucket &bucket, double shares) const;
     /// Part of the cap that this VM holds.
     double partOf(const Bucket &bucket) const;
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -26,6 +26,10 @@
 
 namespace Verbenadock::Fleet {
 
+namespace internal {
+class AllowanceLink;
+}
+
 /// Connects an entry that runs without an agent to the rest of the fleet: follows the platform's store, and exchanges
 /// membership, request outcomes and load with the other VMs.
 class FleetLink : public std::enable_shared_from_this<FleetLink>
@@ -39,6 +43,7 @@
         std::function<void(const Core::LoadChanged &)> loadChanged;
         std::function<void(const Core::ReserveUsed &)> reserveUsed;
         std::function<void(const Core::DataCentreLoadChanged &)> dataCentreLoadChanged;
+        std::function<void(const Core::AllowanceDecided &)> allowanceDecided;
     };
 
     /// Binds the datagram port. Throws Net::NetError on failure.
@@ -63,6 +68,10 @@
     /// Shares that this entry took an attempt from the fleet reserve.
     void observe(const Core::ReportReserveUse &use);
 
+    /// Finds an allowance for a request of a capped customer; the answer may come within the call.
+    void reserve(const Core::ReserveAllowance &effect);
+    void giveBack(const Core::ReturnAllowance &effect);
+
     /// Serves a page of store records to another VM.
     std::optional<Net::AdminPage> page(std::string_view target) const;
 
@@ -90,6 +99,11 @@
     void handle(const Mesh::DataCentreLoads &message);
     void handle(const Mesh::UpstreamLoads &message);
     void handle(const Mesh::StoreRecords &records);
+    void handle(const Mesh::AllowanceLoan &loan);
+    void handle(const Mesh::AllowanceRequest &request);
+    void handle(const Mesh::AllowanceGrant &grant);
+    std::shared_ptr<internal::AllowanceLink> makeAllowanceLink(Telemetry::MetricsRegistry &registry);
+    void sendToVm(const std::string &vm, const Mesh::Message &message);
     void applyUpdate(const LoadExchange::Update &update);
     /// Whether the sender of the current datagram is the named VM itself and in another data centre.
     bool isFromRemoteVm(const std::string &vm) const;
@@ -122,6 +136,7 @@
     std::shared_ptr<StoreFollower> follower;
     Mesh::ReaderElection election;
     LoadExchange loadExchange;
+    std::shared_ptr<internal::AllowanceLink> allowances;
     Health::PooledFailures pooledFailures;
     /// Smoothed latency of each service, from this entry's successful attempts.
     std::map<std::string, Duration> latencies;
@@ -138,6 +153,8 @@
     bool wasReader = false;
     /// Era of the store in which the registration of this VM was last checked.
     std::uint64_t checkedEra = 0;
+    /// This VM has read the registrations of the others.
+    bool knowsRegistrations = false;
     /// This VM has told the others that it stops.
     bool leaving = false;
     bool stopped = false;
--- a/include/verbenadock/fleet/loadexchange.h
+++ b/include/verbenadock/fleet/loadexchange.h
@@ -74,6 +74,9 @@
     /// Highest load among the service's data centres, in requests per slot.
     double highestLoad(const std::string &service, TimePoint now) const;
 
+    /// The first hubs of the other data centres that were heard recently.
+    std::vector<std::string> remoteFirstHubs(TimePoint now) const;
+
     /// Requests of all VMs in flight at the service's upstreams.
     double inFlight(const std::string &service, TimePoint now) const;
 
--- a/include/verbenadock/mesh/message.h
+++ b/include/verbenadock/mesh/message.h
@@ -169,7 +169,8 @@
     /// Incarnation of the sender (Hello); a loan of an earlier process of the VM does not replace one of a later.
     std::uint64_t incarnation = 0;
     AllowanceParts parts;
-    /// Changes when the hub shall add initial tokens for these parts, as it does for the first loan of a process.
+    /// Changes when the hub shall add initial tokens for these parts, as for the first loan of a process; zero for
+    /// none.
     std::uint64_t credit = 0;
 
     auto operator<=>(const AllowanceLoan &) const = default;
--- a/src/allowance/allowancepool.cpp
+++ b/src/allowance/allowancepool.cpp
@@ -53,6 +53,8 @@
 {
     this->advance(now);
     this->settle(now);
+    // Without caps before, no loan was credited yet.
+    const bool hadCaps = this->hasCaps();
     this->capSlack = slack;
     std::erase_if(this->buckets, [&newCaps](const auto &entry) {
         return !newCaps.contains(entry.first);
@@ -63,7 +65,9 @@
         if (isNew) {
             entry->second.updatedAt = now;
             entry->second.position = this->positionOf(customer);
-            this->addCredit(entry->second, this->isLarge(cap) ? this->largeShares : this->smallShares);
+            if (hadCaps) {
+                this->addCredit(entry->second, this->isLarge(cap) ? this->largeShares : this->smallShares);
+            }
         }
     }
     this->settle(now);
@@ -93,7 +97,7 @@
         this->addUpParts();
         this->settle(now);
     }
-    this->addCredit(this->ownVm, {.incarnation = 0, .number = credit}, parts);
+    this->addCredit(this->ownVm, 0, credit, parts);
 }
 
 void AllowancePool::handle(const Mesh::AllowanceLoan &loan, TimePoint now)
@@ -114,20 +118,34 @@
         this->addUpParts();
         this->settle(now);
     }
-    this->addCredit(loan.vm, {.incarnation = loan.incarnation, .number = loan.credit}, loan.parts);
+    this->addCredit(loan.vm, loan.incarnation, loan.credit, loan.parts);
 }
 
-void AllowancePool::addCredit(const std::string &vm, const Credit &credit, const Mesh::AllowanceParts &parts)
+void AllowancePool::addCredit(const std::string &vm,
+                              std::uint64_t incarnation,
+                              std::uint64_t number,
+                              const Mesh::AllowanceParts &parts)
 {
-    if (this->buckets.empty() || parts == Mesh::AllowanceParts{}) {
+    if (this->buckets.empty() || this->fleetSize.value() == 0 || number == 0) {
         return;
     }
-    if (auto &last = this->credits[vm]; last < credit) {
-        last = credit;
-        for (auto &entry : this->buckets) {
-            const auto part = this->isLarge(entry.second.cap) ? parts.large : parts.small;
-            this->addCredit(entry.second, static_cast<double>(part) / Internal::WholeShare);
-        }
+    auto &last = this->credits[vm];
+    if (std::pair(last.incarnation, last.number) > std::pair(incarnation, number)) {
+        return;
+    }
+    if (std::pair(last.incarnation, last.number) != std::pair(incarnation, number)) {
+        last = {.incarnation = incarnation, .number = number, .parts = {}};
+    }
+    // A loan may begin small, while an earlier one to another hub is still in force.
+    const auto before = last.parts;
+    last.parts = {.small = std::max(before.small, parts.small), .large = std::max(before.large, parts.large)};
+    if (last.parts == before) {
+        return;
+    }
+    for (auto &entry : this->buckets) {
+        const bool large = this->isLarge(entry.second.cap);
+        const auto added = large ? last.parts.large - before.large : last.parts.small - before.small;
+        this->addCredit(entry.second, static_cast<double>(added) / Internal::WholeShare);
     }
 }
 
--- a/src/allowance/loans.cpp
+++ b/src/allowance/loans.cpp
@@ -3,11 +3,14 @@
 #include "verbenadock/allowance/allowanceclient.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Verbenadock::Allowance {
 
 namespace {
 
+constexpr std::array<Mesh::AllowanceParts, 2> HubParts{Internal::FirstHubParts, Internal::SecondHubParts};
+
 constexpr Duration LoanInterval = std::chrono::milliseconds(400);
 
 /// Time for which a part counts as lent after the last message to its hub. Longer than the lifetime of the loan at the
@@ -44,25 +47,33 @@
     std::erase_if(reachable, [&](const std::string &hub) {
         return hub != this->ownVm && this->isSilent(hub, now);
     });
-    const auto &firstHub = reachable.empty() ? this->ownVm : reachable.front();
-    if (this->credit == 0 || (firstHub != this->creditedHub && now - this->creditedAt >= CreditInterval)) {
+    reachable.resize(std::min(reachable.size(), HubParts.size()));
+    if (this->credit == 0 || (reachable != this->creditedHubs && now - this->creditedAt >= CreditInterval)) {
         ++this->credit;
-        this->creditedHub = firstHub;
+        this->creditedHubs = reachable;
         this->creditedAt = now;
     }
-    for (std::size_t index = 0; index < std::min<std::size_t>(2, reachable.size()); ++index) {
+    for (std::size_t index = 0; index < reachable.size(); ++index) {
         if (reachable[index] != this->ownVm) {
-            const auto wanted = index == 0 ? Internal::FirstHubParts : Internal::SecondHubParts;
-            this->lendTo(reachable[index], wanted, update, now);
+            // Hubs that took over meanwhile get no initial tokens, since the others were given all.
+            const bool isCredited = index < this->creditedHubs.size() && this->creditedHubs[index] == reachable[index];
+            this->lendTo(reachable[index], HubParts.at(index), isCredited ? this->credit : 0, update, now);
         }
     }
+    const bool isCredited = reachable == this->creditedHubs;
     const auto kept = now < this->keepsFrom ? Mesh::AllowanceParts{} : remainder(this->lentParts(now, {}));
-    this->pool.setOwnParts(kept, this->credit, now);
+    this->pool.setOwnParts(kept, isCredited ? this->credit : 0, now);
 }
 
-void AllowanceClient::lendTo(const std::string &hub, const Mesh::AllowanceParts &wanted, Update &update, TimePoint now)
+void AllowanceClient::lendTo(const std::string &hub,
+                             const Mesh::AllowanceParts &wanted,
+                             std::uint64_t creditNumber,
+                             Update &update,
+                             TimePoint now)
 {
-    const auto parts = minimum(wanted, remainder(this->lentParts(now, hub)));
+    auto lentToOthers = this->lentParts(now, hub);
+    lentToOthers.large += Internal::KeptLargePart;
+    const auto parts = minimum(wanted, remainder(lentToOthers));
     if (parts == Mesh::AllowanceParts{}) {
         return;
     }
@@ -74,7 +85,7 @@
     update.messages.push_back(
         {.vm = hub,
          .message = Mesh::AllowanceLoan{
-             .vm = this->ownVm, .incarnation = this->ownIncarnation, .parts = parts, .credit = this->credit}});
+             .vm = this->ownVm, .incarnation = this->ownIncarnation, .parts = parts, .credit = creditNumber}});
 }
 
 Mesh::AllowanceParts AllowanceClient::lentParts(TimePoint now, const std::string &except) const
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -138,6 +138,12 @@
         handlers.reserveUsed = [this](const Core::ReportReserveUse &use) {
             this->fleet->observe(use);
         };
+        handlers.reserveAllowance = [this](const Core::ReserveAllowance &effect) {
+            this->fleet->reserve(effect);
+        };
+        handlers.returnAllowance = [this](const Core::ReturnAllowance &effect) {
+            this->fleet->giveBack(effect);
+        };
         handlers.requestEnded = [](const Proxy::RequestReport &report) {
             logChange(LogLevel::Info, requestLine(report));
         };
@@ -192,6 +198,9 @@
     handlers.dataCentreLoadChanged = [this](const Core::DataCentreLoadChanged &event) {
         this->server->apply(event);
     };
+    handlers.allowanceDecided = [this](const Core::AllowanceDecided &event) {
+        this->server->apply(event);
+    };
     handlers.healthChanged = [this](const Core::HealthChanged &event) {
         this->server->apply(event);
     };
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -1,5 +1,6 @@
 #include "verbenadock/fleet/fleetlink.h"
 
+#include "allowancelink.h"
 #include "servicefacts.h"
 #include "verbenadock/fleet/recordmessages.h"
 #include "verbenadock/net/error.h"
@@ -61,6 +62,7 @@
     , follower(std::make_shared<StoreFollower>(loop, *entrySettings.store, registry, this->followerHandlers()))
     , election(entrySettings.process.vmId, this->members.self().processorPercent)
     , loadExchange(entrySettings.process.vmId, entrySettings.process.dataCentre)
+    , allowances(this->makeAllowanceLink(registry))
     , socket(loop)
     , expiryTimer(loop)
     , heartbeatTimer(loop)
@@ -152,6 +154,7 @@
     auto &directory = this->follower->directory();
     if (const auto configuration = directory.configuration()) {
         this->loadExchange.configure(*configuration);
+        this->allowances->configure(configuration->bundles.front().customers);
         this->pooledFailures.setUpstreamCounts(internal::upstreamCounts(*configuration));
         this->pooledFailures.setIdempotentServices(
             internal::idempotentServices(directory.operatorConfiguration()->routes));
@@ -209,6 +212,9 @@
 void FleetLink::membersChanged()
 {
     this->election.setPeers(this->members.localProcessors());
+    if (this->knowsRegistrations) {
+        this->allowances->setVms(this->members.vms());
+    }
     const auto endpointsOf = [this](const std::vector<std::string> &addresses) {
         std::vector<Udp::endpoint> endpoints;
         for (const auto &address : addresses) {
@@ -410,6 +416,7 @@
 {
     this->stopped = true;
     this->follower->stop();
+    this->allowances->stop();
     this->expiryTimer.cancel();
     this->heartbeatTimer.cancel();
     this->summaryTimer.cancel();
--- a/src/fleet/loadexchange.cpp
+++ b/src/fleet/loadexchange.cpp
@@ -252,6 +252,17 @@
     return this->serviceLoad.sample(inFlight);
 }
 
+std::vector<std::string> LoadExchange::remoteFirstHubs(TimePoint now) const
+{
+    std::vector<std::string> result;
+    for (const auto &entry : this->remoteHubs) {
+        if (now - entry.second.lastReceivedAt <= HubLifetime) {
+            result.push_back(entry.second.vm);
+        }
+    }
+    return result;
+}
+
 double LoadExchange::inFlight(const std::string &service, TimePoint now) const
 {
     return this->serviceLoad.inFlight(service, now);
--- a/src/fleet/loadlink.cpp
+++ b/src/fleet/loadlink.cpp
@@ -119,12 +119,8 @@
             this->sendToLocalVms(outgoing.message);
             continue;
         }
-        boost::system::error_code error;
-        const auto address = asio::ip::make_address(this->members.addressOf(outgoing.vm).value_or(""), error);
         // A hub that has just left is replaced by another within a second.
-        if (!error) {
-            this->sendTo({address, this->settings.peerListen.port}, Mesh::encode(outgoing.message));
-        }
+        this->sendToVm(outgoing.vm, outgoing.message);
     }
 }
 
--- a/src/fleet/memberlink.cpp
+++ b/src/fleet/memberlink.cpp
@@ -87,6 +87,7 @@
         logChange(LogLevel::Warning, std::string("membership_join_failed reason=\"") + error.what() + "\"");
         co_return false;
     }
+    this->knowsRegistrations = true;
     this->membersChanged();
     logChange(LogLevel::Info, "membership_joined vms=" + std::to_string(this->members.size()));
     this->broadcast(this->members.self());
