--- a/include/verbenadock/allowance/allowanceclient.h
+++ b/include/verbenadock/allowance/allowanceclient.h
@@ -76,7 +76,10 @@
     };
 
     /// The pool must outlive the client. `incarnation` is the one of Mesh::Hello.
-    AllowanceClient(AllowancePool &ownPool, std::string vm, std::uint64_t incarnation, TimePoint startedAt);
+    AllowanceClient(AllowancePool &ownPool, std::string vm, std::uint64_t incarnation);
+
+    /// The pool knows the registered VMs for the first time since the process started. Lending begins a little later.
+    void vmsKnown(TimePoint now);
 
     /// Decides on waiting requests whose customers the pool no longer caps. Call it when the caps changed.
     Update capsChanged(TimePoint now);
@@ -175,9 +178,9 @@
     AllowancePool &pool;
     std::string ownVm;
     std::uint64_t ownIncarnation;
-    TimePoint lendsFrom;
-    TimePoint keepsFrom;
-    TimePoint loansDueAt;
+    TimePoint keepsFrom = TimePoint::max();
+    /// Time of the next loans; never before the VMs are known.
+    TimePoint loansDueAt = TimePoint::max();
     /// The hubs that give initial tokens for the loans of this VM, and the number and time of that order.
     std::vector<std::string> creditedHubs;
     std::uint64_t credit = 0;
--- a/src/allowance/allowanceclient.cpp
+++ b/src/allowance/allowanceclient.cpp
@@ -34,17 +34,22 @@
 
 } // namespace
 
-AllowanceClient::AllowanceClient(AllowancePool &ownPool, std::string vm, std::uint64_t incarnation, TimePoint startedAt)
+AllowanceClient::AllowanceClient(AllowancePool &ownPool, std::string vm, std::uint64_t incarnation)
     : pool(ownPool)
     , ownVm(std::move(vm))
     , ownIncarnation(incarnation)
-    , lendsFrom(startedAt + Internal::LendDelay)
-    , keepsFrom(startedAt + Internal::KeepDelay)
-    , loansDueAt(this->lendsFrom)
     , lastNumber(incarnation * NumbersPerMillisecond)
 {
 }
 
+void AllowanceClient::vmsKnown(TimePoint now)
+{
+    if (this->loansDueAt == TimePoint::max()) {
+        this->loansDueAt = now + Internal::LendDelay;
+        this->keepsFrom = now + Internal::KeepDelay;
+    }
+}
+
 void AllowanceClient::setHubs(Hubs newHubs)
 {
     this->hubs = std::move(newHubs);
@@ -73,7 +78,8 @@
         // A refusal under another cap says nothing about the new one.
         entry.second.refusals.clear();
     }
-    if (this->pool.hasCaps() && now >= this->lendsFrom) {
+    // Customers whose caps are new have no tokens at the hubs yet.
+    if (this->pool.hasCaps() && now >= this->loansDueAt) {
         this->renewLoans(update, now);
     }
     return update;
@@ -127,7 +133,6 @@
         update.decisions.push_back({.request = request, .kind = Decision::Kind::Uncapped});
         return update;
     }
-    this->forgetOldTokens(now);
     this->waiting[customer].push_back(request);
     this->serveWaiting(customer, update, now);
     if (this->waiting.contains(customer)) {
@@ -145,7 +150,7 @@
     auto remote = this->hubs.remote;
     if (!remote.empty()) {
         const auto first = static_cast<std::ptrdiff_t>(this->lastNumber % remote.size());
-        std::ranges::rotate(remote, remote.begin() + first);
+        std::rotate(remote.begin(), remote.begin() + first, remote.end());
     }
     search.hubsLeft.insert(search.hubsLeft.end(), remote.begin(), remote.end());
     if (const auto own = this->pool.take(customer, 0, now); own.retryAfter > Duration(0)) {
@@ -316,7 +321,7 @@
 std::optional<TimePoint> AllowanceClient::nextDeadline() const
 {
     std::optional<TimePoint> earliest;
-    if (this->pool.hasCaps()) {
+    if (this->pool.hasCaps() && this->loansDueAt != TimePoint::max()) {
         earliest = this->loansDueAt;
     }
     for (const auto &entry : this->searches) {
--- a/src/allowance/parts.h
+++ b/src/allowance/parts.h
@@ -18,10 +18,10 @@
 /// Time for which a granted token may be used, from the sending of the request for it.
 constexpr Duration TokenLifetime = std::chrono::milliseconds(300);
 
-/// Time after its start in which a VM does not lend, since it has not yet heard of all hubs.
+/// Time in which a VM does not lend after it learnt of the other VMs, since it has not yet heard of all hubs.
 constexpr Duration LendDelay = std::chrono::milliseconds(500);
-/// Time after its start in which a VM does not use its share itself, because hubs may still hold a loan of the process
-/// before. A new loan replaces that one.
+/// Time in which a VM does not use its share itself after it learnt of the other VMs, because hubs may still hold a
+/// loan of the process before. A new loan replaces that one.
 constexpr Duration KeepDelay = std::chrono::seconds(1);
 
 } // namespace Verbenadock::Allowance::Internal
--- a/src/fleet/allowancelink.cpp
+++ b/src/fleet/allowancelink.cpp
@@ -39,7 +39,7 @@
     : handlers(std::move(callbacks))
     , capSlack(slack)
     , pool(vm)
-    , client(this->pool, vm, incarnation, monotonicNow())
+    , client(this->pool, vm, incarnation)
     , timer(context)
     , grantedLocally(registry.counter(DecisionsName, DecisionsHelp, {{"decision", "granted-locally"}}))
     , grantedByHub(registry.counter(DecisionsName, DecisionsHelp, {{"decision", "granted-by-hub"}}))
@@ -73,7 +73,10 @@
 
 void AllowanceLink::setVms(const std::vector<std::string> &names)
 {
-    this->pool.setVms(names, monotonicNow());
+    const auto now = monotonicNow();
+    this->pool.setVms(names, now);
+    this->client.vmsKnown(now);
+    this->schedule();
 }
 
 void AllowanceLink::reserve(const Core::ReserveAllowance &effect)
--- a/src/fleet/allowancelink.h
+++ b/src/fleet/allowancelink.h
@@ -42,7 +42,7 @@
 
     void configure(const std::vector<Bundles::Customer> &customers);
 
-    /// Names of all registered VMs; empty while they are unknown.
+    /// Names of all registered VMs. Until the first call this VM holds and lends nothing.
     void setVms(const std::vector<std::string> &names);
 
     void reserve(const Core::ReserveAllowance &effect);
--- a/test/allowance/clienttest.cpp
+++ b/test/allowance/clienttest.cpp
@@ -19,7 +19,7 @@
 struct Fixture
 {
     AllowancePool pool{"vm-0"};
-    AllowanceClient client{pool, "vm-0", 3, Start};
+    AllowanceClient client{pool, "vm-0", 3};
 
     Fixture()
     {
@@ -28,6 +28,7 @@
             names.push_back("vm-" + std::to_string(number));
         }
         this->pool.setVms(names, Start);
+        this->client.vmsKnown(Start);
         this->client.setHubs({.local = {"hub-1", "hub-2"}, .remote = {"far"}});
         this->pool.configure({{Customer, {.requestsPerSecond = 1, .burst = 1}}}, 0, Start);
         this->client.capsChanged(Start);
@@ -179,9 +180,10 @@
 TEST_CASE("nothing is sent without caps, and loans every 400 ms with them")
 {
     AllowancePool pool("vm-0");
-    AllowanceClient client(pool, "vm-0", 3, Start);
+    AllowanceClient client(pool, "vm-0", 3);
     pool.setVms({"hub-1", "hub-2", "vm-0"}, Start);
     client.setHubs({.local = {"hub-1", "hub-2"}, .remote = {}});
+    client.vmsKnown(Start);
     CHECK_FALSE(client.nextDeadline());
     CHECK(client.advance(Ready).messages.empty());
     pool.configure({{Customer, {.requestsPerSecond = 1, .burst = 1}}}, 0, Ready);
@@ -240,3 +242,24 @@
     fixture.client.handle(grant(lastNumber, 0, 1s), Ready + 410ms);
     CHECK(loansIn(fixture.client.advance(Ready + 800ms)).contains("hub-1"));
 }
+
+// A VM that does not know the others takes itself for the only one, and the share for the whole cap.
+TEST_CASE("nothing is lent before the registered VMs are known, and nothing is kept shortly after")
+{
+    AllowancePool pool("vm-0");
+    AllowanceClient client(pool, "vm-0", 3);
+    client.setHubs({.local = {"hub-1", "hub-2"}, .remote = {}});
+    pool.configure({{Customer, {.requestsPerSecond = 1000, .burst = 1000}}}, 0, Start);
+    CHECK(client.capsChanged(Start).messages.empty());
+    CHECK_FALSE(client.nextDeadline());
+    CHECK(client.reserve(1, Customer, Start).decisions.empty());
+    client.giveBack(1, Start);
+    pool.setVms({"hub-1", "hub-2", "vm-0"}, Ready);
+    client.vmsKnown(Ready);
+    CHECK(client.nextDeadline() == Ready + 500ms);
+    CHECK(loansIn(client.advance(Ready + 500ms)).size() == 2);
+    CHECK(pool.take(Customer, 1, Ready + 899ms).retryAfter == Duration(0));
+    client.advance(Ready + 900ms);
+    client.advance(Ready + 1300ms);
+    CHECK(pool.take(Customer, 1, Ready + 1400ms).tokens == 1);
+}
--- a/test/allowance/fleet.cpp
+++ b/test/allowance/fleet.cpp
@@ -85,7 +85,8 @@
     vm.pool = std::make_unique<AllowancePool>(vm.name);
     vm.pool->setVms(this->names, this->now);
     vm.pool->configure(this->caps, Slack, this->now);
-    vm.client = std::make_unique<AllowanceClient>(*vm.pool, vm.name, ++this->incarnation, this->now);
+    vm.client = std::make_unique<AllowanceClient>(*vm.pool, vm.name, ++this->incarnation);
+    vm.client->vmsKnown(this->now);
     this->updateHubs(vm);
     this->carryOut(index, {});
 }
--- a/test/allowance/fleettest.cpp
+++ b/test/allowance/fleettest.cpp
@@ -149,6 +149,22 @@
     }
 }
 
+// Tokens must not lie at a hub that is gone for longer than its loans last.
+TEST_CASE("below the cap few requests are refused after a hub is killed")
+{
+    for (const unsigned vms : {41U, 121U, 293U}) {
+        TestFleet fleet(vms, vms + 5000);
+        fleet.runUntil(FaultAt);
+        fleet.kill(fleet.firstHubs().front());
+        fleet.runUntil(HealedAt);
+        report("a hub killed", fleet, FaultAt, HealedAt);
+        CAPTURE(vms);
+        CHECK(fleet.refusals(FaultAt, HealedAt).share() < MaxRefusalsWhileCut);
+        CHECK(fleet.excess() <= 0);
+        CHECK(fleet.lateDecisions == 0);
+    }
+}
+
 // A token with two holders, or a share that is used by its owner and a hub, shows as requests beyond the bound.
 TEST_CASE("no failure lets a customer exceed its cap when its load grows at the same moment")
 {
--- a/test/fleet/allowancelinktest.cpp
+++ b/test/fleet/allowancelinktest.cpp
@@ -119,10 +119,11 @@
     CHECK(fixture.addressed == "hub");
     RequestId request = 1;
     CHECK(fixture.runUntil([&] {
-        if (fixture.decisions.size() == request) {
+        const bool isGranted = fixture.decisions.back().decision == Decision::Granted;
+        if (!isGranted && fixture.decisions.size() == request) {
             fixture.links[0]->reserve(reservation(++request, "papirna"));
         }
-        return fixture.decisions.back().decision == Decision::Granted;
+        return isGranted;
     }));
     const auto text = fixture.registries[0].prometheusText();
     CAPTURE(text);
