--- a/test/allowance/fleet.cpp
+++ b/test/allowance/fleet.cpp
@@ -17,12 +17,6 @@
 constexpr Duration RemoteHubLifetime = std::chrono::seconds(4);
 constexpr Duration LateAfter = std::chrono::milliseconds(151);
 
-template<class... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
 } // namespace
 
 TestFleet::TestFleet(unsigned vmCount, unsigned seed)
@@ -169,15 +163,13 @@
 void TestFleet::carryOut(unsigned index, const AllowanceClient::Update &update)
 {
     auto &vm = this->vms[index];
-    for (const auto &[receiver, message] : update.messages) {
-        std::visit(Overloaded{[&](const Mesh::AllowanceLoan &loan) {
-                                  this->send(index, this->indexOf.at(receiver), loan);
-                              },
-                              [&](const Mesh::AllowanceRequest &request) {
-                                  this->send(index, this->indexOf.at(receiver), request);
-                              },
-                              [](const auto &) {}},
-                   message);
+    for (const auto &addressed : update.messages) {
+        const auto receiver = this->indexOf.at(addressed.vm);
+        if (const auto *loan = std::get_if<Mesh::AllowanceLoan>(&addressed.message)) {
+            this->send(index, receiver, *loan);
+        } else if (const auto *request = std::get_if<Mesh::AllowanceRequest>(&addressed.message)) {
+            this->send(index, receiver, *request);
+        }
     }
     for (const auto &decision : update.decisions) {
         const auto open = this->openRequests.find(decision.request);
@@ -195,26 +187,38 @@
 
 void TestFleet::on(const Delivery &delivery)
 {
-    auto &vm = this->vms[delivery.to];
-    if (!vm.alive) {
-        return;
+    if (this->vms[delivery.to].alive) {
+        std::visit(
+            [this, &delivery](const auto &datagram) {
+                this->receive(delivery, datagram);
+            },
+            delivery.datagram);
     }
-    std::visit(Overloaded{[&](const Heartbeat &heartbeat) {
-                              vm.election->noteHeartbeat(heartbeat.vm, true, this->now);
-                          },
-                          [&](const Announcement &announcement) {
-                              vm.remoteHubs[announcement.dataCentre] = {announcement.vm, this->now};
-                          },
-                          [&](const Mesh::AllowanceLoan &loan) {
-                              vm.pool->handle(loan, this->now);
-                          },
-                          [&](const Mesh::AllowanceRequest &request) {
-                              this->send(delivery.to, delivery.from, vm.pool->handle(request, this->now));
-                          },
-                          [&](const Mesh::AllowanceGrant &grant) {
-                              this->carryOut(delivery.to, vm.client->handle(grant, this->now));
-                          }},
-               delivery.datagram);
+}
+
+void TestFleet::receive(const Delivery &delivery, const Heartbeat &heartbeat)
+{
+    this->vms[delivery.to].election->noteHeartbeat(heartbeat.vm, true, this->now);
+}
+
+void TestFleet::receive(const Delivery &delivery, const Announcement &announcement)
+{
+    this->vms[delivery.to].remoteHubs[announcement.dataCentre] = {announcement.vm, this->now};
+}
+
+void TestFleet::receive(const Delivery &delivery, const Mesh::AllowanceLoan &loan)
+{
+    this->vms[delivery.to].pool->handle(loan, this->now);
+}
+
+void TestFleet::receive(const Delivery &delivery, const Mesh::AllowanceRequest &request)
+{
+    this->send(delivery.to, delivery.from, this->vms[delivery.to].pool->handle(request, this->now));
+}
+
+void TestFleet::receive(const Delivery &delivery, const Mesh::AllowanceGrant &grant)
+{
+    this->carryOut(delivery.to, this->vms[delivery.to].client->handle(grant, this->now));
 }
 
 void TestFleet::on(const Arrival &arrival)
--- a/test/allowance/fleet.h
+++ b/test/allowance/fleet.h
@@ -136,6 +136,11 @@
     void schedule(TimePoint at, std::variant<Delivery, Arrival, Beat, Wake> what);
     void scheduleArrival(std::size_t customer);
     void on(const Delivery &delivery);
+    void receive(const Delivery &delivery, const Heartbeat &heartbeat);
+    void receive(const Delivery &delivery, const Announcement &announcement);
+    void receive(const Delivery &delivery, const Mesh::AllowanceLoan &loan);
+    void receive(const Delivery &delivery, const Mesh::AllowanceRequest &request);
+    void receive(const Delivery &delivery, const Mesh::AllowanceGrant &grant);
     void on(const Arrival &arrival);
     void on(const Beat &beat);
     void on(const Wake &wake);
--- a/test/allowance/fleettest.cpp
+++ b/test/allowance/fleettest.cpp
@@ -37,74 +37,66 @@
     }
 }
 
+using Link = bool (*)(unsigned from, unsigned to);
+
+Fault partition(const std::string &name, Link linkUp)
+{
+    return {.name = name, .begin = [linkUp](TestFleet &fleet) {
+                fleet.linkUp = linkUp;
+            }};
+}
+
+std::vector<Fault> partitions()
+{
+    return {partition("data centre cut off",
+                      [](unsigned from, unsigned to) {
+                          return (from % DataCentres == 0) == (to % DataCentres == 0);
+                      }),
+            partition("single VMs cut off",
+                      [](unsigned from, unsigned to) {
+                          return from % 7 != 1 && to % 7 != 1;
+                      }),
+            partition("every VM cut off",
+                      [](unsigned, unsigned) {
+                          return false;
+                      }),
+            partition("halves",
+                      [](unsigned from, unsigned to) {
+                          return from / 2 % 2 == to / 2 % 2;
+                      }),
+            partition("data centre that receives only",
+                      [](unsigned from, unsigned to) {
+                          return from % DataCentres != 0 || to % DataCentres == 0;
+                      }),
+            partition("VMs that receive only",
+                      [](unsigned from, unsigned) {
+                          return from % 5 != 1;
+                      }),
+            partition("VMs that send only", [](unsigned, unsigned to) {
+                return to % 5 != 1;
+            })};
+}
+
+Fault restartOf(const std::string &name, unsigned every)
+{
+    return {.name = name, .begin = [every](TestFleet &fleet) {
+                for (unsigned vm = 0; vm < fleet.size(); vm += every) {
+                    fleet.restart(vm);
+                }
+            }};
+}
+
 std::vector<Fault> faults()
 {
-    const auto isolate = [](TestFleet &fleet, unsigned every) {
-        fleet.linkUp = [every](unsigned from, unsigned to) {
-            return from % every != 1 && to % every != 1;
-        };
-    };
-    return {
-        {"data centre cut off",
-         [](TestFleet &fleet) {
-             fleet.linkUp = [](unsigned from, unsigned to) {
-                 return (from % DataCentres == 0) == (to % DataCentres == 0);
-             };
-         }},
-        {"single VMs cut off",
-         [isolate](TestFleet &fleet) {
-             isolate(fleet, 7);
-         }},
-        {"every VM cut off",
-         [](TestFleet &fleet) {
-             fleet.linkUp = [](unsigned, unsigned) {
-                 return false;
-             };
-         }},
-        {"halves",
-         [](TestFleet &fleet) {
-             const auto half = fleet.size() / 2;
-             fleet.linkUp = [half](unsigned from, unsigned to) {
-                 return (from < half) == (to < half);
-             };
-         }},
-        {"data centre that receives only",
-         [](TestFleet &fleet) {
-             fleet.linkUp = [](unsigned from, unsigned to) {
-                 return from % DataCentres != 0 || to % DataCentres == 0;
-             };
-         }},
-        {"VMs that receive only",
-         [](TestFleet &fleet) {
-             fleet.linkUp = [](unsigned from, unsigned) {
-                 return from % 5 != 1;
-             };
-         }},
-        {"VMs that send only",
-         [](TestFleet &fleet) {
-             fleet.linkUp = [](unsigned, unsigned to) {
-                 return to % 5 != 1;
-             };
-         }},
-        {"hubs killed",
-         [](TestFleet &fleet) {
-             for (const auto hub : fleet.firstHubs()) {
-                 fleet.kill(hub);
-             }
-         }},
-        {"all restarted",
-         [](TestFleet &fleet) {
-             for (unsigned vm = 0; vm < fleet.size(); ++vm) {
-                 fleet.restart(vm);
-             }
-         }},
-        {"half restarted",
-         [](TestFleet &fleet) {
-             for (unsigned vm = 0; vm < fleet.size(); vm += 2) {
-                 fleet.restart(vm);
-             }
-         }},
-    };
+    auto result = partitions();
+    result.push_back({.name = "hubs killed", .begin = [](TestFleet &fleet) {
+                          for (const auto hub : fleet.firstHubs()) {
+                              fleet.kill(hub);
+                          }
+                      }});
+    result.push_back(restartOf("all restarted", 1));
+    result.push_back(restartOf("half restarted", 2));
+    return result;
 }
 
 void heal(TestFleet &fleet)
--- a/test/mesh/meshtest.cpp
+++ b/test/mesh/meshtest.cpp
@@ -73,6 +73,23 @@
     CHECK_FALSE(decode(encode(AllowanceLoan{.vm = "7", .incarnation = 1, .parts = {.small = 0, .large = 1001}})));
 }
 
+// A datagram in two packets is lost twice as often.
+TEST_CASE("messages about allowances fit into a small packet")
+{
+    const std::string vm(128, 'v');
+    const AllowanceParts whole{.small = 1000, .large = 1000};
+    CHECK(encode(AllowanceLoan{.vm = vm, .incarnation = UINT64_MAX, .parts = whole, .credit = UINT64_MAX}).size()
+          < 200);
+    CHECK(encode(AllowanceRequest{.vm = vm, .number = UINT64_MAX, .customer = UINT64_MAX}).size() < 200);
+    CHECK(encode(AllowanceGrant{.vm = vm,
+                                .number = UINT64_MAX,
+                                .customer = UINT64_MAX,
+                                .tokens = 1'000'000,
+                                .retryAfter = std::chrono::seconds(60)})
+              .size()
+          < 200);
+}
+
 // Any host that reaches the port can send any bytes.
 TEST_CASE("arbitrary datagrams are decoded without a crash")
 {
