--- a/include/verbenadock/settings/settings.h
+++ b/include/verbenadock/settings/settings.h
@@ -85,6 +85,8 @@
     /// `revocation`.
     bool strictRevocation = false;
     Duration revocation = std::chrono::seconds(5);
+    /// Requests of a customer that may run beyond its cap within the window in which the platform judges caps.
+    double capSlack = 0;
 
     auto operator<=>(const StoreSettings &) const = default;
 };
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -162,8 +162,6 @@
     request.service = target->service;
     auto &service = this->serviceOf(request);
     ++service.openRequests;
-    service.retries.deposit();
-    service.hedges.deposit();
     request.idempotent = target->idempotent;
     request.priority = target->priority;
     this->setCustomer(request, event, *target);
@@ -179,11 +177,7 @@
         request.callerDeadline = event.at + *event.timeLeft;
     }
     request.deadline = event.at + std::min(configured, event.timeLeft.value_or(configured));
-    if (request.deadline <= event.at) {
-        this->failRequest(slot, RejectionReason::DeadlineExceeded);
-        return;
-    }
-    this->schedule(slot);
+    this->countAndSchedule(slot);
 }
 
 RejectionView Engine::rejectionView(const Request &request) const
@@ -228,6 +222,7 @@
     this->dequeue(slot);
     this->requestTimers.clear(slot);
     this->releaseShare(this->requests.at(slot));
+    this->returnAllowance(this->requests.at(slot));
     --this->serviceOf(this->requests.at(slot)).openRequests;
     this->requests.close(slot);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -148,6 +148,12 @@
     void closeRequest(std::uint32_t slot);
     void requestTimerExpired(std::uint32_t slot);
 
+    // allowances.cpp
+    /// Schedules the request, at once or when it is counted for the cap of its customer.
+    void countAndSchedule(std::uint32_t slot);
+    /// Takes back that a request was counted, or asks for it, if the request ends without being sent.
+    void returnAllowance(const Request &request);
+
     // scheduling.cpp
     void schedule(std::uint32_t slot);
     void enqueue(std::uint32_t slot);
--- a/src/core/requesttable.h
+++ b/src/core/requesttable.h
@@ -55,6 +55,16 @@
     auto operator<=>(const ShareCharge &) const = default;
 };
 
+/// Whether a request is counted for the cap of its customer.
+enum class Counting {
+    /// No cap applies.
+    Uncapped,
+    /// The request waits for the decision.
+    Asked,
+    Granted,
+    Refused,
+};
+
 /// State of one caller's request.
 struct Request
 {
@@ -65,6 +75,9 @@
     unsigned maxAttempts = 0;
     /// The customer whose key the request bears; null for none.
     std::shared_ptr<const Bundles::Customer> customer;
+    Counting counting = Counting::Uncapped;
+    /// The customer for which an allowance was asked; `customer` may change while the request waits.
+    std::string countedCustomer = {};
     /// Digest of the key with which the request was admitted.
     std::optional<Bundles::KeyDigest> key;
     /// The route requires no key.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t MaxCount = 1'000'000;
 constexpr double MaxRetryAllowance = 1e6;
 constexpr double MaxMemoryMegabytes = 1e6;
+constexpr double MaxCapSlack = 1e6;
 constexpr double MinProcessorShareCores = 0.01;
 constexpr double MaxProcessorShareCores = 1024;
 constexpr double MinRetryWindowSeconds = 0.1;
@@ -125,6 +126,7 @@
     reader.readFlag("strict_revocation", store.strictRevocation);
     readSeconds(
         reader, "revocation_s", store.revocation, {.least = MinRevocationSeconds, .most = MaxRevocationSeconds});
+    reader.readNumber("cap_slack", store.capSlack, {.least = 0, .most = MaxCapSlack});
     reader.finish();
     settings.store = store;
 }
