--- a/test/allowance/fleettest.cpp
+++ b/test/allowance/fleettest.cpp
@@ -211,7 +211,6 @@
         }
         fleet.setCaps(lower);
         fleet.runUntil(HealedAt);
-        report("lowered cap", fleet, FaultAt, HealedAt);
         CAPTURE(vms);
         CHECK(fleet.excess(FaultAt) <= 0);
     }
