Serve capped customers while the fleet starts

Cause: a VM lent its share only 0.5 s after it knew the others, when it had heard the hubs, and buckets started with a part of the slack only. Change: right after a start the hubs are the registered VMs of the highest precedence; a VM lends to each as soon as it has answered, and its requests ask again for 0.5 s. Buckets also start with 0.2 s of the rate, which the tenth beyond rate and burst covers beside the lifetime of granted tokens.

--- a/include/verbenadock/allowance/allowanceclient.h
+++ b/include/verbenadock/allowance/allowanceclient.h
@@ -78,7 +78,7 @@
     /// The pool must outlive the client. `incarnation` is the one of Mesh::Hello.
     AllowanceClient(AllowancePool &ownPool, std::string vm, std::uint64_t incarnation);
 
-    /// The pool knows the registered VMs for the first time since the process started. Lending begins a little later.
+    /// The pool knows the registered VMs for the first time since the process started.
     void vmsKnown(TimePoint now);
 
     /// Decides on waiting requests whose customers the pool no longer caps. Call it when the caps changed.
@@ -110,6 +110,7 @@
 
     struct HubState
     {
+        bool hasAnswered = false;
         unsigned timeouts = 0;
         TimePoint firstTimeoutAt;
         /// The hub is not asked again before, if it is silent.
@@ -127,6 +128,7 @@
     {
         Mesh::CustomerNumber customer = 0;
         std::vector<std::string> hubsLeft;
+        /// Empty while the search waits before it asks all hubs again.
         std::string askedHub;
         TimePoint askedAt;
         TimePoint answerDueAt;
@@ -151,9 +153,13 @@
         TimePoint usedAt;
     };
 
+    /// Whether the VMs have been known for a short time only.
+    bool isStarting(TimePoint now) const;
+    /// The hubs to ask, in order.
+    std::vector<std::string> hubsToAsk() const;
     bool isSilent(const std::string &hub, TimePoint now) const;
     bool mayAsk(const std::string &hub, TimePoint now) const;
-    void noteAnswer(const std::string &hub);
+    void noteAnswer(const std::string &hub, Update &update, TimePoint now);
     void noteTimeout(const std::string &hub, TimePoint now);
     /// Takes a token for the request from the own pool or from a grant; returns the decision if there was one.
     std::optional<Decision> takeToken(RequestId request, Mesh::CustomerNumber customer, TimePoint now);
@@ -179,6 +185,7 @@
     std::string ownVm;
     std::uint64_t ownIncarnation;
     TimePoint keepsFrom = TimePoint::max();
+    TimePoint startsUntil = TimePoint::max();
     /// Time of the next loans; never before the VMs are known.
     TimePoint loansDueAt = TimePoint::max();
     /// The hubs that give initial tokens for the loans of this VM, and the number and time of that order.
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -157,6 +157,7 @@
     std::uint64_t checkedEra = 0;
     /// This VM has read the registrations of the others.
     bool knowsRegistrations = false;
+    TimePoint startedAt = monotonicNow();
     /// This VM has told the others that it stops.
     bool leaving = false;
     bool stopped = false;
--- a/include/verbenadock/mesh/readerelection.h
+++ b/include/verbenadock/mesh/readerelection.h
@@ -39,6 +39,10 @@
     /// upstreams of the data centre.
     std::vector<std::string> hubs(TimePoint now) const;
 
+    /// The first VMs in the order of precedence among all peers and this one, whether they were heard or not. Right
+    /// after a start no VM has been heard yet.
+    std::vector<std::string> expectedHubs() const;
+
 private:
     struct Heartbeat
     {
@@ -51,6 +55,7 @@
     /// rack.
     static std::uint64_t rank(const std::string &vm);
     std::uint64_t processorOf(const std::string &vm) const;
+    std::vector<std::string> firstOf(std::vector<std::string> candidates) const;
     bool precedes(const std::string &vm) const;
     bool precedes(const std::string &first, const std::string &second) const;
 
--- a/src/allowance/allowanceclient.cpp
+++ b/src/allowance/allowanceclient.cpp
@@ -13,6 +13,11 @@
 /// 3 to 8 ms.
 constexpr Duration AnswerTime = std::chrono::milliseconds(50);
 constexpr Duration SearchTime = std::chrono::milliseconds(150);
+/// The same while the VM starts. Callers would rather wait than be refused for tokens that nobody has lent yet; most of
+/// them have a target latency of 0.8 s or more.
+constexpr Duration SearchTimeAtStart = std::chrono::milliseconds(500);
+/// Pause before all hubs are asked again, and the longest time for which a refusal counts, while the VM starts.
+constexpr Duration RepeatTimeAtStart = std::chrono::milliseconds(30);
 
 /// Longest time for which a hub that refused is not asked again for the same customer, because other VMs may return
 /// tokens or lend more.
@@ -45,8 +50,9 @@
 void AllowanceClient::vmsKnown(TimePoint now)
 {
     if (this->loansDueAt == TimePoint::max()) {
-        this->loansDueAt = now + Internal::LendDelay;
+        this->loansDueAt = now;
         this->keepsFrom = now + Internal::KeepDelay;
+        this->startsUntil = now + Internal::StartTime;
     }
 }
 
@@ -143,21 +149,28 @@
 
 void AllowanceClient::startSearch(Mesh::CustomerNumber customer, Update &update, TimePoint now)
 {
-    Search search{.customer = customer, .endsAt = now + SearchTime};
-    search.hubsLeft = this->hubs.local;
-    std::erase(search.hubsLeft, this->ownVm);
+    Search search{.customer = customer,
+                  .hubsLeft = this->hubsToAsk(),
+                  .endsAt = now + (this->isStarting(now) ? SearchTimeAtStart : SearchTime)};
+    if (const auto own = this->pool.take(customer, 0, now); own.retryAfter > Duration(0)) {
+        search.dueAt = now + own.retryAfter;
+        this->pool.noteRefused(customer, now);
+    }
+    this->continueSearch(std::move(search), update, now);
+}
+
+std::vector<std::string> AllowanceClient::hubsToAsk() const
+{
+    auto result = this->hubs.local;
+    std::erase(result, this->ownVm);
     // Each search begins with another data centre, so that the tokens of all of them are used evenly.
     auto remote = this->hubs.remote;
     if (!remote.empty()) {
         const auto first = static_cast<std::ptrdiff_t>(this->lastNumber % remote.size());
         std::rotate(remote.begin(), remote.begin() + first, remote.end());
     }
-    search.hubsLeft.insert(search.hubsLeft.end(), remote.begin(), remote.end());
-    if (const auto own = this->pool.take(customer, 0, now); own.retryAfter > Duration(0)) {
-        search.dueAt = now + own.retryAfter;
-        this->pool.noteRefused(customer, now);
-    }
-    this->continueSearch(std::move(search), update, now);
+    result.insert(result.end(), remote.begin(), remote.end());
+    return result;
 }
 
 void AllowanceClient::continueSearch(Search search, Update &update, TimePoint now)
@@ -187,6 +200,13 @@
     if (waitingRequests == this->waiting.end()) {
         return;
     }
+    if (this->isStarting(now) && now + RepeatTimeAtStart < search.endsAt) {
+        search.hubsLeft = this->hubsToAsk();
+        search.askedHub.clear();
+        search.answerDueAt = now + RepeatTimeAtStart;
+        this->searches.emplace(++this->lastNumber, std::move(search));
+        return;
+    }
     const auto request = waitingRequests->second.front();
     waitingRequests->second.pop_front();
     if (waitingRequests->second.empty()) {
@@ -199,6 +219,10 @@
 
 void AllowanceClient::abandonAsk(std::map<std::uint64_t, Search>::iterator search)
 {
+    if (search->second.askedHub.empty()) {
+        this->searches.erase(search);
+        return;
+    }
     this->abandonedAsks.emplace(search->first,
                                 AbandonedAsk{.hub = search->second.askedHub, .askedAt = search->second.askedAt});
     this->searches.erase(search);
@@ -230,10 +254,10 @@
         search = std::move(found->second);
         this->searches.erase(found);
         askedAt = search->askedAt;
-        this->noteAnswer(search->askedHub);
+        this->noteAnswer(search->askedHub, update, now);
     } else if (const auto late = this->abandonedAsks.find(grant.number); late != this->abandonedAsks.end()) {
         askedAt = late->second.askedAt;
-        this->noteAnswer(late->second.hub);
+        this->noteAnswer(late->second.hub, update, now);
         this->abandonedAsks.erase(late);
     } else {
         return update;
@@ -259,8 +283,9 @@
     }
     if (grant.retryAfter > Duration(0)) {
         search->dueAt = std::min(search->dueAt.value_or(TimePoint::max()), now + grant.retryAfter);
+        const auto longest = this->isStarting(now) ? RepeatTimeAtStart : MaxRefusalTime;
         this->hubStates[search->askedHub].refusals[grant.customer]
-            = {.until = now + std::min(grant.retryAfter, MaxRefusalTime), .dueAt = now + grant.retryAfter};
+            = {.until = now + std::min(grant.retryAfter, longest), .dueAt = now + grant.retryAfter};
     }
     this->continueSearch(std::move(*search), update, now);
     return update;
@@ -304,8 +329,16 @@
             continue;
         }
         auto search = found->second;
-        this->noteTimeout(search.askedHub, now);
-        this->abandonAsk(found);
+        if (!search.askedHub.empty()) {
+            this->noteTimeout(search.askedHub, now);
+        } else {
+            // The own pool may have got tokens meanwhile.
+            this->serveWaiting(search.customer, update, now);
+            if (!this->searches.contains(number)) {
+                continue;
+            }
+        }
+        this->abandonAsk(this->searches.find(number));
         this->continueSearch(std::move(search), update, now);
     }
     std::erase_if(this->abandonedAsks, [now](const auto &entry) {
@@ -339,6 +372,11 @@
     return count;
 }
 
+bool AllowanceClient::isStarting(TimePoint now) const
+{
+    return now < this->startsUntil;
+}
+
 bool AllowanceClient::isSilent(const std::string &hub, TimePoint now) const
 {
     const auto found = this->hubStates.find(hub);
@@ -351,13 +389,21 @@
     return !this->isSilent(hub, now) || now >= this->hubStates.at(hub).askAgainAt;
 }
 
-void AllowanceClient::noteAnswer(const std::string &hub)
+void AllowanceClient::noteAnswer(const std::string &hub, Update &update, TimePoint now)
 {
-    this->hubStates[hub].timeouts = 0;
+    auto &state = this->hubStates[hub];
+    state.timeouts = 0;
+    if (!std::exchange(state.hasAnswered, true) && this->isStarting(now) && this->pool.hasCaps()
+        && this->loansDueAt != TimePoint::max()) {
+        this->renewLoans(update, now);
+    }
 }
 
 void AllowanceClient::noteTimeout(const std::string &hub, TimePoint now)
 {
+    if (this->isStarting(now)) {
+        return;
+    }
     auto &state = this->hubStates[hub];
     if (state.timeouts == 0) {
         state.firstTimeoutAt = now;
--- a/src/allowance/allowancepool.cpp
+++ b/src/allowance/allowancepool.cpp
@@ -21,6 +21,9 @@
 /// numbers of VMs for a moment.
 constexpr double SlackShare = 0.45;
 constexpr double InitialSlackShare = 0.45;
+/// Requests at the rate of the cap with which buckets start in addition. The platform allows a tenth beyond rate and
+/// burst within a window of 5 s, and 0.3 s of the rate are covered by the lifetime of granted tokens.
+constexpr Duration InitialRateTime = std::chrono::milliseconds(200);
 
 /// Fraction of TokenLifetime for which a grant lasts at the rate of the cap. With longer grants, a VM loses tokens that
 /// it does not use in time.
@@ -155,8 +158,9 @@
     const auto vms = static_cast<double>(this->fleetSize.value());
     if (refill.capacity > 0) {
         const double scale = refill.perSecond / (this->partOf(bucket) * bucket.cap.requestsPerSecond);
-        bucket.tokens
-            = std::min(refill.capacity, bucket.tokens + shares / vms * this->capSlack * InitialSlackShare * scale);
+        const double initial
+            = this->capSlack * InitialSlackShare + bucket.cap.requestsPerSecond * seconds(InitialRateTime);
+        bucket.tokens = std::min(refill.capacity, bucket.tokens + shares / vms * initial * scale);
     }
 }
 
--- a/src/allowance/loans.cpp
+++ b/src/allowance/loans.cpp
@@ -45,8 +45,12 @@
     // A hub may be heard without hearing this VM; a loan to it would be lost.
     auto reachable = this->hubs.local;
     std::erase_if(reachable, [&](const std::string &hub) {
-        return hub != this->ownVm && this->isSilent(hub, now);
+        const bool isUnknown = this->isStarting(now) && !this->hubStates[hub].hasAnswered;
+        return hub != this->ownVm && (isUnknown || this->isSilent(hub, now));
     });
+    if (reachable.empty() && this->isStarting(now)) {
+        return;
+    }
     reachable.resize(std::min(reachable.size(), HubParts.size()));
     if (this->credit == 0 || (reachable != this->creditedHubs && now - this->creditedAt >= CreditInterval)) {
         ++this->credit;
--- a/src/allowance/parts.h
+++ b/src/allowance/parts.h
@@ -18,8 +18,9 @@
 /// Time for which a granted token may be used, from the sending of the request for it.
 constexpr Duration TokenLifetime = std::chrono::milliseconds(300);
 
-/// Time in which a VM does not lend after it learnt of the other VMs, since it has not yet heard of all hubs.
-constexpr Duration LendDelay = std::chrono::milliseconds(500);
+/// Time after a VM learnt of the other VMs in which it takes no silence for a failure, since all VMs may have started
+/// together. It lends only to hubs that have answered it, and its requests wait longer for them.
+constexpr Duration StartTime = std::chrono::milliseconds(1200);
 /// Time in which a VM does not use its share itself after it learnt of the other VMs, because hubs may still hold a
 /// loan of the process before. A new loan replaces that one.
 constexpr Duration KeepDelay = std::chrono::seconds(1);
--- a/src/fleet/capslink.cpp
+++ b/src/fleet/capslink.cpp
@@ -8,12 +8,21 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr Duration HubLearningTime = std::chrono::milliseconds(1200);
+
+} // namespace
+
 std::shared_ptr<internal::AllowanceLink> FleetLink::makeAllowanceLink(Telemetry::MetricsRegistry &registry)
 {
     internal::AllowanceLink::Handlers callbacks;
     callbacks.hubs = [this] {
         const auto now = monotonicNow();
-        Allowance::Hubs hubs{.local = this->election.hubs(now), .remote = this->loadExchange.remoteFirstHubs(now)};
+        // Heartbeats of the hubs arrive within some tenths of a second after a start.
+        const bool isNew = now - this->startedAt < HubLearningTime;
+        Allowance::Hubs hubs{.local = isNew ? this->election.expectedHubs() : this->election.hubs(now),
+                             .remote = this->loadExchange.remoteFirstHubs(now)};
         // A hub that has announced its stop is heard for some time after that.
         std::erase_if(hubs.local, [this](const std::string &vm) {
             return vm != this->members.self().vm && !this->members.addressOf(vm);
--- a/src/mesh/readerelection.cpp
+++ b/src/mesh/readerelection.cpp
@@ -74,6 +74,20 @@
             candidates.push_back(vm);
         }
     }
+    return this->firstOf(std::move(candidates));
+}
+
+std::vector<std::string> ReaderElection::expectedHubs() const
+{
+    std::vector<std::string> candidates{this->own};
+    for (const auto &entry : this->peerProcessors) {
+        candidates.push_back(entry.first);
+    }
+    return this->firstOf(std::move(candidates));
+}
+
+std::vector<std::string> ReaderElection::firstOf(std::vector<std::string> candidates) const
+{
     std::ranges::sort(candidates, [this](const std::string &first, const std::string &second) {
         return this->precedes(first, second);
     });
--- a/test/allowance/fleet.h
+++ b/test/allowance/fleet.h
@@ -96,6 +96,7 @@
         std::string name;
         unsigned dataCentre = 0;
         bool alive = true;
+        TimePoint startedAt;
         unsigned heartbeats = 0;
         std::unique_ptr<Mesh::ReaderElection> election;
         std::unique_ptr<AllowancePool> pool;
