Do not refuse a request whose hub has not answered yet

Cause: a grant to one search serves the request that has waited longest. If another request of the customer still waited, the finished search went on for it, although that request has a search of its own. At the last hub, this refused the request below the cap; at others, it asked for a surplus token.

Change: a search goes on after a grant only if the grant served no request.

Result: the new test fails before (2 decisions instead of 1) and passes after; test_allowance passes.

--- a/src/allowance/allowanceclient.cpp
+++ b/src/allowance/allowanceclient.cpp
@@ -248,7 +248,7 @@
         this->serveWaiting(grant.customer, update, now);
         const auto found = this->waiting.find(grant.customer);
         // The token may have expired on its way, so that the request still waits.
-        if (search && found != this->waiting.end()) {
+        if (search && update.decisions.empty() && found != this->waiting.end()) {
             this->continueSearch(std::move(*search), update, now);
             this->endSurplusSearches(grant.customer);
         }
--- a/test/allowance/clienttest.cpp
+++ b/test/allowance/clienttest.cpp
@@ -111,6 +111,21 @@
     CHECK(asked(fixture.client.reserve(3, Customer, Ready + 210ms)).first == "hub-1");
 }
 
+// A search whose token served an older request must not go on for a younger one: at the last hub it refused the younger
+// request while that request's own search was still unanswered.
+TEST_CASE("a request whose hub has not answered yet is not refused when another one is granted")
+{
+    Fixture fixture;
+    fixture.client.setHubs({.local = {"hub-1"}, .remote = {}});
+    const auto first = asked(fixture.client.reserve(1, Customer, Ready)).second;
+    const auto second = asked(fixture.client.reserve(2, Customer, Ready)).second;
+    const auto answer = fixture.client.handle(grant(first, 1), Ready + 2ms);
+    CHECK(answer.decisions == std::vector{Decision{.request = 1, .kind = Kind::GrantedByHub}});
+    CHECK(answer.messages.empty());
+    CHECK(fixture.client.handle(grant(second, 1), Ready + 3ms).decisions
+          == std::vector{Decision{.request = 2, .kind = Kind::GrantedByHub}});
+}
+
 // A request must not wait for dead hubs until its deadline.
 TEST_CASE("a request gets no answer from any hub and is refused after 150 ms")
 {
