Bound grants, and allow caps beyond the range of integers

Cause: a bucket of 2^64 tokens or more was converted to an integer, which gave zero tokens, so that all requests of the customer were refused. The size of a grant had no limit: a cap of 1e9 requests/s with 3 VMs gave 24,999,999 tokens, which the asking VM refuses as a malformed message, or keeps in memory one by one if it is just below that limit of 1,000,000.

Change: tokens are compared as floating-point numbers, and a grant has at most 1,000 tokens.

--- a/src/allowance/allowancepool.cpp
+++ b/src/allowance/allowancepool.cpp
@@ -25,6 +25,8 @@
 /// Fraction of TokenLifetime for which a grant lasts at the rate of the cap. With longer grants, a VM loses tokens that
 /// it does not use in time.
 constexpr double GrantShare = 0.25;
+/// Most tokens of a grant. A VM keeps each of them in memory and serves far fewer requests before they expire.
+constexpr double MaxGrant = 1000;
 
 /// Longest time that refused callers are told. They have given up later, as a rule, and a customer far above its cap
 /// would be told ever longer times.
@@ -191,7 +193,8 @@
         return {};
     }
     if (bucket.tokens >= OneToken) {
-        const auto tokens = std::min(limit, static_cast<std::uint64_t>(bucket.tokens));
+        // Compared as numbers of any size, because a cap may exceed the range of integers.
+        const auto tokens = static_cast<std::uint64_t>(std::min(static_cast<double>(limit), std::floor(bucket.tokens)));
         bucket.tokens -= static_cast<double>(tokens);
         return {.tokens = tokens, .retryAfter = Duration(0)};
     }
@@ -352,7 +355,7 @@
 {
     const auto vms = static_cast<double>(std::max<std::size_t>(1, this->fleetSize.value()));
     const double used = cap.requestsPerSecond / vms * seconds(Internal::TokenLifetime) * GrantShare;
-    return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(used));
+    return static_cast<std::uint64_t>(std::clamp(used, OneToken, MaxGrant));
 }
 
 } // namespace Verbenadock::Allowance
--- a/test/allowance/pooltest.cpp
+++ b/test/allowance/pooltest.cpp
@@ -56,6 +56,25 @@
     CHECK(drain(pool, Start + 1min) == 29);
 }
 
+// The conversion of more tokens than an integer can hold gave zero, which refused all requests of the customer.
+TEST_CASE("a cap far above any load grants requests")
+{
+    auto pool = makePool(1, {.requestsPerSecond = 1e25, .burst = 1e25});
+    pool.setOwnParts(Whole, 1, Start);
+    CHECK(pool.take(Customer, 1, Start + 1min).tokens == 1);
+}
+
+// A VM keeps each granted token in memory until it expires.
+TEST_CASE("a hub grants no more tokens at once than a VM can use in their lifetime")
+{
+    auto pool = makePool(3, {.requestsPerSecond = 1e9, .burst = 1e9});
+    pool.setOwnParts(Whole, 1, Start);
+    const auto granted
+        = pool.handle(Mesh::AllowanceRequest{.vm = "vm-1", .number = 1, .customer = Customer}, Start + 1min);
+    CHECK(granted.tokens > 0);
+    CHECK(granted.tokens <= 1000);
+}
+
 TEST_CASE("a loan feeds the hub until it ends, and gives initial tokens once")
 {
     auto pool = makePool(2, {.requestsPerSecond = 20, .burst = 100}, 40);
