Count unsent requests for the new customer when their key moves

Cause: a request that waited for its allowance or in the queue of a service while its key moved ran under the new customer's name, but was counted for the former one, or not at all if that one had no cap. It ran outside the new cap.

Change: before such a request is scheduled, and when a configuration comes, the former count is returned and the request is counted for its customer.

--- a/src/core/allowances.cpp
+++ b/src/core/allowances.cpp
@@ -40,6 +40,24 @@
     this->schedule(slot);
 }
 
+bool Engine::recount(std::uint32_t slot)
+{
+    auto &request = this->requests.at(slot);
+    const bool isCapped = request.customer && request.customer->requestsPerSecond > 0;
+    const bool isCounted = request.counting == Counting::Granted;
+    const bool keepsCount = isCounted && (!request.customer || request.customer->name == request.countedCustomer);
+    if (keepsCount || (!isCounted && !isCapped) || request.sentAttempts() > 0) {
+        return false;
+    }
+    this->returnAllowance(request);
+    request.counting = Counting::Uncapped;
+    if (isCapped) {
+        this->dequeue(slot);
+        this->countAndSchedule(slot);
+    }
+    return isCapped;
+}
+
 void Engine::on(const AllowanceDecided &event)
 {
     const auto slot = this->requests.find(event.request);
--- a/src/core/customeraccess.cpp
+++ b/src/core/customeraccess.cpp
@@ -134,8 +134,8 @@
         return;
     }
     for (const auto slot : this->requests.openSlots()) {
-        if (this->requests.at(slot).queued) {
-            this->recheckCustomer(slot);
+        if (this->requests.at(slot).queued && this->recheckCustomer(slot)) {
+            this->recount(slot);
         }
     }
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -151,6 +151,9 @@
     // allowances.cpp
     /// Schedules the request, at once or when it is counted for the cap of its customer.
     void countAndSchedule(std::uint32_t slot);
+    /// Counts a request that was not sent again if its key moved to another customer, and for the first time if its
+    /// customer has a cap only now. Returns whether the request waits for that or has ended.
+    bool recount(std::uint32_t slot);
     /// Takes back that a request was counted, or asks for it, if the request ends without being sent.
     void returnAllowance(const Request &request);
 
--- a/src/core/scheduling.cpp
+++ b/src/core/scheduling.cpp
@@ -18,7 +18,7 @@
 
 void Engine::schedule(std::uint32_t slot)
 {
-    if (!this->recheckCustomer(slot)) {
+    if (!this->recheckCustomer(slot) || this->recount(slot)) {
         return;
     }
     auto &request = this->requests.at(slot);
--- a/test/core/allowancestest.cpp
+++ b/test/core/allowancestest.cpp
@@ -243,3 +243,50 @@
     }
     CHECK(retries <= 2);
 }
+
+// A request that was counted for the former holder of its key would run outside the cap of the new one.
+TEST_CASE("a request whose key moves before it is sent is counted for the new customer")
+{
+    auto configuration = cappedConfiguration(1);
+    auto moved = cappedConfiguration(1, 5, 2);
+    moved.bundles[0].customers[0].name = "knihovna";
+    const ReserveAllowance forNewCustomer{.request = 1, .bundle = "nalezeno", .customer = "knihovna"};
+    SECTION("while the decision is open")
+    {
+        auto reducer = makeReducer(configuration);
+        reducer.apply(keyedArrival(1, "POST", 0));
+        reducer.apply(configure(moved, at(1)));
+        const auto effects = reducer.apply(decided(1, 2, Decision::Granted));
+        CHECK(only<ReturnAllowance>(effects) == std::vector{Returned});
+        CHECK(only<ReserveAllowance>(effects) == std::vector{forNewCustomer});
+        CHECK(only<StartAttempt>(effects).empty());
+        const auto sent = only<StartAttempt>(reducer.apply(decided(1, 3, Decision::Granted)));
+        REQUIRE(sent.size() == 1);
+        CHECK(sent[0].customer == "knihovna");
+    }
+    SECTION("while the request is queued")
+    {
+        auto reducer = makeReducer(configuration);
+        for (RequestId request = 8; request <= 9; ++request) {
+            reducer.apply(keyedArrival(request, "POST", 0));
+            reducer.apply(decided(request, 0, Decision::Granted));
+        }
+        reducer.apply(keyedArrival(1, "POST", 0));
+        REQUIRE(only<StartAttempt>(reducer.apply(decided(1, 1, Decision::Granted))).empty());
+        const auto effects = reducer.apply(configure(moved, at(2)));
+        CHECK(only<ReturnAllowance>(effects) == std::vector{Returned});
+        CHECK(only<ReserveAllowance>(effects) == std::vector{forNewCustomer});
+    }
+    SECTION("while the request of a customer without a cap is queued")
+    {
+        auto reducer = makeReducer(cappedConfiguration(1, 0));
+        for (RequestId request = 8; request <= 9; ++request) {
+            reducer.apply(keyedArrival(request, "POST", 0));
+        }
+        REQUIRE(only<StartAttempt>(reducer.apply(keyedArrival(1, "POST", 0))).empty());
+        const auto effects = reducer.apply(configure(moved, at(2)));
+        CHECK(only<ReturnAllowance>(effects).empty());
+        CHECK(only<ReserveAllowance>(effects) == std::vector{forNewCustomer});
+        CHECK(only<StartAttempt>(reducer.apply(decided(1, 3, Decision::Granted))).empty());
+    }
+}
