--- a/test/core/customerkeystest.cpp
+++ b/test/core/customerkeystest.cpp
@@ -252,6 +252,37 @@
     CHECK(next.customer == "huvo");
 }
 
+// Fair sharing has a queue of its own: an attempt started from it although the key could no longer be relied on.
+TEST_CASE("with strict revocation and fair sharing a queued request does not start once the revocation time has passed")
+{
+    auto service = makeService(1, 1);
+    service.sharing = Bundles::Sharing::Fair;
+    auto reducer = makeReducer(withCustomers({customer("sese", {"s1"})}, 1, service), std::chrono::seconds(1));
+    std::vector<StartAttempt> running;
+    RequestId request = 0;
+    for (;;) {
+        const auto attempts = only<StartAttempt>(reducer.apply(keyedArrival(++request, "POST", "s1", at(1))));
+        if (attempts.empty()) {
+            break;
+        }
+        running.push_back(attempts.front());
+        REQUIRE(running.size() < 10);
+    }
+    REQUIRE(!running.empty());
+    Effects effects;
+    for (const auto &attempt : running) {
+        for (const auto &effect : reducer.apply(AttemptCompleted{
+                 .at = at(1500), .request = attempt.request, .attempt = attempt.attempt, .status = 200})) {
+            effects.push_back(effect);
+        }
+    }
+    CHECK(only<StartAttempt>(effects).empty());
+    const auto answer = answered(effects);
+    CHECK(answer.request == request);
+    CHECK(answer.status == 503);
+    CHECK(answer.refusal == RejectionReason::ConfigurationOutdated);
+}
+
 // Guards against a key that is revoked and still served by an entry that is cut off from the store.
 TEST_CASE("with strict revocation requests that need a key get 503 once the configuration is not confirmed")
 {
