Let the input buffer grow with a raised limit of the head

Cause: the buffer of a caller's connection got its largest size when the connection opened.

Change: the buffer takes the limit in force before a head is parsed.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::size_t HeadReserveBytes = 4096;
 constexpr std::size_t MinBufferBytes = 65536;
 
 } // namespace
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -79,6 +79,9 @@
         Linger,
     };
 
+    /// By this the buffer is larger than the longest head.
+    static constexpr std::size_t HeadReserveBytes = 4096;
+
     Task<void> serveRequests();
     Task<NextStep> readHead();
     HeadState parseNextHead();
--- a/src/proxy/callerinput.cpp
+++ b/src/proxy/callerinput.cpp
@@ -48,6 +48,9 @@
     if (this->headState != HeadState::Incomplete || this->bufferInUse) {
         return this->headState;
     }
+    // The limit may have been raised since the buffer was made. An incomplete head that fills the buffer could not be
+    // read on, and readHead() would loop without suspending.
+    this->buffer.max_size(std::max(this->buffer.max_size(), this->host->limits().maxHeaderBytes + HeadReserveBytes));
     // An empty line before a request is allowed, and some callers send one after a body.
     while (asView(this->buffer).starts_with("\r\n")) {
         this->buffer.consume(2);
--- a/test/proxy/entryfixture.cpp
+++ b/test/proxy/entryfixture.cpp
@@ -107,6 +107,13 @@
     this->configure();
 }
 
+void EntryFixture::setLimits(const Settings::EntryLimits &limits) const
+{
+    this->runOnLoop([this, &limits] {
+        this->server->setLimits(limits);
+    });
+}
+
 void EntryFixture::shutDown(Duration drainDelay, Duration limit)
 {
     this->runOnLoop([this, drainDelay, limit] {
--- a/test/proxy/entryfixture.h
+++ b/test/proxy/entryfixture.h
@@ -49,6 +49,8 @@
     /// Replaces the customers by a new, confirmed version.
     void setCustomers(const std::vector<Bundles::Customer> &customers);
 
+    void setLimits(const Settings::EntryLimits &limits) const;
+
     void shutDown(Duration drainDelay, Duration limit = std::chrono::seconds(20));
 
     /// Whether the shutdown ended.
--- a/test/proxy/pipelinetest.cpp
+++ b/test/proxy/pipelinetest.cpp
@@ -309,6 +309,22 @@
     CHECK(entry.terminatedCleanly());
 }
 
+// Guards against a coroutine that never suspends: the buffer was full with a head that only the raised limit allows.
+TEST_CASE("a raised limit of the head holds on a connection that was open before")
+{
+    const FakeUpstream upstream("127.0.5.23", answerAll("answer"));
+    auto options = pipelineOptions({upstream.endpoint()});
+    options.limits.maxHeaderBytes = 16384;
+    const EntryFixture entry(options);
+    TestSocket caller(entry.endpoint());
+    caller.send(requestFor("GET", "/1"));
+    CHECK(caller.readMessage().body == "answer");
+    options.limits.maxHeaderBytes = 131072;
+    entry.setLimits(options.limits);
+    caller.send(requestFor("GET", "/2", "X-Context: " + std::string(100000, 'c') + "\r\n"));
+    CHECK(caller.readMessage().body == "answer");
+}
+
 // Guards against a long answer that is written between others, and against one that is cut and looks complete.
 TEST_CASE("long answers wait for their turn, and a cut one resets the connection also with answers behind it")
 {
