Answer the request behind an answer that a stop overtakes

Cause: whether a connection stays open was decided again after an answer was written. When a stop began while an answer was streamed that had announced a connection that stays open, the request read behind it was dropped without an answer.

Change: the decision that the answer announced stands. An idle connection that is closed because of a stop lingers, so that a request that crosses the close does not reset the connection before the last answer was read.

--- a/src/proxy/calleranswer.cpp
+++ b/src/proxy/calleranswer.cpp
@@ -39,7 +39,7 @@
     }
     if (std::holds_alternative<AnswerStreamed>(*current.decision)) {
         this->host->metrics().countAnswered();
-        co_return this->nextStepAfterAnswer(current, true);
+        co_return this->nextStepAfterAnswer(true);
     }
     if (std::holds_alternative<ResetCaller>(*current.decision)) {
         this->host->metrics().aborted.add();
@@ -65,7 +65,7 @@
     } else {
         this->host->metrics().callerDisconnected.add();
     }
-    co_return this->nextStepAfterAnswer(current, written);
+    co_return this->nextStepAfterAnswer(written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeLocalAnswer(Exchange &current,
@@ -81,7 +81,7 @@
                                                   .close = close,
                                                   .headMethod = current.request.headMethod});
     const bool written = co_await this->write(text);
-    co_return this->nextStepAfterAnswer(current, written);
+    co_return this->nextStepAfterAnswer(written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeKeyAnswer(Exchange &current, const KeyAnswer &answer)
@@ -90,7 +90,7 @@
     const bool close = this->decideClose(current);
     const auto text = keyAnswerText(answer, close, current.request.headMethod);
     const bool written = co_await this->write(text);
-    co_return this->nextStepAfterAnswer(current, written);
+    co_return this->nextStepAfterAnswer(written);
 }
 
 Task<CallerConnection::NextStep> CallerConnection::writeBodyRejection(Exchange &current, const RejectBody &rejection)
@@ -119,15 +119,20 @@
                                                   .close = close,
                                                   .headMethod = current.request.headMethod});
     const bool written = co_await this->write(text);
-    co_return this->nextStepAfterAnswer(current, written);
+    co_return this->nextStepAfterAnswer(written);
 }
 
-CallerConnection::NextStep CallerConnection::nextStepAfterAnswer(const Exchange &current, bool written)
+CallerConnection::NextStep CallerConnection::nextStepAfterAnswer(bool written)
 {
     if (!written) {
         return NextStep::Close;
     }
-    return this->decideClose(current) ? NextStep::Linger : NextStep::Request;
+    // The answer said whether the connection stays open. A stop that began since then does not change that, so that a
+    // request that was already read behind it is answered too.
+    if (this->inputEnded) {
+        this->pipeline.close();
+    }
+    return this->pipeline.closed() ? NextStep::Linger : NextStep::Request;
 }
 
 Task<void> CallerConnection::linger()
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -108,7 +108,7 @@
     Task<NextStep> writeBodyRejection(Exchange &exchange, const RejectBody &refusal);
     Task<void> linger();
     bool hasUnreadInput() const;
-    NextStep nextStepAfterAnswer(const Exchange &current, bool written);
+    NextStep nextStepAfterAnswer(bool written);
     bool firstIsDecided() const;
     void outputStalled();
     std::size_t unacknowledgedBytes();
--- a/src/proxy/callerinput.cpp
+++ b/src/proxy/callerinput.cpp
@@ -109,7 +109,8 @@
 Task<CallerConnection::NextStep> CallerConnection::waitForHead(bool headStarted)
 {
     if (!headStarted && this->host->stopsAccepting() && !this->hasUnreadInput()) {
-        co_return NextStep::Close;
+        // A request that crosses the close must not reset the connection before the caller has read the last answer.
+        co_return NextStep::Linger;
     }
     const auto &limits = this->host->limits();
     // The header timeout counts from the first byte of the head; later bytes do not extend it.
--- a/test/proxy/pipelinetest.cpp
+++ b/test/proxy/pipelinetest.cpp
@@ -309,6 +309,47 @@
     CHECK(entry.terminatedCleanly());
 }
 
+// Guards against a request that was read before a stop and gets no answer, although the answer before it had announced
+// that the connection stays open.
+TEST_CASE("a stop during a streamed answer also answers the request behind it")
+{
+    constexpr std::size_t PartBytes = 300000;
+    std::atomic<bool> mayFinish = false;
+    const FakeUpstream upstream("127.0.5.22", [&mayFinish](TestSocket &connection, unsigned) {
+        for (auto request = connection.readMessage(); request.complete; request = connection.readMessage()) {
+            if (targetOf(request) != "/long") {
+                connection.send(answerTo(request, targetOf(request)));
+                continue;
+            }
+            connection.send(answerHead(request, 200, "Content-Length: " + std::to_string(2 * PartBytes) + "\r\n"));
+            connection.send(std::string(PartBytes, 'x'));
+            eventually([&mayFinish] {
+                return mayFinish.load();
+            });
+            connection.send(std::string(PartBytes, 'x'));
+        }
+    });
+    EntryFixture entry(pipelineOptions({upstream.endpoint()}));
+    TestSocket caller(entry.endpoint());
+    caller.send(requestFor("GET", "/long") + requestFor("POST", "/after", "Content-Length: 1\r\n") + "x");
+    while (caller.input.size() < PartBytes) {
+        REQUIRE(caller.receive());
+    }
+    // New requests are refused only after the delay.
+    entry.shutDown(std::chrono::seconds(1));
+    mayFinish = true;
+    const auto first = caller.readMessage();
+    CHECK_FALSE(first.hasField("Connection"));
+    CHECK(first.body.size() == 2 * PartBytes);
+    const auto last = caller.readMessage();
+    CHECK(last.body == "/after");
+    CHECK(last.field("Connection") == "close");
+    CHECK(eventually([&entry] {
+        return entry.hasTerminated();
+    }));
+    CHECK(entry.terminatedCleanly());
+}
+
 // Guards against a coroutine that never suspends: the buffer was full with a head that only the raised limit allows.
 TEST_CASE("a raised limit of the head holds on a connection that was open before")
 {
