Release input and upload buffers that no charge counts

Cause: the input buffer of a caller's connection kept the size of its longest read (64 KiB) while an upstream worked on the request, and a streaming upload kept its last part while it waited for the caller. Neither is counted as held.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -277,6 +277,11 @@
         if (!written) {
             co_return;
         }
+        // The caller may need long for the next part, and meanwhile nothing is counted.
+        if (part.capacity() + text.capacity() > MaxKeptBytes) {
+            part = std::string();
+            text = std::string();
+        }
     }
     caller.watchForDisconnect();
     ErrorCode error;
--- a/src/proxy/callerinput.cpp
+++ b/src/proxy/callerinput.cpp
@@ -165,6 +165,11 @@
         this->host->refuseForMemory(current);
         co_return;
     }
+    if (!this->bufferInUse && this->buffer.capacity() > MaxWaitingInputBytes) {
+        // The buffer keeps the size of the longest read, which is not counted and is not needed while an upstream
+        // works.
+        this->buffer.shrink_to_fit();
+    }
     current.bodyReady = true;
     current.bodyReadyAt = monotonicNow();
     if (current.parser->is_done()) {
