--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -79,6 +79,9 @@
         Linger,
     };
 
+    /// By this the buffer is larger than the longest head.
+    static constexpr std::size_t HeadReserveBytes = 4096;
+
     Task<void> serveRequests();
     Task<NextStep> readHead();
     HeadState parseNextHead();
@@ -105,7 +108,7 @@
     Task<NextStep> writeBodyRejection(Exchange &exchange, const RejectBody &refusal);
     Task<void> linger();
     bool hasUnreadInput() const;
-    NextStep nextStepAfterAnswer(const Exchange &current, bool written);
+    NextStep nextStepAfterAnswer(bool written);
     bool firstIsDecided() const;
     void outputStalled();
     std::size_t unacknowledgedBytes();
--- a/src/proxy/callerinput.cpp
+++ b/src/proxy/callerinput.cpp
@@ -48,6 +48,9 @@
     if (this->headState != HeadState::Incomplete || this->bufferInUse) {
         return this->headState;
     }
+    // The limit may have been raised since the buffer was made. An incomplete head that fills the buffer could not be
+    // read on, and readHead() would loop without suspending.
+    this->buffer.max_size(std::max(this->buffer.max_size(), this->host->limits().maxHeaderBytes + HeadReserveBytes));
     // An empty line before a request is allowed, and some callers send one after a body.
     while (asView(this->buffer).starts_with("\r\n")) {
         this->buffer.consume(2);
@@ -106,7 +109,8 @@
 Task<CallerConnection::NextStep> CallerConnection::waitForHead(bool headStarted)
 {
     if (!headStarted && this->host->stopsAccepting() && !this->hasUnreadInput()) {
-        co_return NextStep::Close;
+        // A request that crosses the close must not reset the connection before the caller has read the last answer.
+        co_return NextStep::Linger;
     }
     const auto &limits = this->host->limits();
     // The header timeout counts from the first byte of the head; later bytes do not extend it.
@@ -151,11 +155,21 @@
         }
         current.bodyStreams = !current.parser->is_done() && current.body.size() > limit;
         current.bodyCharge->set(current.body.size());
+        // Many small bodies may have been admitted before any of their bytes arrived. No attempt was started yet.
+        if (!this->host->heldBytes()->admitsBody(std::nullopt)) {
+            this->host->refuseForMemory(current);
+            co_return;
+        }
     }
     if (current.bodyStreams && !hasLength && this->host->heldBytes()->exhausted()) {
         this->host->refuseForMemory(current);
         co_return;
     }
+    if (!this->bufferInUse && this->buffer.capacity() > MaxWaitingInputBytes) {
+        // The buffer keeps the size of the longest read, which is not counted and is not needed while an upstream
+        // works.
+        this->buffer.shrink_to_fit();
+    }
     current.bodyReady = true;
     current.bodyReadyAt = monotonicNow();
     if (current.parser->is_done()) {
