Let the callers of the soak pipeline lookups and read some answers slowly

One call in 12 is followed by 2 to 6 lookups that are sent together on the connection; a quarter of these answers is read in pieces of 48 bytes, 10 ms apart. The judge checks that each answer belongs to the request in its place, is whole, and that nothing follows the last one. A request behind an answer that closed the connection or broke off counts as not read, so only the first request without an answer is judged as cut.

--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -31,6 +31,14 @@
 constexpr auto LongestPieceGap = std::chrono::seconds(2);
 constexpr std::uint64_t PieceSeed = 0x9;
 constexpr std::uint64_t KeySeed = 0x2b;
+/// One call in so many is followed by lookups that are sent together.
+constexpr int PipelineChance = 12;
+constexpr std::uint64_t PipelineSeed = 0x4d;
+constexpr std::size_t LongestPipeline = 6;
+/// A quarter of these answers is read in pieces of this size, with this time between them.
+constexpr int SlowChance = 4;
+constexpr std::size_t SlowPieceBytes = 48;
+constexpr auto SlowPause = std::chrono::milliseconds(10);
 
 std::string chooseKey(std::mt19937_64 &random, std::uint64_t newestVersion)
 {
@@ -42,6 +50,23 @@
     return keyOfVersion(draw == 8 ? newestVersion : newestVersion - 1);
 }
 
+std::string textOf(const Net::HttpRequest &request)
+{
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    std::ostringstream text;
+    text << message;
+    return text.str();
+}
+
+} // namespace
+
+namespace internal {
+
 /// One open connection of a caller.
 class Connection
 {
@@ -65,15 +90,7 @@
     /// before.
     http::response<http::string_body> exchange(const Net::HttpRequest &request, Duration pause, CallRecord &record)
     {
-        http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
-        for (const auto &[name, value] : request.headers) {
-            message.set(name, value);
-        }
-        message.body() = request.body;
-        message.prepare_payload();
-        std::ostringstream text;
-        text << message;
-        const auto bytes = text.str();
+        const auto bytes = textOf(request);
         if (pause > Duration(0)) {
             this->send(std::string_view(bytes).substr(0, bytes.size() - 1));
             std::this_thread::sleep_for(pause);
@@ -82,6 +99,24 @@
         record.sentUnixUs = unixMicroseconds();
         record.written = this->send(pause > Duration(0) ? std::string_view(bytes).substr(bytes.size() - 1) : bytes);
         // The entry may have answered before the request was complete.
+        return this->read();
+    }
+
+    /// Returns false if the bytes could not be written.
+    bool send(std::string_view bytes)
+    {
+        boost::system::error_code error;
+        this->stream.expires_after(CallLimit);
+        asio::async_write(this->stream, asio::buffer(bytes), [&error](boost::system::error_code result, std::size_t) {
+            error = result;
+        });
+        this->settle();
+        return !error;
+    }
+
+    /// Returns the next whole answer; throws when the connection ends before.
+    http::response<http::string_body> read()
+    {
         http::response<http::string_body> answer;
         boost::system::error_code error;
         this->stream.expires_after(CallLimit);
@@ -95,18 +130,42 @@
         return answer;
     }
 
-private:
-    bool send(std::string_view bytes)
+    /// The same, in small pieces.
+    http::response<http::string_body> readSlowly()
     {
-        boost::system::error_code error;
+        http::response_parser<http::string_body> parser;
+        parser.eager(true);
         this->stream.expires_after(CallLimit);
-        asio::async_write(this->stream, asio::buffer(bytes), [&error](boost::system::error_code result, std::size_t) {
-            error = result;
-        });
-        this->settle();
-        return !error;
+        for (;;) {
+            boost::system::error_code error;
+            this->buffer.consume(this->buffer.size() > 0 ? parser.put(this->buffer.data(), error) : 0);
+            if (error && error != http::error::need_more) {
+                throw boost::system::system_error(error);
+            }
+            if (parser.is_done()) {
+                return parser.release();
+            }
+            std::this_thread::sleep_for(SlowPause);
+            error = {};
+            this->stream.async_read_some(this->buffer.prepare(SlowPieceBytes),
+                                         [this, &error](boost::system::error_code ending, std::size_t size) {
+                                             error = ending;
+                                             this->buffer.commit(size);
+                                         });
+            this->settle();
+            if (error) {
+                throw boost::system::system_error(error);
+            }
+        }
     }
 
+    /// Whether bytes arrived behind the last answer.
+    bool hasSurplus() const
+    {
+        return this->buffer.size() > 0;
+    }
+
+private:
     void settle()
     {
         this->context.restart();
@@ -118,6 +177,12 @@
     beast::flat_buffer buffer;
 };
 
+} // namespace internal
+
+using internal::Connection;
+
+namespace {
+
 bool isOwn(const http::response<http::string_body> &answer, const std::string &id)
 {
     const auto body = Test::Json::parse(answer.body(), nullptr, false);
@@ -171,12 +236,63 @@
     return record.claim ? Test::StoreFleet::claim(record.id) : Test::StoreFleet::lookup(record.id);
 }
 
+void Callers::keep(CallRecord record)
+{
+    record.endedAt = monotonicNow();
+    record.endedUnixUs = unixMicroseconds();
+    const std::lock_guard lock(this->mutex);
+    this->done.push_back(std::move(record));
+}
+
+void Callers::callPipelined(const std::string &idPrefix,
+                            std::size_t vm,
+                            std::mt19937_64 &random,
+                            std::unique_ptr<Connection> &connection)
+{
+    const auto size = std::uniform_int_distribution<std::size_t>(2, LongestPipeline)(random);
+    std::vector<CallRecord> records;
+    std::string text;
+    for (std::size_t number = 0; number < size; ++number) {
+        CallRecord record{.id = idPrefix + "-" + std::to_string(number), .vm = vm, .pipelined = true};
+        record.key = chooseKey(random, this->newestVersion);
+        auto request = Test::StoreFleet::lookup(record.id);
+        request.headers["Authorization"] = "Bearer " + record.key;
+        text += textOf(request);
+        record.sentAt = monotonicNow();
+        record.sentUnixUs = unixMicroseconds();
+        records.push_back(record);
+    }
+    const bool written = connection->send(text);
+    bool ended = false;
+    for (auto &record : records) {
+        record.written = written;
+        record.behindClose = ended;
+        const bool slowly = std::uniform_int_distribution<int>(0, SlowChance - 1)(random) == 0;
+        try {
+            if (!ended) {
+                const auto answer = slowly ? connection->readSlowly() : connection->read();
+                record.status = answer.result_int();
+                const bool surplus = record.id == records.back().id && connection->hasSurplus();
+                record.own = record.status != 200 || (isOwn(answer, record.id) && !surplus);
+                ended = !answer.keep_alive();
+            }
+        } catch (const boost::system::system_error &) {
+            ended = true;
+        }
+        this->keep(record);
+    }
+    if (ended) {
+        connection.reset();
+    }
+}
+
 void Callers::run(std::size_t number, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 1000 + number);
     std::map<std::size_t, std::unique_ptr<Connection>> open;
     std::mt19937_64 pieces(seed * 1000 + number + PieceSeed);
     std::mt19937_64 keys(seed * 1000 + number + KeySeed);
+    std::mt19937_64 pipelines(seed * 1000 + number + PipelineSeed);
     for (int count = 0; !this->stopping; ++count) {
         CallRecord record{.id = "c" + std::to_string(number) + "-" + std::to_string(count)};
         record.vm = std::uniform_int_distribution<std::size_t>(0, this->fleet.vms.size() - 1)(random);
@@ -206,11 +322,9 @@
             // The record says that there was no answer; the judge decides whether that is allowed.
             connection.reset();
         }
-        record.endedAt = monotonicNow();
-        record.endedUnixUs = unixMicroseconds();
-        {
-            const std::lock_guard lock(this->mutex);
-            this->done.push_back(record);
+        this->keep(record);
+        if (connection && std::uniform_int_distribution<int>(0, PipelineChance - 1)(pipelines) == 0) {
+            this->callPipelined(record.id + "-p", record.vm, pipelines, connection);
         }
         std::this_thread::sleep_for(Pause);
     }
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -6,13 +6,21 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <random>
+#include <string>
 #include <thread>
 #include <vector>
 
 namespace Verbenadock::Soak {
 
+namespace internal {
+
+class Connection;
+
+} // namespace internal
+
 /// Callers on threads of their own, each with open connections that it uses until the entry closes them.
 ///
 /// Usage: construct to start, stop() to end, then take the records().
@@ -32,6 +40,12 @@
 
 private:
     void run(std::size_t number, std::uint64_t seed);
+    /// Sends some lookups at once on the connection, which is null after an answer that ended it.
+    void callPipelined(const std::string &idPrefix,
+                       std::size_t vm,
+                       std::mt19937_64 &random,
+                       std::unique_ptr<internal::Connection> &connection);
+    void keep(CallRecord record);
     Net::HttpRequest nextRequest(std::mt19937_64 &random, CallRecord &record) const;
 
     const Test::StoreFleet &fleet;
--- a/test/soak/judge.cpp
+++ b/test/soak/judge.cpp
@@ -92,7 +92,7 @@
 {
     for (const auto &call : run.calls) {
         const bool crossed = !runs.contains(call.id) && call.endedAt - call.sentAt <= CrossingLimit;
-        const bool cut = call.status == 0 && call.written && !crossed;
+        const bool cut = call.status == 0 && call.written && !crossed && !call.behindClose;
         if (cut && isCalm(run, call.sentAt, call.endedAt, "stop")) {
             broken.push_back("no answer: " + call.id);
         }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -129,12 +129,14 @@
     broken.insert(broken.end(), promises.begin(), promises.end());
 
     const auto unknownKeys = std::ranges::count(run.calls, 401U, &CallRecord::status);
+    const auto pipelined = std::ranges::count(run.calls, true, &CallRecord::pipelined);
+    const auto behindClose = std::ranges::count(run.calls, true, &CallRecord::behindClose);
     const auto served = std::ranges::count(run.calls, 200U, &CallRecord::status);
     std::cout << "seed=" << seed << "\ncalls=" << run.calls.size() << "\nserved=" << served
-              << "\nunknown_keys=" << unknownKeys << "\nannounced_leavings=" << run.announcedLeavings.size()
-              << "\npauses=" << pauses << "\ndisturbances=" << run.disturbances.size()
-              << "\nleavings=" << run.leavings.size() << "\nversions=" << newest << "\nbroken=" << broken.size()
-              << '\n';
+              << "\npipelined=" << pipelined << "\nbehind_close=" << behindClose << "\nunknown_keys=" << unknownKeys
+              << "\nannounced_leavings=" << run.announcedLeavings.size() << "\npauses=" << pauses
+              << "\ndisturbances=" << run.disturbances.size() << "\nleavings=" << run.leavings.size()
+              << "\nversions=" << newest << "\nbroken=" << broken.size() << '\n';
     for (const auto &line : broken) {
         std::cout << "BROKEN " << line << '\n';
     }
--- a/test/soak/record.h
+++ b/test/soak/record.h
@@ -30,8 +30,12 @@
     unsigned status = 0;
     /// The request was written, as far as the caller can tell.
     bool written = false;
-    /// Whether the answer repeats the request's id in head and body.
+    /// Whether the answer repeats the request's id in head and body. Shows also that answers come in order.
     bool own = true;
+    /// Sent together with others on one connection.
+    bool pipelined = false;
+    /// An earlier answer closed the connection or broke off, so that this request counts as not read.
+    bool behindClose = false;
 
     auto operator<=>(const CallRecord &) const = default;
 };
