Check the key of a queued request before it starts with fair sharing

Cause: dispatchFairly() lacked the check that dispatch() makes. A request that had waited was started although its configuration had not been confirmed for revocation_s; only maySend() kept it from being written, and the attempt took a slot meanwhile. Change: the customer is checked again before each queued request is tried. Result: the new test fails before (a StartAttempt, no answer) and passes after (503 configuration-outdated).

--- a/src/core/fairscheduling.cpp
+++ b/src/core/fairscheduling.cpp
@@ -292,6 +292,9 @@
             this->failRequest(slot, RejectionReason::ShuttingDown);
             continue;
         }
+        if (!this->recheckCustomer(slot)) {
+            continue;
+        }
         if (this->startIfRoom(slot)) {
             continue;
         }
