Try a queued request without room once in a dispatch

Cause: dispatchFairly() began again at the front of the queue after each request that it deferred, so that a request without room in front was tried again and used up the three misses of the dispatch. A free slot stayed unused until the next event or 25 ms. Change: the loop goes on behind the old place of the deferred request. Result: the new test fails before (no attempt) and passes after.

--- a/src/core/fairscheduling.cpp
+++ b/src/core/fairscheduling.cpp
@@ -283,8 +283,10 @@
         const auto slot = next->slot;
         const auto &request = this->requests.at(slot);
         if (!next->deferred && this->missesTarget(request)) {
+            // Its new place is behind the old one, so that the loop reaches it again.
+            const auto position = *next;
             this->defer(slot);
-            next = service.queue.begin();
+            next = service.queue.upper_bound(position);
             continue;
         }
         ++next;
--- a/test/core/fairqueuetest.cpp
+++ b/test/core/fairqueuetest.cpp
@@ -69,3 +69,28 @@
     CHECK(answers.front().status == 503);
     CHECK(answers.front().refusal == RejectionReason::ConfigurationOutdated);
 }
+
+// Guards against a free slot that stays unused because the first request of the queue, which may not go there, was
+// tried again after each late request behind it.
+TEST_CASE("a request that finds no room is tried once in a dispatch")
+{
+    auto configuration = makeConfiguration(fairService(2, 1));
+    auto &routes = configuration.bundles.front().routes;
+    routes[0].targetLatency = std::chrono::milliseconds(800);
+    routes[1].targetLatency = std::chrono::milliseconds(300);
+    auto reducer = makeReducer(configuration);
+    const auto first = only<StartAttempt>(reducer.apply(arrival(1, "GET", at(1))));
+    REQUIRE(first.size() == 1);
+    REQUIRE(only<StartAttempt>(reducer.apply(arrival(2, "GET", at(1)))).size() == 1);
+    // Requests 3 to 5 can no longer meet their target at 230 ms, request 6 can.
+    for (RequestId request = 3; request <= 5; ++request) {
+        reducer.apply(arrival(request, "POST", at(10)));
+    }
+    reducer.apply(arrival(6, "GET", at(100)));
+    // Request 1 may not return to the upstream where it failed, whose slot is free now.
+    const auto effects = reducer.apply(
+        AttemptFailed{.at = at(230), .request = 1, .attempt = first.front().attempt, .cause = Health::Cause::Reset});
+    const auto next = only<StartAttempt>(effects);
+    REQUIRE(next.size() == 1);
+    CHECK(next.front().request == 6);
+}
