Test fair sharing between customers of one route

The tests so far used one route for each customer, since requests had no customers before the keys were merged.

--- a/test/core/fairqueuetest.cpp
+++ b/test/core/fairqueuetest.cpp
@@ -55,6 +55,46 @@
 
 } // namespace
 
+// Guards against shares that are kept by route although the configuration has customers: the customers below all use
+// one route, so that the requests of the large one would go first.
+TEST_CASE("customers on one route are queued by what each of them holds, and by their priority")
+{
+    auto reducer = makeReducer(withCustomers(fairService(1, 1)));
+    auto running = only<StartAttempt>(reducer.apply(arrivalOf("large", 1, 1)));
+    for (RequestId request = 2; request <= 6; ++request) {
+        CHECK(only<StartAttempt>(reducer.apply(arrivalOf("large", request, 2))).empty());
+    }
+    reducer.apply(arrivalOf("small", 7, 3));
+    reducer.apply(arrivalOf("small", 8, 3));
+    reducer.apply(arrivalOf("urgent", 9, 4));
+    std::vector<std::string> order;
+    for (double time = 150; running.size() == 1; time += 150) {
+        order.push_back(running.front().customer);
+        running = only<StartAttempt>(reducer.apply(answerTo(running.front(), time)));
+    }
+    REQUIRE(order.size() == 9);
+    CHECK(order[1] == "urgent");
+    CHECK(order[2] == "small");
+    CHECK(std::count(order.begin(), order.begin() + 5, "small") == 2);
+}
+
+// Guards against a full queue of one customer that keeps out another customer of the same route.
+TEST_CASE("of customers on one route the one that holds most is rejected when the queue is full")
+{
+    auto service = fairService(1, 1);
+    service.queueLimit = 3;
+    auto reducer = makeReducer(withCustomers(service));
+    for (RequestId request = 1; request <= 4; ++request) {
+        CHECK(only<RespondLocally>(reducer.apply(arrivalOf("large", request, 1))).empty());
+    }
+    const auto answers = only<RespondLocally>(reducer.apply(arrivalOf("small", 5, 2)));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().request == 4);
+    CHECK(answers.front().refusal == RejectionReason::OverFairShare);
+    REQUIRE(answers.front().seen.share);
+    CHECK(answers.front().seen.share->customer == "large");
+}
+
 // Guards against a request that waited in the queue and starts under a configuration that may no longer be used.
 TEST_CASE("a queued request is rejected when its configuration has not been confirmed in time")
 {
