Distribute splits by the sequence as soon as a service balances evenly

Cause: the routing table holds whether a split follows the sequence, and was kept while routes and names of services stayed the same. A version that adds customers turns even balancing on without a change of the routes, so that the split stayed random. Change: a changed balancing of a service also rebuilds the table.

--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -183,7 +183,9 @@
     for (const auto &bundle : event.configuration->bundles) {
         for (const auto &service : bundle.services) {
             const auto index = this->findOrAddService(bundle.name, service.name);
-            sameServices = sameServices && this->services[index]->configured;
+            const auto &current = *this->services[index];
+            // The balancing of the services decides how the requests of a split are distributed.
+            sameServices = sameServices && current.configured && current.service.balancing == service.balancing;
             this->configureService(index, bundle.name, service);
             configuredIndices.insert(index);
         }
--- a/test/core/evenloadtest.cpp
+++ b/test/core/evenloadtest.cpp
@@ -282,6 +282,37 @@
     }
 }
 
+// Guards against splits that stay random when a new version adds customers, and with them even balancing, but changes
+// no route.
+TEST_CASE("a split follows its weights closely as soon as a service balances evenly")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto first = evenService(4, 400);
+        first.balancing = Bundles::Balancing::LeastLoaded;
+        auto second = first;
+        second.name = "catalogue";
+        auto configuration = makeConfiguration(first);
+        auto &bundle = configuration.bundles.front();
+        bundle.services.push_back(second);
+        bundle.routes = {
+            Bundles::Route{.split = {{.service = "katalog", .weight = 0.7}, {.service = "catalogue", .weight = 0.3}}}};
+        Reducer reducer(ReducerSettings{.dataCentre = "a", .seed = seed, .requestLimit = 1000});
+        reducer.apply(configure(configuration));
+        for (auto &service : bundle.services) {
+            service.balancing = Bundles::Balancing::Even;
+        }
+        configuration.revision = 2;
+        reducer.apply(configure(configuration, at(1)));
+        int toFirst = 0;
+        for (RequestId request = 1; request <= 300; ++request) {
+            for (const auto &attempt : only<StartAttempt>(reducer.apply(arrival(request, "GET", at(1))))) {
+                toFirst += attempt.upstream.service == "katalog" ? 1 : 0;
+            }
+        }
+        CHECK(std::abs(toFirst - 210) <= 3);
+    }
+}
+
 // Measures the time of a choice; not part of the regular run.
 TEST_CASE("time of a choice among 150 upstreams", "[.measure]")
 {
