Round a fractional Retry-After up to milliseconds

Cause: a rejection at the deadline has a wait of 1 us, which was written as 'Retry-After: 0.000', so that the caller returns at once. Change: the wait is rounded up, as is done for whole seconds. Result: the new test fails before (0.000) and passes after (0.001).

--- a/src/proxy/headwriter.cpp
+++ b/src/proxy/headwriter.cpp
@@ -131,7 +131,8 @@
         return std::to_string(std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count());
     }
     std::array<char, 24> text{};
-    const auto seconds = std::chrono::duration<double>(answer.retryAfter).count();
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(answer.retryAfter);
+    const auto seconds = std::chrono::duration<double>(milliseconds).count();
     const auto end = std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, 3).ptr;
     return {text.data(), end};
 }
