Add verbenadock-ctl explain and the administration page /explain

The entry says for a host, path, method and customer (by name) which route, services and upstreams a request would get now, and the reason against each other upstream.

--- a/include/verbenadock/core/reducer.h
+++ b/include/verbenadock/core/reducer.h
@@ -39,6 +39,18 @@
     auto operator<=>(const KeyScope &) const = default;
 };
 
+/// A request of which an operator asks where it would go.
+struct RouteQuery
+{
+    std::string host;
+    std::string path = "/";
+    std::string method = "GET";
+    /// Name of the customer whose key it would bear.
+    std::optional<std::string> customer = std::nullopt;
+
+    auto operator<=>(const RouteQuery &) const = default;
+};
+
 /// Decides how one entry handles each request. Performs no I/O and reads no clock.
 ///
 /// Usage: pass each event to apply() and execute the effects in order; apply TimerExpired at nextDeadline().
@@ -70,6 +82,10 @@
     /// State as JSON text, with versions, and ages in milliseconds.
     std::string dump(TimePoint now) const;
 
+    /// Where a request would go now and why, as JSON text. Changes no state and uses up no random number. The limits
+    /// of single callers and the caps of customers are not applied.
+    std::string explain(const RouteQuery &query, TimePoint now) const;
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/include/verbenadock/net/adminserver.h
+++ b/include/verbenadock/net/adminserver.h
@@ -21,6 +21,7 @@
     std::string body;
     /// Additional header fields, values by name.
     std::map<std::string, std::string> headers = {};
+    unsigned status = 200;
 
     auto operator<=>(const AdminPage &) const = default;
 };
--- a/include/verbenadock/proxy/entryserver.h
+++ b/include/verbenadock/proxy/entryserver.h
@@ -106,6 +106,9 @@
     /// The states of the reducers as JSON text.
     std::string dump() const;
 
+    /// Where a request would go now and why, as JSON text; see Core::Reducer::explain().
+    std::string explain(const Core::RouteQuery &query) const;
+
     /// Returns and clears the outcomes since the last call, for the agent.
     std::vector<Control::UpstreamEvidence> takeEvidence();
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -74,7 +74,7 @@
 };
 
 /// Implementation of the reducer, in allowances.cpp, arrivals.cpp, attempts.cpp, configuration.cpp, customeraccess.cpp,
-/// dump.cpp, engine.cpp, fairscheduling.cpp and scheduling.cpp.
+/// dump.cpp, engine.cpp, explanation.cpp, fairscheduling.cpp and scheduling.cpp.
 class Engine
 {
 public:
@@ -87,6 +87,7 @@
     bool maySend(RequestId request, AttemptId attempt, TimePoint now) const;
     bool ready() const;
     std::string dump(TimePoint at) const;
+    std::string explain(const RouteQuery &query, TimePoint at) const;
 
 private:
     void on(const RequestArrived &event);
@@ -224,6 +225,23 @@
     /// Takes over which upstreams of the service are leaving.
     void leavingChanged(ServiceState &service);
 
+    // explanation.cpp
+    /// The rejection of a request before a service is chosen; nothing if there is none.
+    std::optional<RejectionReason> refusalOf(const RouteTarget &target,
+                                             const Bundles::Customer *customer,
+                                             TimePoint at) const;
+    /// The request of a query, as if it arrived now.
+    Request probeOf(const RouteTarget &target, std::uint32_t service, const Bundles::Customer *customer) const;
+    struct ServiceExplanation;
+    ServiceExplanation explainService(const Request &request, TimePoint at) const;
+    /// Whether a request that is not queued yet would be rejected before the queued ones. A higher priority than theirs
+    /// keeps it from that.
+    bool hasLeastClaim(const Request &request) const;
+    /// The rejection of a request that has to wait; nothing if it may.
+    std::optional<RejectionReason> queueRejection(const Request &request) const;
+    /// The same, if no upstream may be able to serve it.
+    std::optional<RejectionReason> rejectionWithoutRoom(const Request &request, TimePoint at) const;
+
     // engine.cpp
     ServiceState &serviceOf(const Request &request);
     const ServiceState &serviceOf(const Request &request) const;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -55,4 +55,9 @@
     return this->state->engine.dump(now);
 }
 
+std::string Reducer::explain(const RouteQuery &query, TimePoint now) const
+{
+    return this->state->engine.explain(query, now);
+}
+
 } // namespace Verbenadock::Core
--- a/src/core/routingtable.cpp
+++ b/src/core/routingtable.cpp
@@ -54,6 +54,11 @@
 
 } // namespace
 
+ShareKey identityOf(const Bundles::Route &route)
+{
+    return routeKey(lowerCase(route.host), route.pathPrefix);
+}
+
 RoutingTable::RoutingTable(const std::vector<ResolvedRoute> &routes)
 {
     for (const auto &[route, target] : routes) {
@@ -65,7 +70,7 @@
         };
         if (std::none_of(methods.begin(), methods.end(), sameMethod)) {
             methods.push_back(MethodTarget{.method = route.method, .target = target});
-            methods.back().target.identity = routeKey(lowerCase(route.host), route.pathPrefix);
+            methods.back().target.identity = identityOf(route);
             ++this->routeCount;
         }
     }
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -51,6 +51,9 @@
     auto operator<=>(const RouteTarget &) const = default;
 };
 
+/// Identity of the route's host and path prefix.
+ShareKey identityOf(const Bundles::Route &route);
+
 /// A route with its service resolved.
 struct ResolvedRoute
 {
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -339,6 +339,33 @@
     return first;
 }
 
+std::optional<Obstacle> UpstreamPool::obstacle(std::uint32_t upstream, TimePoint now) const
+{
+    const auto &state = this->upstreams[upstream];
+    if (isLeaving(state, now)) {
+        return Obstacle::Leaving;
+    }
+    if (isPaused(state, now)) {
+        return Obstacle::Paused;
+    }
+    if (!state.admission.allowed) {
+        return Obstacle::Withdrawn;
+    }
+    if (state.backOffUntil > now) {
+        return Obstacle::BackingOff;
+    }
+    if (state.admission.trialOnly) {
+        return Obstacle::OnTrial;
+    }
+    if (state.inFlight >= state.slots || state.inFlight + 1 > capacity(state)) {
+        return Obstacle::AtLimit;
+    }
+    if (this->isFull(upstream, now)) {
+        return Obstacle::Full;
+    }
+    return state.admission.share < 1 ? std::optional(Obstacle::OnProbation) : std::nullopt;
+}
+
 std::size_t UpstreamPool::countInService(TimePoint now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->configuredIndices, [&](std::uint32_t index) {
--- a/src/core/upstreampool.h
+++ b/src/core/upstreampool.h
@@ -74,6 +74,23 @@
     std::optional<TimePoint> absentSince;
 };
 
+/// Why an upstream gets no request.
+enum class Obstacle {
+    Leaving,
+    Paused,
+    /// Judged unhealthy.
+    Withdrawn,
+    BackingOff,
+    /// It gets single requests that may be repeated.
+    OnTrial,
+    /// It gets a part of its usual requests.
+    OnProbation,
+    /// This entry has as many requests in flight there as it may have.
+    AtLimit,
+    /// A further request would wait too long there.
+    Full,
+};
+
 /// End of the first pause of an upstream.
 struct PauseEnd
 {
@@ -114,6 +131,9 @@
 
     std::size_t countInService(TimePoint now) const;
 
+    /// Why the upstream gets no request, or fewer than others; nothing if only its load and data centre count.
+    std::optional<Obstacle> obstacle(std::uint32_t upstream, TimePoint now) const;
+
     /// Whether the load is so high that a further request would miss its target latency.
     bool isFull(std::uint32_t upstream, TimePoint now) const;
 
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_CTL_COMMANDS_H
 
 #include "output.h"
+#include "verbenadock/core/reducer.h"
 #include "verbenadock/settings/settings.h"
 
 #include <cstdint>
@@ -33,6 +34,8 @@
 Output showFileDifference(const Settings::CtlSettings &settings, const std::string &file);
 Output showStatus(const Settings::CtlSettings &settings);
 Output showDump(const std::string &endpoint);
+/// Asks the entry with this administration endpoint where the request would go.
+Output explain(const std::string &endpoint, const Core::RouteQuery &query);
 
 } // namespace Verbenadock::Ctl
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,9 +2,12 @@
 
 #include <docopt/docopt.h>
 
+#include <algorithm>
 #include <charconv>
 #include <iostream>
 #include <map>
+#include <optional>
+#include <string_view>
 
 namespace {
 
@@ -25,6 +28,7 @@
   verbenadock-ctl [options] diff NAME VERSION [VERSION]
   verbenadock-ctl [options] status
   verbenadock-ctl [options] dump ENDPOINT
+  verbenadock-ctl [options] explain ENDPOINT HOST PATH [--method=METHOD] [--customer=NAME]
   verbenadock-ctl --help
   verbenadock-ctl --version
 
@@ -38,6 +42,7 @@
   diff       Compare a version with the one in force, two versions (old, new), or a file with the version in force.
   status     Show the version in force on each VM.
   dump       Show the whole state of one process.
+  explain    Show where the entry with this administration port would send a request now, and why. Sends no request.
 
 Options:
   --config=FILE     Settings file [default: /etc/verbenadock/ctl.toml].
@@ -46,11 +51,14 @@
   --wait            Wait until the version is in force on every VM.
   --wait-seconds=N  Longest wait [default: 10].
   --file=FILE       The bundle to compare.
+  --method=METHOD   Method of the request [default: GET].
+  --customer=NAME   Name of the customer whose key the request would bear, never the key.
   --help            Show this text.
   --version         Show the version.
 
 Exit status: 0 success, 1 wrong usage, 2 invalid input, 3 conflict or not allowed, 4 log or process unavailable,
 5 not in force everywhere (within the wait).
+Exit status of explain: 0 an upstream was chosen, 1 no choice, 2 wrong usage, 4 entry unavailable.
 )";
 
 std::uint64_t parseNumber(const std::string &text, const std::string &what)
@@ -142,6 +150,14 @@
     if (arguments.at("dump").asBool()) {
         return showDump(arguments.at("ENDPOINT").asString());
     }
+    if (arguments.at("explain").asBool()) {
+        const auto customer = textOf(arguments, "--customer");
+        return explain(arguments.at("ENDPOINT").asString(),
+                       {.host = arguments.at("HOST").asString(),
+                        .path = arguments.at("PATH").asString(),
+                        .method = textOf(arguments, "--method"),
+                        .customer = customer.empty() ? std::nullopt : std::optional(customer)});
+    }
     return runWithSettings(arguments);
 }
 
@@ -177,7 +193,10 @@
         return static_cast<int>(ExitStatus::Ok);
     } catch (const std::runtime_error &) {
         std::cerr << "verbenadock-ctl: wrong usage; see verbenadock-ctl --help\n";
-        return static_cast<int>(ExitStatus::Usage);
+        const bool isExplain = std::any_of(values + 1, values + count, [](std::string_view argument) {
+            return argument == "explain";
+        });
+        return static_cast<int>(isExplain ? ExitStatus::InvalidInput : ExitStatus::Usage);
     }
     const bool asJson = arguments.at("--json").asBool();
     try {
--- a/src/ctl/output.h
+++ b/src/ctl/output.h
@@ -13,6 +13,8 @@
 enum class ExitStatus {
     Ok = 0,
     Usage = 1,
+    /// Of `explain`: no upstream would get the request now. Its usage errors are InvalidInput.
+    NoChoice = 1,
     InvalidInput = 2,
     NotAccepted = 3,
     Unavailable = 4,
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -1,6 +1,8 @@
 #include "entryprocess.h"
 
 #include "statelines.h"
+#include "verbenadock/net/error.h"
+#include "verbenadock/net/query.h"
 #include "verbenadock/platform/decoding.h"
 #include "verbenadock/telemetry/logging.h"
 
@@ -170,10 +172,39 @@
                 },
             .page =
                 [this](std::string_view target) {
+                    if (target.substr(0, target.find('?')) == "/explain") {
+                        return std::optional(this->explain(target));
+                    }
                     return this->fleet ? this->fleet->page(target) : std::nullopt;
                 }};
 }
 
+Net::AdminPage EntryProcess::explain(std::string_view target) const
+{
+    constexpr unsigned BadRequest = 400;
+    const auto refuse = [](const std::string &reason) {
+        return Net::AdminPage{.body = nlohmann::json{{"error", reason}}.dump(), .status = BadRequest};
+    };
+    try {
+        const auto parameters = Net::queryParameters(target);
+        const auto valueOf = [&parameters](const std::string &name) {
+            const auto found = parameters.find(name);
+            return found == parameters.end() || found->second.empty() ? std::nullopt : std::optional(found->second);
+        };
+        const auto host = valueOf("host");
+        const auto path = valueOf("path");
+        if (!host || !path || path->front() != '/') {
+            return refuse("host and path are required, and path begins with a slash");
+        }
+        return {.body = this->server->explain({.host = *host,
+                                               .path = *path,
+                                               .method = valueOf("method").value_or("GET"),
+                                               .customer = valueOf("customer")})};
+    } catch (const Net::NetError &error) {
+        return refuse(error.what());
+    }
+}
+
 void EntryProcess::connectToAgent(std::uint64_t incarnation)
 {
     this->link = std::make_unique<Control::AgentLink>(this->context,
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -46,6 +46,8 @@
 
     Proxy::EntryHandlers serverHandlers();
     Net::AdminServer::Handlers adminHandlers();
+    /// The page that says where a request would go; its target has the parameters host, path, method and customer.
+    Net::AdminPage explain(std::string_view target) const;
     void connectToAgent(std::uint64_t incarnation);
     void startFleetLink(std::uint64_t incarnation);
     void applyConfiguration();
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -42,7 +42,7 @@
         for (const auto &[name, value] : page->headers) {
             response.set(name, value);
         }
-        fillResponse(response, http::status::ok, "application/json", std::move(page->body));
+        fillResponse(response, http::int_to_status(page->status), "application/json", std::move(page->body));
     } else {
         fillResponse(response, http::status::not_found, "text/plain", "no such page\n");
     }
--- a/src/proxy/entryserver.cpp
+++ b/src/proxy/entryserver.cpp
@@ -58,6 +58,11 @@
     return text;
 }
 
+std::string EntryServer::explain(const Core::RouteQuery &query) const
+{
+    return this->implementation->host->core().explain(query, monotonicNow());
+}
+
 void EntryServer::updateEpochs(const Control::KeyEpochs &keyEpochs)
 {
     if (auto *keys = this->implementation->host->keys()) {
