--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -287,7 +287,7 @@
         weights += part.weight;
     }
     std::optional<Verdict> best;
-    Json services = Json::array();
+    Json serviceList = Json::array();
     for (const auto &part : parts) {
         const auto &service = *this->services[part.service];
         const auto request = this->probeOf(*target, part.service, customer);
@@ -297,7 +297,7 @@
         for (const auto index : service.pool.configured()) {
             upstreams.push_back(describe(service.pool, index, draws, at));
         }
-        services.push_back(Json{{"service", service.service.name},
+        serviceList.push_back(Json{{"service", service.service.name},
                                 {"weight_percent", percentOf(part.weight, weights)},
                                 {"decision", std::string(toString(verdict.decision))},
                                 {"rejection", toJson(verdict.rejection)},
@@ -305,7 +305,7 @@
                                 {"draws", draws.count},
                                 {"upstreams", std::move(upstreams)}});
     }
-    result["services"] = std::move(services);
+    result["services"] = std::move(serviceList);
     return finish(*best);
 }
 
