--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -298,12 +298,12 @@
             upstreams.push_back(describe(service.pool, index, draws, at));
         }
         serviceList.push_back(Json{{"service", service.service.name},
-                                {"weight_percent", percentOf(part.weight, weights)},
-                                {"decision", std::string(toString(verdict.decision))},
-                                {"rejection", toJson(verdict.rejection)},
-                                {"queued", service.queue.size()},
-                                {"draws", draws.count},
-                                {"upstreams", std::move(upstreams)}});
+                                   {"weight_percent", percentOf(part.weight, weights)},
+                                   {"decision", std::string(toString(verdict.decision))},
+                                   {"rejection", toJson(verdict.rejection)},
+                                   {"queued", service.queue.size()},
+                                   {"draws", draws.count},
+                                   {"upstreams", std::move(upstreams)}});
     }
     result["services"] = std::move(serviceList);
     return finish(*best);
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -38,7 +38,7 @@
     }
     try {
         const auto response = Net::fetchBlocking(parsed, makeRequest(query), Timeout);
-        const auto answer = json::parse(response.body, nullptr, false);
+        auto answer = json::parse(response.body, nullptr, false);
         if (response.status == StatusOk && answer.is_object()) {
             return answer;
         }
@@ -53,7 +53,7 @@
 
 std::string outcome(const json &part)
 {
-    const auto rejection = part.at("rejection");
+    const auto &rejection = part.at("rejection");
     return part.at("decision").get<std::string>()
            + (rejection.is_null() ? std::string() : " (" + rejection.get<std::string>() + ")");
 }
@@ -63,7 +63,7 @@
     out << "service   " << service.at("service").get<std::string>() << ", weight " << service.at("weight_percent")
         << "%: " << outcome(service) << ", " << service.at("queued") << " queued\n";
     for (const auto &upstream : service.at("upstreams")) {
-        const auto reason = upstream.at("reason");
+        const auto &reason = upstream.at("reason");
         out << "  " << std::setw(5) << upstream.at("share_percent").get<double>() << "%  "
             << upstream.at("id").get<std::string>() << "  data centre " << upstream.at("data_centre").get<std::string>()
             << ", " << upstream.at("slots") << " slots, " << upstream.at("in_flight") << " + "
