--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -2,6 +2,7 @@
 #define VERBENADOCK_FLEET_STOREFOLLOWER_H
 
 #include "verbenadock/discovery/directory.h"
+#include "verbenadock/fleet/configurationprogress.h"
 #include "verbenadock/fleet/recordcache.h"
 #include "verbenadock/mesh/message.h"
 #include "verbenadock/platform/storeclient.h"
@@ -105,17 +106,20 @@
     void applyRecords(Topic topic,
                       const std::vector<Platform::KeyedRecord> &records,
                       const StorePosition &end,
-                      bool complete);
+                      bool complete,
+                      RecordSource source);
     boost::asio::awaitable<bool> readNewest(Topic topic, Endpoint source);
     /// Reads the missing records from another VM.
     boost::asio::awaitable<bool> readFromPeer(Topic topic, Endpoint peer);
     boost::asio::awaitable<void> readFromRandomPeer(Topic topic);
     boost::asio::awaitable<void> sleepFor(Duration duration);
 
-    void applyConfiguration(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end);
+    void applyConfiguration(const std::vector<Platform::KeyedRecord> &records,
+                            const StorePosition &end,
+                            RecordSource source);
     void applyUpstreams(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end, bool complete);
     /// Applies a page that was read from an offset on; it may end before the end of the topic.
-    void applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page);
+    void applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page, RecordSource source);
     void apply(const Discovery::DirectoryEvent &event);
     RecordCache &cacheOf(Topic topic);
     const RecordCache &cacheOf(Topic topic) const;
@@ -141,6 +145,7 @@
     std::mt19937_64 random;
     Progress configurationProgress;
     Progress upstreamsProgress;
+    ConfigurationProgress newestConfiguration;
     /// Time of the first of the current failures; empty while the store answers.
     std::optional<TimePoint> failingSince;
     bool storeLost = false;
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -82,6 +82,7 @@
           Discovery::RetryAllowance{.attempts = storeSettings.retryAllowance, .window = storeSettings.retryWindow})
     , deadlineTimer(loop)
     , random(std::random_device{}())
+    , newestConfiguration(registry)
     , storeCalls(registry.counter("verbenadock_store_calls_total", "Calls to the platform's store."))
     , storeFailures(registry.counter("verbenadock_store_failures_total", "Calls without a usable answer."))
     , pagesFromPeers(registry.counter("verbenadock_store_relayed_total", "Pages read from other VMs."))
@@ -188,7 +189,7 @@
         if (page.era > from.era) {
             this->progressOf(topic).restartsFromNewest = true;
         } else {
-            this->applyPage(topic, from.offset, page);
+            this->applyPage(topic, from.offset, page, RecordSource::Store);
             const auto newRecords = this->cacheOf(topic).recordsFrom(from.offset);
             if (!page.records.empty() && newRecords) {
                 this->handlers.recordsRead(name, from.offset, *newRecords);
@@ -230,7 +231,7 @@
         if (newest.end < known) {
             throw Platform::PlatformError("the newest records end before the known ones");
         }
-        this->applyRecords(topic, newest.records, newest.end, true);
+        this->applyRecords(topic, newest.records, newest.end, true, fromStore ? RecordSource::Store : RecordSource::Vm);
         auto &progress = this->progressOf(topic);
         const bool isNewEra = progress.complete && newest.end.era > known.era;
         progress.complete = true;
@@ -267,7 +268,8 @@
 void StoreFollower::applyRecords(Topic topic,
                                  const std::vector<Platform::KeyedRecord> &records,
                                  const StorePosition &end,
-                                 bool complete)
+                                 bool complete,
+                                 RecordSource source)
 {
     if (complete) {
         this->cacheOf(topic).reset({.records = records, .end = end});
@@ -275,28 +277,44 @@
         this->cacheOf(topic).append(records, end.offset);
     }
     if (topic == Topic::Configuration) {
-        this->applyConfiguration(records, end);
+        this->applyConfiguration(records, end, source);
     } else {
         this->applyUpstreams(records, end, complete);
     }
 }
 
-void StoreFollower::applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page)
+void StoreFollower::applyPage(Topic topic, std::uint64_t from, const Platform::StoredPage &page, RecordSource source)
 {
     // The store states the end of the topic also in a page that it ended before, because of the page's size.
     const auto readEnd = std::min(page.end, from + page.records.size());
-    this->applyRecords(topic, decodeKeyed(page.records), {.era = page.era, .offset = readEnd}, false);
+    this->applyRecords(topic, decodeKeyed(page.records), {.era = page.era, .offset = readEnd}, false, source);
 }
 
-void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records, const StorePosition &end)
+void StoreFollower::applyConfiguration(const std::vector<Platform::KeyedRecord> &records,
+                                       const StorePosition &end,
+                                       RecordSource source)
 {
-    Discovery::ConfigurationRead event{.at = monotonicNow(), .records = {}, .end = end};
+    const auto versionInForce = [this] {
+        const auto &configuration = this->currentDirectory.operatorConfiguration();
+        return configuration ? configuration->version : 0;
+    };
+    const auto versionBefore = versionInForce();
+    ConfigurationSteps steps{.source = source, .received = monotonicNow()};
+    Discovery::ConfigurationRead event{.at = steps.received, .records = {}, .end = end};
     for (const auto &record : records) {
         if (record.key == Platform::ConfigurationKey) {
+            steps.bytes += record.value ? record.value->size() : 0;
             event.records.push_back(Platform::decodeConfiguration(record));
         }
     }
+    steps.decoded = monotonicNow();
     this->apply(event);
+    steps.applied = monotonicNow();
+    steps.version = versionInForce();
+    if (steps.version != versionBefore) {
+        logChange(LogLevel::Info, this->newestConfiguration.report(steps));
+    }
+    this->newestConfiguration.noteOwnEnd(this->nextPosition(Topic::Configuration));
 }
 
 void StoreFollower::applyUpstreams(const std::vector<Platform::KeyedRecord> &records,
--- a/src/fleet/storerelay.cpp
+++ b/src/fleet/storerelay.cpp
@@ -26,6 +26,7 @@
                                 const StorePosition &configurationEnd,
                                 const StorePosition &upstreamsEnd)
 {
+    this->newestConfiguration.noteNewestEnd(configurationEnd, this->nextPosition(Topic::Configuration), monotonicNow());
     const auto fetchMissing = [this, &peer](Topic topic, const StorePosition &end) {
         auto &progress = this->progressOf(topic);
         const auto next = this->nextPosition(topic);
@@ -79,7 +80,7 @@
             const auto from = this->nextPosition(topic);
             const auto page = co_await client.read(std::string(nameOf(topic)), from.offset, Duration(0));
             if (page.era == from.era) {
-                this->applyPage(topic, from.offset, page);
+                this->applyPage(topic, from.offset, page, RecordSource::Vm);
                 co_return true;
             }
         } catch (const Platform::PlatformError &error) {
@@ -120,7 +121,7 @@
         const auto next = this->nextPosition(topic);
         if (const auto newRecords = followingRecords(message, next)) {
             this->pushedMessages.add();
-            this->applyPage(topic, next.offset, *newRecords);
+            this->applyPage(topic, next.offset, *newRecords, RecordSource::Datagram);
         }
     }
 }
