Let all VMs of a data centre ask one VM for records at once

Cause: the administration port took 32 connections and reset the others; the larger deployments have up to 58 VMs in a data centre, which all ask a reader for a long record at the same moment. Change: 256 connections.

--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -12,8 +12,9 @@
 
 constexpr auto ConnectionTimeout = std::chrono::seconds(5);
 constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
-// Scrapers and operators need only a few connections; the limit reserves memory for the main work of the process.
-constexpr std::size_t MaxConnections = 32;
+// All VMs of a data centre may ask one VM for records at the same moment. The limit reserves memory for the main work
+// of the process.
+constexpr std::size_t MaxConnections = 256;
 // accept() fails immediately while no file descriptor is free; the delay prevents a busy loop.
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 
