Let a response with a long body take longer than the time-out of its call

Cause: one deadline covered a call as a whole. A record of 250 KB takes 0.2 s at 10 Mbit/s alone and several times as long beside callers, so that a time-out which is meant for a peer without a response ended calls that made progress, and their bytes were thrown away. Change: fetch() takes a limit for the body. The time-out covers the time to the head and each pause in the body. Callers without such a limit see no change. Measured: test_net passed; "fetch waits for a body with a limit of its own as long as it makes progress" has the case with one deadline, which fails.

--- a/include/verbenadock/net/httpclient.h
+++ b/include/verbenadock/net/httpclient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -33,9 +34,22 @@
     auto operator<=>(const HttpResponse &) const = default;
 };
 
+/// Limits and reports of a response with a body that may take long on a thin link.
+struct BodyProgress
+{
+    /// Time for the body from the head on, as long as no pause in it reaches the timeout of the call; zero to let the
+    /// timeout cover the whole call.
+    Duration limit{0};
+    /// Called when the head of the response has arrived.
+    std::function<void()> begun = {};
+};
+
 /// Opens a connection, sends one request and reads the complete response, at most 64 MiB. Throws NetError on any
 /// failure, including a timeout.
-boost::asio::awaitable<HttpResponse> fetch(Endpoint endpoint, HttpRequest request, Duration timeout);
+boost::asio::awaitable<HttpResponse> fetch(Endpoint endpoint,
+                                           HttpRequest request,
+                                           Duration timeout,
+                                           BodyProgress progress = {});
 
 /// Blocking variant of fetch() for programs without an event loop.
 HttpResponse fetchBlocking(const Endpoint &endpoint, const HttpRequest &request, Duration timeout);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -66,7 +66,27 @@
     return response;
 }
 
-asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Reads a body for which each pause has its own deadline, so that a slow link does not count as a dead peer.
+asio::awaitable<void> readBody(beast::tcp_stream &stream,
+                               beast::flat_buffer &buffer,
+                               ResponseParser &parser,
+                               Duration longestPause,
+                               Duration limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!parser.is_done()) {
+        stream.expires_at(std::min(std::chrono::steady_clock::now() + longestPause, end));
+        co_await http::async_read_some(stream, buffer, parser, asio::use_awaitable);
+    }
+}
+
+asio::awaitable<HttpResponse> exchange(beast::tcp_stream &stream,
+                                       const Endpoint &endpoint,
+                                       const HttpRequest &request,
+                                       Duration timeout,
+                                       const BodyProgress &progress)
 {
     co_await stream.async_connect(toAsio(endpoint), asio::use_awaitable);
     enableKeepAlive(stream.socket());
@@ -74,7 +94,7 @@
     co_await http::async_write(stream, message, asio::use_awaitable);
 
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(MaxResponseBytes);
     parser.header_limit(MaxHeaderBytes);
     parser.skip(request.method == "HEAD");
@@ -83,7 +103,12 @@
     if (parser.need_eof()) {
         throw NetError("the response has neither a Content-Length nor a chunked body");
     }
-    if (!parser.is_done()) {
+    if (progress.begun) {
+        progress.begun();
+    }
+    if (progress.limit > Duration(0)) {
+        co_await readBody(stream, buffer, parser, timeout, progress.limit);
+    } else if (!parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
     }
     co_return toResponse(parser.release());
@@ -91,15 +116,15 @@
 
 } // namespace
 
-asio::awaitable<HttpResponse> fetch(Endpoint endpoint, HttpRequest request, Duration timeout)
+asio::awaitable<HttpResponse> fetch(Endpoint endpoint, HttpRequest request, Duration timeout, BodyProgress progress)
 {
     const auto executor = co_await asio::this_coro::executor;
     beast::tcp_stream stream(executor);
-    // A single deadline covers connecting, writing and reading.
+    // A single deadline covers connecting, writing and reading, apart from a body with a limit of its own.
     stream.expires_after(timeout);
     const auto errorPrefix = request.method + " http://" + toString(endpoint) + request.target + ": ";
     try {
-        HttpResponse response = co_await exchange(stream, endpoint, request);
+        HttpResponse response = co_await exchange(stream, endpoint, request, timeout, progress);
         co_return response;
     } catch (const boost::system::system_error &error) {
         throw NetError(errorPrefix + error.code().message());
--- a/test/net/httptest.cpp
+++ b/test/net/httptest.cpp
@@ -5,7 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+
 #include <atomic>
+#include <future>
 #include <thread>
 #include <vector>
 
@@ -118,6 +121,45 @@
     CHECK(served == Vms);
 }
 
+// Guards against a long record that a VM with a thin link never gets, because its transfer takes longer than a time-out
+// that is meant for peers without a response.
+TEST_CASE("fetch waits for a body with a limit of its own as long as it makes progress")
+{
+    using namespace std::chrono_literals;
+    constexpr int Parts = 10;
+    constexpr Duration Pause = 50ms;
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const Endpoint endpoint{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+    const auto fetchSlowly = [&](Duration timeout, Duration limit) {
+        std::thread server([&] {
+            Tcp::socket socket(context);
+            boost::system::error_code error;
+            acceptor.accept(socket, error);
+            const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Parts) + "\r\n\r\n";
+            boost::asio::write(socket, boost::asio::buffer(head), error);
+            for (int part = 0; part < Parts && !error; ++part) {
+                std::this_thread::sleep_for(Pause);
+                boost::asio::write(socket, boost::asio::buffer("x", 1), error);
+            }
+        });
+        std::promise<std::size_t> length;
+        boost::asio::io_context loop;
+        boost::asio::co_spawn(loop,
+                              Net::fetch(endpoint, {}, timeout, {.limit = limit}),
+                              [&length](const std::exception_ptr &failure, const Net::HttpResponse &response) {
+                                  failure ? length.set_exception(failure) : length.set_value(response.body.size());
+                              });
+        loop.run();
+        server.join();
+        return length.get_future().get();
+    };
+    CHECK(fetchSlowly(400ms, 3s) == Parts);
+    CHECK_THROWS_AS(fetchSlowly(400ms, Duration(0)), Net::NetError);
+    CHECK_THROWS_AS(fetchSlowly(400ms, 200ms), Net::NetError);
+    CHECK_THROWS_AS(fetchSlowly(20ms, 3s), Net::NetError);
+}
+
 // Guards against a truncated response of the log that is taken for a complete one.
 TEST_CASE("fetch accepts only complete responses")
 {
