Keep a reader in its role while a long record is on its way to it

Cause: a call to the store counted as unanswered 250 ms after its longest wait, and failed 700 ms after it, also when the answer had begun. A record of 250 KB takes 0.2 s at 10 Mbit/s without other traffic, so that readers with thin links told the others that they had no answer, and up to eight more VMs of their data centre began to read the same record over links as thin. Change: the time for an answer ends at its head; 500 ms then count for the rest, and the rest may take 1.5 s as long as it makes progress. Pages of other VMs may take 500 ms in the same way.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -75,8 +75,11 @@
         Upstreams,
     };
 
-    /// Time for a page from another VM.
+    /// Time for the beginning of a page from another VM, and for each pause in it.
     static constexpr Duration PeerTimeout = std::chrono::milliseconds(300);
+    /// Time for a page from another VM once it has begun. After it the store is asked, and the configuration still has
+    /// to be in force in time.
+    static constexpr Duration PeerBodyLimit = std::chrono::milliseconds(500);
 
     /// State of reading one topic.
     struct Progress
@@ -130,6 +133,9 @@
     void confirmConfiguration(Topic topic, const StorePosition &storeEnd) const;
     /// Starts the time of a call; the timer has to live until the call ends.
     void beginStoreCall(Topic topic, Duration wait, boost::asio::steady_timer &overdueTimer);
+    /// Notes that the answer of the running call has begun, and starts the time for the rest of it.
+    void noteAnswerBegun(Topic topic, boost::asio::steady_timer &overdueTimer);
+    void setOverdueTime(Topic topic, Duration limit, boost::asio::steady_timer &overdueTimer);
     /// Notes the result of a call; the failure is empty for an answer.
     void endStoreCall(Topic topic, const std::string &failure);
     void scheduleDeadline();
--- a/include/verbenadock/platform/storeclient.h
+++ b/include/verbenadock/platform/storeclient.h
@@ -12,6 +12,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -96,27 +97,41 @@
 std::optional<KeyedRecord> splitKeyed(const StoredRecord &record);
 std::string joinKeyed(std::string_view key, std::string_view value);
 
+struct ReadOptions
+{
+    /// Maximum time for which the store waits for the first record.
+    Duration wait{0};
+    /// Size in KiB after which the store ends the page; empty for the store's own limit.
+    std::optional<std::uint64_t> maxKibibytes = {};
+    /// Called when the head of the answer has arrived.
+    std::function<void()> answerBegun = {};
+};
+
 /// Client of the platform's store, for partition 0 of each topic. Each call opens a new connection, because a
 /// connection with a lost response delivers no further responses.
 class StoreClient
 {
 public:
-    StoreClient(Endpoint store, Duration answerTimeout);
+    /// `bodyLimit` is the time that an answer may take once it has begun, as long as it makes progress; zero to let the
+    /// time-out cover the whole call.
+    StoreClient(Endpoint store, Duration answerTimeout, Duration bodyLimit = Duration(0));
 
     /// Returns the offset of the record. Throws AppendConflict when `expectedEnd` is set and is not the end offset.
     boost::asio::awaitable<std::uint64_t> append(std::string topic,
                                                  std::string record,
                                                  std::optional<std::uint64_t> expectedEnd = {}) const;
 
-    /// Reads records from the offset on; waits up to `wait` for the first one. Throws HistoryGone.
-    boost::asio::awaitable<StoredPage> read(std::string topic, std::uint64_t from, Duration wait) const;
+    /// Reads records from the offset on. Throws HistoryGone.
+    boost::asio::awaitable<StoredPage> read(std::string topic, std::uint64_t from, ReadOptions options = {}) const;
 
-    /// Reads all keys. Throws PlatformError also if the store returns from an older copy in between.
-    boost::asio::awaitable<NewestRecords> newest(std::string topic) const;
+    /// Reads all keys. Calls `answerBegun` when the head of an answer has arrived. Throws PlatformError also if the
+    /// store returns from an older copy in between.
+    boost::asio::awaitable<NewestRecords> newest(std::string topic, std::function<void()> answerBegun = {}) const;
 
 private:
     Endpoint service;
     Duration timeout;
+    Duration bodyTimeLimit;
 };
 
 /// Response to newest(), for entries that forward records to each other.
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -23,11 +23,16 @@
 
 /// The store answers within 4 ms, under load within 250 ms. A removed upstream has to be known within 2 s.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(700);
+/// Time for an answer of the store once it has begun. A record of the store's maximum size takes 0.2 s at 10 Mbit/s,
+/// and several times as long while callers use the link.
+constexpr Duration StoreBodyLimit = std::chrono::milliseconds(1500);
 /// Maximum time that a call waits for new records. With a longer wait, a dead connection would be detected too late.
 constexpr Duration LongPollTime = std::chrono::milliseconds(1000);
 /// Time that the store takes for an answer under load. After it the call counts as unanswered for the other VMs, which
 /// then read for themselves, long before the call fails.
 constexpr Duration AnswerTime = std::chrono::milliseconds(250);
+/// Time for the rest of an answer that has begun, after which the call counts as unanswered in the same way.
+constexpr Duration BodyTime = std::chrono::milliseconds(500);
 /// Initial backoff after a failed call; other VMs are asked in the meantime.
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(400);
 /// Limit of the exponential backoff. A VM with a shorter delay notices the return of the store and tells the others.
@@ -77,7 +82,7 @@
     : context(loop)
     , settings(storeSettings)
     , handlers(std::move(callbacks))
-    , store(storeSettings.endpoint, StoreTimeout)
+    , store(storeSettings.endpoint, StoreTimeout, StoreBodyLimit)
     , currentDirectory(
           Discovery::RetryAllowance{.attempts = storeSettings.retryAllowance, .window = storeSettings.retryWindow})
     , deadlineTimer(loop)
@@ -182,7 +187,10 @@
         // The first call is answered at once, so that the other VMs soon know whether they can rely on this one.
         const auto wait = this->progressOf(topic).answered ? LongPollTime : Duration(0);
         this->beginStoreCall(topic, wait, overdueTimer);
-        const auto page = co_await this->store.read(name, from.offset, wait);
+        Platform::ReadOptions options{.wait = wait, .answerBegun = [&] {
+                                          this->noteAnswerBegun(topic, overdueTimer);
+                                      }};
+        const auto page = co_await this->store.read(name, from.offset, std::move(options));
         if (page.era < from.era) {
             throw Platform::PlatformError("the store answered from an earlier era");
         }
@@ -225,9 +233,13 @@
         } else {
             this->pagesFromPeers.add();
         }
-        const Platform::StoreClient client(source, fromStore ? StoreTimeout : PeerTimeout);
+        const auto client = fromStore ? this->store : Platform::StoreClient(source, PeerTimeout, PeerBodyLimit);
         const auto known = this->nextPosition(topic);
-        const auto newest = co_await client.newest(name);
+        const auto newest = co_await client.newest(name, [&] {
+            if (fromStore) {
+                this->noteAnswerBegun(topic, overdueTimer);
+            }
+        });
         if (newest.end < known) {
             throw Platform::PlatformError("the newest records end before the known ones");
         }
@@ -345,7 +357,16 @@
 void StoreFollower::beginStoreCall(Topic topic, Duration wait, asio::steady_timer &overdueTimer)
 {
     this->storeCalls.add();
-    const auto limit = wait + AnswerTime;
+    this->setOverdueTime(topic, wait + AnswerTime, overdueTimer);
+}
+
+void StoreFollower::noteAnswerBegun(Topic topic, asio::steady_timer &overdueTimer)
+{
+    this->setOverdueTime(topic, BodyTime, overdueTimer);
+}
+
+void StoreFollower::setOverdueTime(Topic topic, Duration limit, asio::steady_timer &overdueTimer)
+{
     this->progressOf(topic).overdueAt = monotonicNow() + limit;
     overdueTimer.expires_after(limit);
     overdueTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
--- a/src/fleet/storerelay.cpp
+++ b/src/fleet/storerelay.cpp
@@ -76,9 +76,9 @@
     if (this->progressOf(topic).complete) {
         try {
             this->pagesFromPeers.add();
-            const Platform::StoreClient client(peer, PeerTimeout);
+            const Platform::StoreClient client(peer, PeerTimeout, PeerBodyLimit);
             const auto from = this->nextPosition(topic);
-            const auto page = co_await client.read(std::string(nameOf(topic)), from.offset, Duration(0));
+            const auto page = co_await client.read(std::string(nameOf(topic)), from.offset);
             if (page.era == from.era) {
                 this->applyPage(topic, from.offset, page, RecordSource::Vm);
                 co_return true;
