Skip versions of the configuration that were replaced already

Cause: a VM that lacked several versions read all of them, and decoded and applied each. A page of the store holds up to four versions of 250 KB, 1 MB, which takes 0.84 s at 10 Mbit/s; the time-out was 0.7 s, so that a VM on a thin link could not read any of them. Change: a VM that knows that it lacks more than one record reads the newest one. A page of the configuration has at most one version of the store's maximum size, and only the newest version of a page is decoded, or the newest that can be read.

--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -138,6 +138,8 @@
     std::optional<StorePosition> configurationPosition() const;
     /// Reports a configuration that is newer than the one at `previous`, if it is too long for a datagram.
     void announceConfiguration(const std::optional<StorePosition> &previous);
+    /// Whether older records than the newest one are missing, too, which have been replaced.
+    bool lacksReplacedRecords(Topic topic) const;
     boost::asio::awaitable<void> sleepFor(Duration duration);
 
     void applyConfiguration(const std::vector<Platform::KeyedRecord> &records,
--- a/src/fleet/configurationrelay.cpp
+++ b/src/fleet/configurationrelay.cpp
@@ -29,6 +29,13 @@
     return StorePosition{.era = this->configurationRecords.endPosition().era, .offset = newest->offset};
 }
 
+bool StoreFollower::lacksReplacedRecords(Topic topic) const
+{
+    const auto &newest = this->newestConfiguration.newestEnd();
+    const auto next = this->nextPosition(Topic::Configuration);
+    return topic == Topic::Configuration && newest.era == next.era && newest.offset > next.offset + 1;
+}
+
 void StoreFollower::announceConfiguration(const std::optional<StorePosition> &previous)
 {
     const auto *newest = this->configurationRecords.newestOf(std::string(Platform::ConfigurationKey));
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -40,6 +40,8 @@
 /// Upstreams often register in sequence. A delay after a record lets the next call return several records. The delay is
 /// short compared to the 2 s within which a change has to be in force.
 constexpr Duration BatchDelay = std::chrono::milliseconds(400);
+/// The store's limit for a record is 256 KiB. Of several long versions all but the last have been replaced.
+constexpr std::uint64_t MaxConfigurationPageKibibytes = 320;
 /// The store is reported as lost after failing for this long. A single lost answer is no outage.
 constexpr Duration LossThreshold = std::chrono::seconds(1);
 
@@ -177,7 +179,8 @@
 
 asio::awaitable<bool> StoreFollower::readNext(Topic topic)
 {
-    if (!this->progressOf(topic).complete || this->progressOf(topic).restartsFromNewest) {
+    if (!this->progressOf(topic).complete || this->progressOf(topic).restartsFromNewest
+        || this->lacksReplacedRecords(topic)) {
         co_return co_await this->readNewest(topic, this->settings.endpoint);
     }
     std::string failure;
@@ -191,6 +194,9 @@
         Platform::ReadOptions options{.wait = wait, .answerBegun = [&] {
                                           this->noteAnswerBegun(topic, overdueTimer);
                                       }};
+        if (topic == Topic::Configuration) {
+            options.maxKibibytes = MaxConfigurationPageKibibytes;
+        }
         const auto page = co_await this->store.read(name, from.offset, std::move(options));
         if (page.era < from.era) {
             throw Platform::PlatformError("the store answered from an earlier era");
@@ -202,6 +208,8 @@
             this->applyPage(topic, from.offset, page, RecordSource::Store);
             if (topic == Topic::Configuration) {
                 this->announceConfiguration(previous);
+                this->newestConfiguration.noteNewestEnd(
+                    {.era = page.era, .offset = page.end}, this->nextPosition(topic), monotonicNow());
             }
             const auto newRecords = this->cacheOf(topic).recordsFrom(from.offset);
             if (!page.records.empty() && newRecords) {
@@ -318,10 +326,15 @@
     const auto versionBefore = versionInForce();
     ConfigurationSteps steps{.source = source, .received = monotonicNow()};
     Discovery::ConfigurationRead event{.at = steps.received, .records = {}, .end = end};
-    for (const auto &record : records) {
-        if (record.key == Platform::ConfigurationKey) {
-            steps.bytes += record.value ? record.value->size() : 0;
-            event.records.push_back(Platform::decodeConfiguration(record));
+    // A version that another one of the same page replaces would be in force for no time.
+    for (auto record = records.rbegin(); record != records.rend(); ++record) {
+        if (record->key != Platform::ConfigurationKey) {
+            continue;
+        }
+        steps.bytes += record->value ? record->value->size() : 0;
+        event.records.insert(event.records.begin(), Platform::decodeConfiguration(*record));
+        if (std::holds_alternative<Discovery::OperatorConfiguration>(event.records.front().content)) {
+            break;
         }
     }
     steps.decoded = monotonicNow();
--- a/test/fleet/largeconfigurationtest.cpp
+++ b/test/fleet/largeconfigurationtest.cpp
@@ -120,6 +120,26 @@
     CHECK(vms.readerPort.servedBytes() < sizeOf(changed) / 4);
 }
 
+// Guards against a VM that never catches up with the store on a thin link, because each of its pages has several large
+// versions of which all but the last were replaced.
+TEST_CASE("a VM that reads several large versions from the store takes the newest one only")
+{
+    ReaderAndFollower vms;
+    const auto servedBefore = vms.store.servedBytes();
+    const PageServer busy(vms.loop, [](std::string_view) -> std::optional<Net::AdminPage> {
+        return std::nullopt;
+    });
+    vms.reader->stop();
+    std::uint64_t version = 1;
+    for (std::uint64_t offset = 1; offset < 5; ++offset) {
+        vms.store.write(largeConfiguration(offset, ++version));
+    }
+    vms.follower->catchUpFrom(busy.endpoint(), {.offset = 5}, {});
+    CHECK(vms.runUntilVersion(*vms.follower, version));
+    // The newest records of all keys are in base64, which adds a third.
+    CHECK(vms.store.servedBytes() - servedBefore < 2 * sizeOf(largeConfiguration(1, 2)));
+}
+
 // Guards against VMs that start without a configuration while the store is away, although others have it.
 TEST_CASE("a VM that starts while the store does not answer gets a large configuration compressed from another one")
 {
