Deny a route only while the configuration is the newest one

Cause: a VM answered 404 for a route that its configuration lacks, whatever it knew of newer configurations. For unknown keys (401) it checked whether the store had confirmed its configuration within 1.5 s, but not whether it had heard of a newer one since. Change: such a request gets 503 configuration-outdated with Retry-After, which says that it has not run, unless the configuration is confirmed and no newer one is known (ConfigurationSuperseded). Another VM may have the route. Fleets with agents have no confirmations and answer 404 as before.

--- a/include/verbenadock/core/event.h
+++ b/include/verbenadock/core/event.h
@@ -198,6 +198,16 @@
     auto operator<=>(const ConfigurationConfirmed &) const = default;
 };
 
+/// This entry heard of a newer configuration, or has all that it heard of.
+struct ConfigurationSuperseded
+{
+    TimePoint at;
+    /// Whether the configuration in force has been replaced.
+    bool superseded = true;
+
+    auto operator<=>(const ConfigurationSuperseded &) const = default;
+};
+
 /// Answer to the effect ReserveAllowance.
 struct AllowanceDecided
 {
@@ -251,6 +261,7 @@
                            DataCentreLoadChanged,
                            ReserveUsed,
                            ConfigurationConfirmed,
+                           ConfigurationSuperseded,
                            AllowanceDecided,
                            TimerExpired,
                            ShutdownRequested>;
--- a/include/verbenadock/core/reducer.h
+++ b/include/verbenadock/core/reducer.h
@@ -24,6 +24,9 @@
     /// Time since the last confirmation of the configuration after which requests that need a key are rejected. When
     /// empty, the configuration in force is used whatever its age.
     std::optional<Duration> revocation = std::nullopt;
+    /// Whether the source of the configuration confirms it (ConfigurationConfirmed). A request without a route is then
+    /// told that no such route exists only while the configuration in force is known to be the newest one.
+    bool confirmsConfiguration = false;
 
     auto operator<=>(const ReducerSettings &) const = default;
 };
--- a/include/verbenadock/fleet/configurationprogress.h
+++ b/include/verbenadock/fleet/configurationprogress.h
@@ -50,8 +50,8 @@
     /// this call.
     bool noteNewestEnd(const StorePosition &newest, const StorePosition &own, TimePoint now);
 
-    /// Notes that this VM has read up to `own`.
-    void noteOwnEnd(const StorePosition &own);
+    /// Notes that this VM has read up to `own`. Returns whether this VM was behind until this call.
+    bool noteOwnEnd(const StorePosition &own);
 
     /// Records the steps of a configuration and returns them as a log line. To be called before noteOwnEnd().
     std::string report(const ConfigurationSteps &steps);
--- a/include/verbenadock/fleet/fleetlink.h
+++ b/include/verbenadock/fleet/fleetlink.h
@@ -44,6 +44,7 @@
         std::function<void(const Core::ReserveUsed &)> reserveUsed;
         std::function<void(const Core::DataCentreLoadChanged &)> dataCentreLoadChanged;
         std::function<void(const Core::ConfigurationConfirmed &)> configurationConfirmed = {};
+        std::function<void(const Core::ConfigurationSuperseded &)> configurationSuperseded = {};
         std::function<void(const Core::AllowanceDecided &)> allowanceDecided;
     };
 
--- a/include/verbenadock/fleet/storefollower.h
+++ b/include/verbenadock/fleet/storefollower.h
@@ -48,6 +48,8 @@
         std::function<void(std::uint64_t era)> eraBegun;
         /// The store answered that this VM has the newest configuration.
         std::function<void()> configurationConfirmed = {};
+        /// This VM heard of a configuration that it does not have (true), or has all that it heard of again (false).
+        std::function<void(bool superseded)> configurationSuperseded = {};
     };
 
     StoreFollower(boost::asio::io_context &loop,
@@ -138,6 +140,8 @@
     std::optional<StorePosition> configurationPosition() const;
     /// Reports a configuration that is newer than the one at `previous`, if it is too long for a datagram.
     void announceConfiguration(const std::optional<StorePosition> &previous);
+    /// Notes the end of the configuration's topic that the store or another VM stated.
+    void noteConfigurationEnd(const StorePosition &end);
     /// Whether older records than the newest one are missing, too, which have been replaced.
     bool lacksReplacedRecords(Topic topic) const;
     boost::asio::awaitable<void> sleepFor(Duration duration);
--- a/src/core/arrivals.cpp
+++ b/src/core/arrivals.cpp
@@ -68,6 +68,26 @@
                                               .seen = std::move(seen)});
 }
 
+void Engine::rejectUnrouted(const RequestArrived &event)
+{
+    if (this->missingRouteReason(this->now) == RejectionReason::NoRoute) {
+        this->reject(event.request, NotFound, RejectionReason::NoRoute);
+    } else {
+        this->reject(event.request,
+                     ServiceUnavailable,
+                     RejectionReason::ConfigurationOutdated,
+                     this->retryAfter(event.timeLeft));
+    }
+}
+
+RejectionReason Engine::missingRouteReason(TimePoint at) const
+{
+    // A newer configuration may contain the route.
+    return this->settings.confirmsConfiguration && !this->hasNewestConfiguration(at)
+               ? RejectionReason::ConfigurationOutdated
+               : RejectionReason::NoRoute;
+}
+
 std::optional<RouteTarget> Engine::admit(const RequestArrived &event)
 {
     if (!this->configuration) {
@@ -82,7 +102,7 @@
     }
     auto target = this->routes->find(event.host, event.method, event.target);
     if (!target) {
-        this->reject(event.request, NotFound, RejectionReason::NoRoute);
+        this->rejectUnrouted(event);
         return std::nullopt;
     }
     if (!this->admitCustomer(event, *target)) {
--- a/src/core/customeraccess.cpp
+++ b/src/core/customeraccess.cpp
@@ -23,6 +23,17 @@
 void Engine::on(const ConfigurationConfirmed &event)
 {
     this->confirmedAt = event.at;
+    this->isSuperseded = false;
+}
+
+void Engine::on(const ConfigurationSuperseded &event)
+{
+    this->isSuperseded = event.superseded;
+}
+
+bool Engine::hasNewestConfiguration(TimePoint at) const
+{
+    return !this->isSuperseded && this->confirmedWithin(ConfirmationLifetime, at);
 }
 
 bool Engine::confirmedWithin(Duration limit, TimePoint at) const
@@ -51,8 +62,8 @@
         access.refusal = RejectionReason::ConfigurationOutdated;
     } else if (!access.customer) {
         // A newer configuration may contain the key.
-        access.refusal = this->confirmedWithin(ConfirmationLifetime, at) ? RejectionReason::UnknownKey
-                                                                         : RejectionReason::ConfigurationOutdated;
+        access.refusal
+            = this->hasNewestConfiguration(at) ? RejectionReason::UnknownKey : RejectionReason::ConfigurationOutdated;
     }
     return access;
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -103,6 +103,7 @@
     void on(const DataCentreLoadChanged &event);
     void on(const ReserveUsed &event);
     void on(const ConfigurationConfirmed &event);
+    void on(const ConfigurationSuperseded &event);
     void on(const AllowanceDecided &event);
     void on(const TimerExpired &event);
     void on(const ShutdownRequested &event);
@@ -110,6 +111,11 @@
     // customeraccess.cpp
     static constexpr unsigned Unauthorized = 401;
     static constexpr unsigned ServiceUnavailable = 503;
+    /// Rejects a request for which the configuration in force has no route.
+    void rejectUnrouted(const RequestArrived &event);
+    RejectionReason missingRouteReason(TimePoint at) const;
+    /// Whether the configuration was the newest one of the store until shortly before.
+    bool hasNewestConfiguration(TimePoint at) const;
     /// Whether the configuration was the newest one of the store at most this long ago.
     bool confirmedWithin(Duration limit, TimePoint at) const;
     CustomerAccess accessOf(const std::string &bundle,
@@ -285,6 +291,8 @@
     std::map<std::string, TimePoint> bundlesInForceSince;
     /// Last time at which the configuration in force was known to be the newest one.
     std::optional<TimePoint> confirmedAt;
+    /// This entry heard of a newer configuration than the one in force.
+    bool isSuperseded = false;
     /// By name of the bundle; only bundles with customers.
     std::map<std::string, CustomerTable> customers;
     std::optional<TimePoint> leavingAt;
--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -267,7 +267,7 @@
     }
     const auto target = this->routes->find(query.host, query.method, query.path);
     if (!target) {
-        return finish({.rejection = RejectionReason::NoRoute});
+        return finish({.rejection = this->missingRouteReason(at)});
     }
     const auto &bundle = this->configuration->bundles[target->bundle];
     const auto *customer = findCustomer(bundle, query.customer);
--- a/src/core/sessionfields.h
+++ b/src/core/sessionfields.h
@@ -41,10 +41,12 @@
 inline constexpr bool WritesDefaults<Terminate> = true;
 
 template<>
-inline constexpr std::tuple FieldsOf<ReducerSettings>{Field{"data_centre", &ReducerSettings::dataCentre},
-                                                      Field{"seed", &ReducerSettings::seed},
-                                                      Field{"request_limit", &ReducerSettings::requestLimit},
-                                                      Field{"revocation", &ReducerSettings::revocation}};
+inline constexpr std::tuple FieldsOf<ReducerSettings>{
+    Field{"data_centre", &ReducerSettings::dataCentre},
+    Field{"seed", &ReducerSettings::seed},
+    Field{"request_limit", &ReducerSettings::requestLimit},
+    Field{"revocation", &ReducerSettings::revocation},
+    Field{"confirms_configuration", &ReducerSettings::confirmsConfiguration}};
 template<>
 inline constexpr std::tuple FieldsOf<UpstreamKey>{Field{"bundle", &UpstreamKey::bundle},
                                                   Field{"service", &UpstreamKey::service},
@@ -242,6 +244,12 @@
 template<>
 inline constexpr std::tuple FieldsOf<ConfigurationConfirmed>{Field{"at", &ConfigurationConfirmed::at}};
 template<>
+inline constexpr std::string_view NameOf<ConfigurationSuperseded> = "ConfigurationSuperseded";
+template<>
+inline constexpr std::tuple FieldsOf<ConfigurationSuperseded>{
+    Field{"at", &ConfigurationSuperseded::at},
+    Field{"superseded", &ConfigurationSuperseded::superseded}};
+template<>
 inline constexpr std::string_view NameOf<AllowanceDecided> = "AllowanceDecided";
 template<>
 inline constexpr std::tuple FieldsOf<AllowanceDecided>{Field{"at", &AllowanceDecided::at},
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -52,6 +52,7 @@
     }
     options.instance = settings.process.vmId + "-" + std::to_string(incarnation);
     if (settings.store) {
+        options.reducer.confirmsConfiguration = true;
         options.dialect = Platform::platformDialect();
         return options;
     }
@@ -241,6 +242,9 @@
     handlers.configurationConfirmed = [this](const Core::ConfigurationConfirmed &event) {
         this->server->apply(event);
     };
+    handlers.configurationSuperseded = [this](const Core::ConfigurationSuperseded &event) {
+        this->server->apply(event);
+    };
     this->fleet = std::make_shared<Fleet::FleetLink>(
         this->context, this->settings, incarnation, this->registry, std::move(handlers));
     this->fleet->start();
--- a/src/fleet/configurationprogress.cpp
+++ b/src/fleet/configurationprogress.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace Verbenadock::Fleet {
 
@@ -60,13 +61,14 @@
     return true;
 }
 
-void ConfigurationProgress::noteOwnEnd(const StorePosition &own)
+bool ConfigurationProgress::noteOwnEnd(const StorePosition &own)
 {
-    if (this->newest <= own) {
-        this->newest = own;
-        this->behindSince.reset();
-        this->behind.set(0);
+    if (this->newest > own) {
+        return false;
     }
+    this->newest = own;
+    this->behind.set(0);
+    return std::exchange(this->behindSince, std::nullopt).has_value();
 }
 
 std::string ConfigurationProgress::report(const ConfigurationSteps &steps)
--- a/src/fleet/configurationrelay.cpp
+++ b/src/fleet/configurationrelay.cpp
@@ -29,6 +29,14 @@
     return StorePosition{.era = this->configurationRecords.endPosition().era, .offset = newest->offset};
 }
 
+void StoreFollower::noteConfigurationEnd(const StorePosition &end)
+{
+    const auto own = this->nextPosition(Topic::Configuration);
+    if (this->newestConfiguration.noteNewestEnd(end, own, monotonicNow()) && this->handlers.configurationSuperseded) {
+        this->handlers.configurationSuperseded(true);
+    }
+}
+
 bool StoreFollower::lacksReplacedRecords(Topic topic) const
 {
     const auto &newest = this->newestConfiguration.newestEnd();
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -128,6 +128,12 @@
             .configurationConfirmed =
                 [this] {
                     this->confirmConfiguration();
+                },
+            .configurationSuperseded =
+                [this](bool superseded) {
+                    if (this->handlers.configurationSuperseded) {
+                        this->handlers.configurationSuperseded({.at = monotonicNow(), .superseded = superseded});
+                    }
                 }};
 }
 
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -208,8 +208,7 @@
             this->applyPage(topic, from.offset, page, RecordSource::Store);
             if (topic == Topic::Configuration) {
                 this->announceConfiguration(previous);
-                this->newestConfiguration.noteNewestEnd(
-                    {.era = page.era, .offset = page.end}, this->nextPosition(topic), monotonicNow());
+                this->noteConfigurationEnd({.era = page.era, .offset = page.end});
             }
             const auto newRecords = this->cacheOf(topic).recordsFrom(from.offset);
             if (!page.records.empty() && newRecords) {
@@ -344,7 +343,10 @@
     if (steps.version != versionBefore) {
         logChange(LogLevel::Info, this->newestConfiguration.report(steps));
     }
-    this->newestConfiguration.noteOwnEnd(this->nextPosition(Topic::Configuration));
+    if (this->newestConfiguration.noteOwnEnd(this->nextPosition(Topic::Configuration))
+        && this->handlers.configurationSuperseded) {
+        this->handlers.configurationSuperseded(false);
+    }
 }
 
 void StoreFollower::applyUpstreams(const std::vector<Platform::KeyedRecord> &records,
--- a/src/fleet/storerelay.cpp
+++ b/src/fleet/storerelay.cpp
@@ -26,7 +26,7 @@
                                 const StorePosition &configurationEnd,
                                 const StorePosition &upstreamsEnd)
 {
-    this->newestConfiguration.noteNewestEnd(configurationEnd, this->nextPosition(Topic::Configuration), monotonicNow());
+    this->noteConfigurationEnd(configurationEnd);
     const auto fetchMissing = [this, &peer](Topic topic, const StorePosition &end) {
         auto &progress = this->progressOf(topic);
         const auto next = this->nextPosition(topic);
--- a/test/core/customerkeystest.cpp
+++ b/test/core/customerkeystest.cpp
@@ -401,3 +401,14 @@
     });
     CHECK(holds);
 }
+
+// Guards against a 401 for a key of a newer configuration that this entry knows of and does not have yet.
+TEST_CASE("an unknown key gets 503 from when a newer configuration is known until it is in force")
+{
+    auto reducer = makeReducer(withCustomers({customer("first", {"key"})}));
+    reducer.apply(ConfigurationSuperseded{.at = at(100)});
+    CHECK(answered(reducer.apply(keyedArrival(1, "GET", "other", at(101)))).status == 503);
+    CHECK(started(reducer.apply(keyedArrival(2, "GET", "key", at(102)))).request == 2);
+    reducer.apply(ConfigurationSuperseded{.at = at(200), .superseded = false});
+    CHECK(answered(reducer.apply(keyedArrival(3, "GET", "other", at(201)))).status == 401);
+}
--- a/test/fleet/configurationprogresstest.cpp
+++ b/test/fleet/configurationprogresstest.cpp
@@ -22,9 +22,10 @@
                                        .decoded = start + 430ms,
                                        .applied = start + 450ms});
     CHECK(line == "configuration_steps version=9 source=vm bytes=1000 fetch_ms=400 decode_ms=30 apply_ms=20");
-    progress.noteOwnEnd({.offset = 3});
+    CHECK_FALSE(progress.noteOwnEnd({.offset = 3}));
     CHECK(registry.prometheusText().find("verbenadock_configuration_behind 1") != std::string::npos);
-    progress.noteOwnEnd({.offset = 4});
+    CHECK(progress.noteOwnEnd({.offset = 4}));
+    CHECK_FALSE(progress.noteOwnEnd({.offset = 5}));
     CHECK(registry.prometheusText().find("verbenadock_configuration_behind 0") != std::string::npos);
     CHECK(registry.prometheusText().find("verbenadock_configuration_version 9") != std::string::npos);
 }
--- a/test/fleet/fakestore.h
+++ b/test/fleet/fakestore.h
@@ -121,7 +121,8 @@
                                                    Telemetry::MetricsRegistry &registry,
                                                    bool isReader = false,
                                                    std::function<void()> configurationConfirmed = {},
-                                                   std::vector<Endpoint> peers = {})
+                                                   std::vector<Endpoint> peers = {},
+                                                   std::function<void(bool)> configurationSuperseded = {})
 {
     Settings::StoreSettings settings;
     settings.endpoint = store;
@@ -142,7 +143,8 @@
                                 .configurationPatched = [](auto &) {},
                                 .freshnessChanged = [] {},
                                 .eraBegun = [](auto) {},
-                                .configurationConfirmed = std::move(configurationConfirmed)});
+                                .configurationConfirmed = std::move(configurationConfirmed),
+                                .configurationSuperseded = std::move(configurationSuperseded)});
     follower->start();
     return follower;
 }
--- a/test/fleet/storefollowertest.cpp
+++ b/test/fleet/storefollowertest.cpp
@@ -223,3 +223,29 @@
     CHECK(stayedFresh);
     reader->stop();
 }
+
+// Guards against a VM that denies a route of a configuration of which it has only heard.
+TEST_CASE("a VM reports that its configuration is superseded from when it hears of a newer one until it has it")
+{
+    boost::asio::io_context loop;
+    Telemetry::MetricsRegistry registry;
+    FakeStore store(loop);
+    store.write(configurationRecord(0, 1, 0));
+    std::vector<std::pair<bool, std::uint64_t>> reports;
+    std::shared_ptr<StoreFollower> follower;
+    follower = makeFollower(loop, store.endpoint(), registry, false, {}, {}, [&](bool superseded) {
+        reports.emplace_back(superseded, versionOf(*follower));
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return versionOf(*follower) == 1;
+    }));
+    store.write(configurationRecord(1, 2, 0));
+    follower->catchUpFrom(store.endpoint(), {.offset = 1}, {});
+    CHECK(reports.empty());
+    follower->catchUpFrom(store.endpoint(), {.offset = 2}, {});
+    CHECK(runUntil(loop, [&] {
+        return versionOf(*follower) == 2;
+    }));
+    CHECK(reports == std::vector<std::pair<bool, std::uint64_t>>{{true, 1}, {false, 2}});
+    follower->stop();
+}
