Take records of several megabytes, and wait longer for the first ones

Cause: found while measuring the patches: the operators' configurations had up to 643 KB, more than the limit of the store for the system's own records. Patches had a window of 1 MiB and restored at most 1 MiB, and the cache could drop the only record that a patch needs. A VM that starts needs 860 KB of base64, 0.69 s at 10 Mbit/s, and all VMs may start at once and share the store's 80 MB/s. Change: the window follows the sizes of record and base, records up to 8 MiB are restored, the last replaced record is kept whatever its size, and a VM without records waits up to 5 s for an answer that makes progress.

--- a/src/fleet/recordcache.cpp
+++ b/src/fleet/recordcache.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t MaxTailRecords = 512;
 // A record may have 256 KiB, and small VMs have 160 MB of memory.
 constexpr std::size_t MaxTailBytes = 4 * 1024 * 1024;
+// Of the records outside the tail, at least the last one is kept.
 constexpr std::size_t MaxReplacedBytes = 1024 * 1024;
 
 } // namespace
@@ -49,7 +50,7 @@
     std::size_t bytes = 0;
     for (auto kept = this->replaced.rbegin(); kept != this->replaced.rend(); ++kept) {
         bytes += kept->value ? kept->value->size() : 0;
-        if (bytes > MaxReplacedBytes) {
+        if (bytes > MaxReplacedBytes && kept != this->replaced.rbegin()) {
             this->replaced.erase(this->replaced.begin(), kept.base());
             break;
         }
--- a/src/fleet/recordcompression.cpp
+++ b/src/fleet/recordcompression.cpp
@@ -4,16 +4,24 @@
 
 #include <zstd.h>
 
+#include <algorithm>
+#include <bit>
 #include <memory>
 
 namespace Verbenadock::Fleet::internal {
 
 namespace {
 
-/// Higher levels take many times as long for records of the store's maximum size, and save less than a tenth.
+/// Higher levels take many times as long for records of some 100 KB, and save less than a tenth.
 constexpr int CompressionLevel = 3;
-/// Covers a record of the store's maximum size and its base.
-constexpr int WindowLog = 20;
+
+/// Logarithm of the distance over which equal parts are found, so that it covers a record and its base.
+int windowLog(std::size_t bytes)
+{
+    constexpr int SmallestWindowLog = 18;
+    constexpr int LargestWindowLog = 24;
+    return std::clamp(static_cast<int>(std::bit_width(bytes)), SmallestWindowLog, LargestWindowLog);
+}
 
 std::size_t checked(std::size_t result)
 {
@@ -32,7 +40,7 @@
         throw CompressionError("record compression: no memory");
     }
     checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, CompressionLevel));
-    checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, WindowLog));
+    checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowLog(data.size() + base.size())));
     // Restoring with another base has to fail instead of giving other data.
     checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1));
     if (!base.empty()) {
--- a/src/fleet/recordcompression.h
+++ b/src/fleet/recordcompression.h
@@ -8,8 +8,8 @@
 
 namespace Verbenadock::Fleet::internal {
 
-/// Maximum size of a record in bytes that can be restored. The store's limit is a quarter of it.
-inline constexpr std::size_t MaxRecordBytes = 1024 * 1024;
+/// Maximum size in bytes of a record that can be restored. Bounds the memory that damaged bytes can take.
+inline constexpr std::size_t MaxRecordBytes = 8 * 1024 * 1024;
 
 /// Compresses the data of a record. Restoring it takes the same base, which may be empty; the more of the data the base
 /// contains, the shorter is the result. Throws CompressionError if the data cannot be compressed.
--- a/src/fleet/storefollower.cpp
+++ b/src/fleet/storefollower.cpp
@@ -23,9 +23,12 @@
 
 /// The store answers within 4 ms, under load within 250 ms. A removed upstream has to be known within 2 s.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(700);
-/// Time for an answer of the store once it has begun. A record of the store's maximum size takes 0.2 s at 10 Mbit/s,
-/// and several times as long while callers use the link.
+/// Time for an answer of the store once it has begun. A configuration of 640 KB takes 0.5 s at 10 Mbit/s, and longer
+/// while callers use the link.
 constexpr Duration StoreBodyLimit = std::chrono::milliseconds(1500);
+/// The same for a VM that has no records yet, and no callers. When all VMs start at once, they share what the store can
+/// send.
+constexpr Duration FirstBodyLimit = std::chrono::seconds(5);
 /// Maximum time that a call waits for new records. With a longer wait, a dead connection would be detected too late.
 constexpr Duration LongPollTime = std::chrono::milliseconds(1000);
 /// Time that the store takes for an answer under load. After it the call counts as unanswered for the other VMs, which
@@ -40,7 +43,7 @@
 /// Upstreams often register in sequence. A delay after a record lets the next call return several records. The delay is
 /// short compared to the 2 s within which a change has to be in force.
 constexpr Duration BatchDelay = std::chrono::milliseconds(400);
-/// The store's limit for a record is 256 KiB. Of several long versions all but the last have been replaced.
+/// Of several long versions in a page all but the last have been replaced. A longer record has a page of its own.
 constexpr std::uint64_t MaxConfigurationPageKibibytes = 320;
 /// The store is reported as lost after failing for this long. A single lost answer is no outage.
 constexpr Duration LossThreshold = std::chrono::seconds(1);
@@ -245,7 +248,9 @@
         } else {
             this->pagesFromPeers.add();
         }
-        const auto client = fromStore ? this->store : Platform::StoreClient(source, PeerTimeout, PeerBodyLimit);
+        const auto bodyLimit = this->progressOf(topic).complete ? StoreBodyLimit : FirstBodyLimit;
+        const auto client = fromStore ? Platform::StoreClient(source, StoreTimeout, bodyLimit)
+                                      : Platform::StoreClient(source, PeerTimeout, PeerBodyLimit);
         const auto known = this->nextPosition(topic);
         const auto newest = co_await client.newest(name, [&] {
             if (fromStore) {
--- a/test/fleet/recordpatchestest.cpp
+++ b/test/fleet/recordpatchestest.cpp
@@ -66,6 +66,20 @@
     CHECK(restoredRecord(std::get<Mesh::StoreRecordPatch>(*decoded), receiver) == third);
 }
 
+// Guards against changes that are sent as a whole because the record and its base exceed the window of the compression.
+TEST_CASE("a change of a configuration of more than a megabyte fits into a datagram")
+{
+    RecordCache cache;
+    const auto half = routes(4 * Routes, 1);
+    const auto otherHalf = routes(4 * Routes, 2);
+    cache.append({record(4, half + otherHalf), record(5, half + routes(1, 3) + otherHalf)}, 6);
+    auto patches = makePatches();
+    const auto patch = patches.patchFrom(cache, StorePosition{.offset = 4});
+    REQUIRE(patch);
+    CHECK(Mesh::encode(*patch).size() < MaxDatagramBytes);
+    CHECK(restoredRecord(*patch, cache) == record(5, half + routes(1, 3) + otherHalf));
+}
+
 TEST_CASE("a VM without the base gets the whole record, compressed")
 {
     RecordCache sender;
@@ -101,6 +115,7 @@
     patch->data.resize(patch->data.size() / 2);
     CHECK_FALSE(restoredRecord(*patch, sender));
     CHECK_FALSE(internal::restoreRecord("no compressed data", {}));
+    CHECK_FALSE(internal::restoreRecord("", {}));
     CHECK_FALSE(
         internal::restoreRecord(internal::compressRecord(std::string(internal::MaxRecordBytes + 1, 'x'), {}), {}));
 }
