Let a VM that does not know the others follow their readers

Cause: a VM learns which other VMs there are when it registers in the store. One that restarts while the store does not answer it is known to the others, which send it their heartbeats, but it ignored heartbeats of VMs that it did not know. Change: such a VM fetches from the address that sent the heartbeat.

--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -267,11 +267,12 @@
 void FleetLink::handle(const Mesh::StoreHeartbeat &heartbeat)
 {
     const auto address = this->members.addressOf(heartbeat.vm);
-    if (!address) {
-        return;
+    if (address) {
+        this->election.noteHeartbeat(heartbeat.vm, heartbeat.fresh, monotonicNow());
     }
-    this->election.noteHeartbeat(heartbeat.vm, heartbeat.fresh, monotonicNow());
-    this->follower->catchUpFrom({.address = *address, .port = this->settings.process.admin.port},
+    // A VM that restarts while the store turns it away does not know the others, although they know it.
+    this->follower->catchUpFrom({.address = address.value_or(this->senderEndpoint.address().to_string()),
+                                 .port = this->settings.process.admin.port},
                                 heartbeat.configurationEnd,
                                 heartbeat.upstreamsEnd);
     if (heartbeat.fresh && !this->members.isRemote(heartbeat.vm)
--- a/test/harness/storefleet.cpp
+++ b/test/harness/storefleet.cpp
@@ -208,7 +208,8 @@
             route(service.name, "/" + service.name + "/", service.name, service.name != "vydej", this->spec.timeoutS));
     }
     for (std::size_t number = 0; number < this->spec.paddingRoutes; ++number) {
-        const auto name = "padding" + std::to_string(number);
+        const auto name = "padding" + std::to_string(number)
+                          + (this->spec.replacesPadding ? "in" + std::to_string(version) : std::string());
         resources.push_back(route(name, "/" + name + "/", "vydej", false, this->spec.timeoutS));
     }
     const auto own = "v" + std::to_string(version);
--- a/test/harness/storefleet.h
+++ b/test/harness/storefleet.h
@@ -22,6 +22,8 @@
     double timeoutS = 2;
     /// Routes beside those that the tests use, which make the configuration long.
     std::size_t paddingRoutes = 0;
+    /// Whether these routes are others in each version.
+    bool replacesPadding = false;
     /// Further lines of the [store] table of the entries' settings.
     std::string store = {};
     /// Keys of the first configuration's customers, by name; without customers no request needs a key.
--- a/test/integration/largeconfigurationtest.cpp
+++ b/test/integration/largeconfigurationtest.cpp
@@ -72,3 +72,27 @@
         fleet.vms[vm].entry->signal(SIGCONT);
     }
 }
+
+// Guards against a VM that is seconds late with each version, because it has not read from the store which other VMs
+// there are, ignores the heartbeats of VMs that it does not know, and asks a seed from time to time only.
+TEST_CASE("a VM that restarts while the store does not answer it follows the readers")
+{
+    constexpr auto ApplyLimit = std::chrono::seconds(2);
+    StoreFleet fleet(PROGRAM_DIR,
+                     {.services = {{.name = "vydej", .upstreams = 2}},
+                      .dataCentres = {"a"},
+                      .vms = 4,
+                      .paddingRoutes = LargeRoutes,
+                      .replacesPadding = true});
+    fleet.start();
+    fleet.setRoutes({{"freeze", true}}, {"store-" + fleet.vms[0].id});
+    fleet.vms[0].entry->signal(SIGKILL);
+    fleet.startEntry(0);
+    fleet.waitUntilReady(0);
+    for (std::uint64_t version = 2; version < 8; ++version) {
+        fleet.configure(version);
+        waitFor("version " + std::to_string(version) + " at " + fleet.vms[0].id, ApplyLimit, [&fleet, version] {
+            return serves(fleet, 0, version);
+        });
+    }
+}
