Let the soak publish large configurations and judge late ones

The soak had configurations of 2 KB and did not judge a 404 for a route of a version that every VM had the time to apply. Every other seed now has some 300 KB, and every fourth replaces all routes with each version. The judge of versions has a file of its own; the checks of it and of keys are as they were.

--- a/test/soak/judge.cpp
+++ b/test/soak/judge.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/announcementjudge.h"
 #include "soak/keyjudge.h"
+#include "soak/versionjudge.h"
 
 #include <algorithm>
 #include <map>
@@ -64,28 +65,6 @@
     }
 }
 
-/// Within the life of one process, an entry that served a version must not refuse it later.
-void judgeVersions(const RunRecord &run, std::vector<std::string> &broken)
-{
-    std::map<std::size_t, std::map<std::uint64_t, TimePoint>> served;
-    auto calls = run.calls;
-    std::ranges::sort(calls, {}, &CallRecord::endedAt);
-    for (const auto &call : calls) {
-        if (call.version == 0) {
-            continue;
-        }
-        auto &versions = served[call.vm];
-        const auto known = versions.find(call.version);
-        if (call.status == 404 && known != versions.end() && call.sentAt > known->second
-            && versions.rbegin()->first == call.version && isCalm(run, known->second, call.endedAt)) {
-            broken.push_back("configuration went back: " + call.id);
-        }
-        if (call.status == 200) {
-            versions.try_emplace(call.version, call.endedAt);
-        }
-    }
-}
-
 /// A stop of an entry cuts no request, unless something else was wrong at the time. A request on an open connection may
 /// cross the close of that connection; then it reached no upstream, and the caller knows at once.
 void judgeStops(const RunRecord &run, const std::map<std::string, int> &runs, std::vector<std::string> &broken)
--- a/test/soak/keyjudge.cpp
+++ b/test/soak/keyjudge.cpp
@@ -1,6 +1,7 @@
 #include "soak/keyjudge.h"
 
 #include "soak/customers.h"
+#include "soak/versionjudge.h"
 
 #include <algorithm>
 #include <map>
@@ -11,27 +12,6 @@
 
 using Test::Json;
 
-/// Bound of the platform for a new configuration, and the time that a request may need on a busy machine, in
-/// microseconds.
-constexpr std::int64_t ApplyLimitUs = 2'500'000;
-constexpr std::int64_t ApplySlackUs = 500'000;
-/// Time in which a VM asks the store again after an outage.
-constexpr Duration ReconnectTime = std::chrono::milliseconds(1600);
-
-/// Whether neither the VM nor the store was disturbed in the time that the VM had to apply the configuration.
-/// Disturbances of upstreams and of other VMs do not excuse a VM that has an old configuration.
-bool isUndisturbed(const RunRecord &run, std::size_t vm, TimePoint until)
-{
-    const auto from = until - std::chrono::microseconds(ApplyLimitUs + ApplySlackUs);
-    return std::ranges::none_of(run.disturbances, [&](const Disturbance &disturbance) {
-        const auto &subject = disturbance.subject;
-        const bool concerns = subject.empty() || subject == "store" || subject == run.vms.at(vm)
-                              || subject == "store-" + run.vms.at(vm);
-        const bool over = disturbance.until != TimePoint::max() && disturbance.until + ReconnectTime < from;
-        return concerns && !over && disturbance.from <= until;
-    });
-}
-
 bool heldOnceBy(const RunRecord &run, const std::string &key, const std::string &customer, std::int64_t untilUs)
 {
     return std::ranges::any_of(run.versions, [&](const PublishedVersion &version) {
@@ -39,18 +19,6 @@
     });
 }
 
-/// The newest version that every VM has to apply at this time.
-const PublishedVersion *dueVersion(const RunRecord &run, std::int64_t atUs)
-{
-    const PublishedVersion *due = nullptr;
-    for (const auto &version : run.versions) {
-        if (version.storedUnixUs + ApplyLimitUs + ApplySlackUs <= atUs) {
-            due = &version;
-        }
-    }
-    return due;
-}
-
 /// Whether the version, or a later one that was published by then, gives the key to the customer.
 bool heldSince(const RunRecord &run,
                const PublishedVersion &first,
@@ -95,7 +63,7 @@
     const bool isInAllVersions = call.key == SteadyKey || call.key == MovingKey;
     const auto *due = dueVersion(run, call.sentUnixUs);
     const bool isInForce = due != nullptr && !holderOf(call.key, due->version).empty()
-                           && dueVersion(run, call.endedUnixUs + ApplyLimitUs + ApplySlackUs) == due
+                           && dueVersion(run, call.endedUnixUs + ApplyTimeUs) == due
                            && isUndisturbed(run, call.vm, call.endedAt);
     if (isInAllVersions || isInForce) {
         broken.push_back("valid key rejected: " + call.id + " with " + call.key);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -34,6 +34,9 @@
 )";
 
 constexpr auto Step = std::chrono::milliseconds(20);
+/// Routes that make the configuration some 300 KB long, in every other run. In every fourth run each version replaces
+/// all of them, so that it is long also as a change.
+constexpr std::size_t LargeRoutes = 2000;
 /// Time without faults at the end, after a last version. During the faults hardly any moment lies long enough after the
 /// last disturbance of a VM and of the store for keys to be judged.
 constexpr auto QuietTime = std::chrono::seconds(6);
@@ -99,6 +102,8 @@
     Test::StoreFleet fleet(std::filesystem::canonical("/proc/self/exe").parent_path(),
                            {.services = {{.name = "katalog", .upstreams = 6}, {.name = "vydej", .upstreams = 8}},
                             .vms = static_cast<unsigned>(arguments["--vms"].asLong()),
+                            .paddingRoutes = seed % 2 == 0 ? 0 : LargeRoutes,
+                            .replacesPadding = seed % 4 == 3,
                             .customers = customersOf(1)});
     fleet.start();
     std::atomic<std::uint64_t> newest = 1;
