Send a VM that has the newest configuration the end of the topic only

Cause: found by reading the change afresh. A VM that lacks records of other keys asked for a patch with the newest record as its base, and got the whole record, since only earlier records were taken as a base. Change: the newest record is a base, too.

--- a/src/fleet/recordpatches.cpp
+++ b/src/fleet/recordpatches.cpp
@@ -73,7 +73,7 @@
     }
     const auto end = cache.endPosition();
     const auto baseRecord
-        = base && base->era == end.era && base->offset < newest->offset ? cache.recordAt(base->offset) : std::nullopt;
+        = base && base->era == end.era && base->offset <= newest->offset ? cache.recordAt(base->offset) : std::nullopt;
     Mesh::StoreRecordPatch patch{.topic = this->topic,
                                  .era = end.era,
                                  .offset = newest->offset,
--- a/test/fleet/recordpatchestest.cpp
+++ b/test/fleet/recordpatchestest.cpp
@@ -135,6 +135,19 @@
     CHECK(later->data == first->data);
 }
 
+// Guards against VMs that fetch a long configuration again that they have, because records of other keys follow it.
+TEST_CASE("a VM that has the newest record gets a short patch with the end of the topic")
+{
+    RecordCache cache;
+    cache.append({record(4, routes(Routes, 1)), {.offset = 5, .key = "other", .value = "x"}}, 6);
+    auto patches = makePatches();
+    const auto patch = patches.patchFrom(cache, StorePosition{.offset = 4});
+    REQUIRE(patch);
+    CHECK(patch->offset == 4);
+    CHECK(patch->end == 6);
+    CHECK(patch->data.size() < 100);
+}
+
 TEST_CASE("the target of a patch names the topic and the base")
 {
     CHECK(patchRequest(patchTarget(Topic, StorePosition{.era = 2, .offset = 17}))
