--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -154,12 +154,14 @@
     struct Topic
     {
         std::vector<std::string> records;
+        /// Offset of the newest record of each key.
+        std::map<std::string, std::size_t> newest;
     };
 
     void serve(Socket &socket);
     std::string answer(const HttpRequest &request);
     std::string readTopic(const std::map<std::string, std::string> &query);
-    std::string newest(const std::string &topic);
+    std::string newest(const std::string &topic, const std::string &after);
     std::uint64_t append(const std::string &topic, const std::string &record);
 
     std::mutex mutex;
@@ -265,6 +267,8 @@
     /// Waits for the process; its exit status, or minus the signal that ended it, or nothing after the time.
     std::optional<int> wait(int timeoutMs);
     bool waitReady(int timeoutMs);
+    /// Memory of the process that is backed by no file; 0 if it has ended.
+    std::size_t anonymousKilobytes() const;
     void writeSettings(const std::string &text);
     std::string settingsText() const;
     std::string logPath() const;
